--- a/packages/core/src/martenquay_core/settings/models.py
+++ b/packages/core/src/martenquay_core/settings/models.py
@@ -121,6 +121,7 @@
         load_poll_s: Between two readings of an engine's load.
         commit_s: At least this long between two appends to one stream.
         log_timeout_s: How long one call to the log may take.
+        spread_s: How long `--wait` waits for every availability zone.
         snapshot_s: Between two snapshots of the configuration.
         drain_notice_s: Between unreadiness and the last new connection.
         drain_limit_s: How long requests in progress may take after that.
@@ -133,6 +134,7 @@
     load_poll_s: Seconds = 0.5
     commit_s: Seconds = 0.01
     log_timeout_s: Seconds = 2.0
+    spread_s: Seconds = 18.0
     snapshot_s: Seconds = 600.0
     drain_notice_s: Seconds = 2.0
     drain_limit_s: Seconds = 120.0
--- a/packages/daemon/src/martenquay_daemon/configuration/changes.py
+++ b/packages/daemon/src/martenquay_daemon/configuration/changes.py
@@ -22,7 +22,6 @@
 
 _LOG = logs.create_log("configuration")
 _READ_BACK_S = 5.0
-_SPREAD_S = 18.0
 _POLL_S = 0.02
 
 _CODES = {
@@ -59,12 +58,14 @@
         signer: records.Signer,
         members: table.MemberTable,
         zones: list[str],
+        spread_s: float,
     ) -> None:
         self._client = client
         self._config = config
         self._signer = signer
         self._members = members
         self._zones = zones
+        self._spread_s = spread_s
 
     async def submit(
         self, change: records.Change
@@ -99,7 +100,7 @@
 
     async def wait_in_force(self, offset: int) -> Spread:
         """Wait until every zone reports the offset, or name those missing."""
-        with trio.move_on_after(_SPREAD_S):
+        with trio.move_on_after(self._spread_s):
             while self._measure_spread(offset).missing:
                 await trio.sleep(_POLL_S)
         return self._measure_spread(offset)
--- a/packages/daemon/src/martenquay_daemon/daemon.py
+++ b/packages/daemon/src/martenquay_daemon/daemon.py
@@ -267,6 +267,7 @@
             signer,
             self.members,
             settings.find_zones(),
+            settings.timing.spread_s,
         )
 
     def _build_routing(self) -> None:
--- a/packages/standins/src/martenquay_standins/log.py
+++ b/packages/standins/src/martenquay_standins/log.py
@@ -25,6 +25,19 @@
     )
 
 
+@dataclasses.dataclass
+class LogFaults(web.Faults):
+    """Faults of the log besides the common ones.
+
+    Attributes:
+        late_effect_s: Answer 502 to an append at once, do it this much later.
+        answer_delay_s: Do an append, then answer this much later.
+    """
+
+    late_effect_s: float = 0.0
+    answer_delay_s: float = 0.0
+
+
 class LogStandIn(web.StandIn):
     """Keep streams of records in memory.
 
@@ -35,6 +48,7 @@
 
     def __init__(self, retention_s: float = 3600.0) -> None:
         super().__init__()
+        self.faults: LogFaults = LogFaults()
         self.retention_s = retention_s
         self.append_count = 0
         self._streams: dict[str, _Stream] = {}
@@ -46,7 +60,7 @@
             await web.reply_json(request.send, self._describe())
             return
         if request.path == "/truncate":
-            self._truncate(request.query["stream"], int(request.query["to"]))
+            self.truncate(request.query["stream"], int(request.query["to"]))
             await web.reply_json(request.send, {})
             return
         if await self.refuse_when_down(request):
@@ -68,6 +82,10 @@
         stream.end.advance(first + len(payloads))
         return first
 
+    def list_records(self, name: str) -> list[log.LogRecord]:
+        """Return the records that a stream still keeps."""
+        return list(self._find(name).records)
+
     async def _append(self, request: web.Request, name: str) -> None:
         payloads = msgspec.msgpack.decode(request.body, type=list[bytes])
         if self.faults.late_effect_s:
@@ -76,6 +94,7 @@
             await web.reply_json(request.send, {"error": "lost"}, 502)
             return
         offset = self.add(name, payloads)
+        await trio.sleep(self.faults.answer_delay_s)
         if await self.drop_answer(request):
             return
         body = msgspec.msgpack.encode({"offset": offset})
@@ -113,7 +132,8 @@
             count += 1
         _cut(stream, count)
 
-    def _truncate(self, name: str, to: int) -> None:
+    def truncate(self, name: str, to: int) -> None:
+        """Forget the records below an offset."""
         stream = self._find(name)
         _cut(stream, max(0, min(to - stream.start, len(stream.records))))
 
--- a/packages/standins/src/martenquay_standins/service.py
+++ b/packages/standins/src/martenquay_standins/service.py
@@ -19,8 +19,10 @@
 
     Attributes:
         checks_keys: Runs a key once and repeats its answer.
+        break_answers: Runs a call, then breaks the connection.
     """
 
+    break_answers: bool = False
     checks_keys: bool = False
 
 
@@ -49,6 +51,8 @@
         answer = self._answers.get(key) if self.faults.checks_keys else None
         if answer is None:
             answer = await self._run(request, key)
+        if self.faults.break_answers:
+            await _break_answer(request)
         if not await self.drop_answer(request):
             await web.reply_json(request.send, answer)
 
@@ -65,3 +69,12 @@
         self._answers[key] = answer
         await trio.lowlevel.checkpoint()
         return answer
+
+
+async def _break_answer(request: web.Request) -> None:
+    """Begin an answer and break the connection."""
+    length = (b"content-length", b"1000")
+    await request.send(
+        {"type": "http.response.start", "status": 200, "headers": [length]}
+    )
+    raise ConnectionResetError("told to break the connection")
--- a/packages/standins/src/martenquay_standins/web.py
+++ b/packages/standins/src/martenquay_standins/web.py
@@ -25,14 +25,12 @@
             -1 for always.
         hang: Do what is asked, then never answer.
         delay_s: Seconds to wait before each call.
-        late_effect_s: Answer 502 at once and do it this much later.
     """
 
     down: bool = False
     lose_answers: int = 0
     hang: bool = False
     delay_s: float = 0.0
-    late_effect_s: float = 0.0
 
 
 @dataclasses.dataclass
--- /dev/null
+++ b/tests/test_promises/test_leaving.py
@@ -0,0 +1,193 @@
+"""A leaving runner gets no new work; a planned stop cuts nothing off."""
+
+from __future__ import annotations
+
+import signal
+from typing import Any
+
+import trio
+
+from martenquay_core import results
+from martenquay_core.util import http
+from martenquay_standins import engine, network, world
+from tests import scenarios
+
+_Code = results.ResultCode
+
+
+class LeavingRunnerTest(scenarios.ScenarioTestCase):
+    def test_a_notice_seen_by_one_daemon_reaches_the_others(self):
+        async def scenario(scene: scenarios.Scene) -> None:
+            await self._check_no_new_work(scene, "one sees the notice")
+
+        self.run_scene(scenario, with_network=True)
+
+    def test_a_leaving_runner_is_left_out_while_the_list_shows_it_live(self):
+        async def scenario(scene: scenarios.Scene) -> None:
+            scene.world.instances.set_faults({"lag_s": 0.0})
+            await self._check_no_new_work(scene, "the list shows it live")
+
+        self.run_scene(scenario, with_network=True)
+
+    async def _check_no_new_work(
+        self, scene: scenarios.Scene, case: str
+    ) -> None:
+        old = await scene.world.add_engine(world.SERRANA, "serra-a", "old")
+        await scene.world.add_engine(world.SERRANA, "serra-b", "new")
+        daemons = await scene.start_daemons(world.SERRANA, 3)
+        assert scene.world.network is not None
+        if case == "one sees the notice":
+            # The other zones keep their links but lose the platform.
+            for zone in ("serra-b", "serra-c"):
+                scene.world.network.cut(zone, network.PLATFORM)
+        scene.world.instances.give_notice("old", "serra-a")
+        for daemon in daemons:
+            await scene.wait_until(self._says_leaving, scene, daemon, "old")
+        before = sum(old.runs.values())
+        for number in range(30):
+            reply = await scene.caller.chat(
+                daemons[number % 3], prompt=f"order {number}"
+            )
+            self.assertEqual(200, reply.status)
+        self.assertEqual(before, sum(old.runs.values()))
+
+    async def _says_leaving(
+        self, scene: scenarios.Scene, daemon: Any, runner: str
+    ) -> bool:
+        rows = await scene.list_rows(daemon, "show runners")
+        states = {row["name"]: row["state"] for row in rows}
+        return states[runner] == "leaving"
+
+
+class PlannedStopTest(scenarios.ScenarioTestCase):
+    def test_a_stop_finishes_streams_calls_and_appends_in_progress(self):
+        async def scenario(scene: scenarios.Scene) -> None:
+            shape = engine.EngineShape(token_s=0.02)
+            await scene.world.add_engine(
+                world.SERRANA, "serra-a", "model-1", shape
+            )
+            service = await scene.world.add_service(
+                world.SERRANA, "serra-a", "desk-1"
+            )
+            service.set_faults({"delay_s": 0.8})
+            daemons = await scene.start_processes(world.SERRANA, 2)
+            replies: dict[str, scenarios.CallerReply] = {}
+
+            async def keep(name: str, call: Any) -> None:
+                replies[name] = await call
+
+            async with trio.open_nursery() as nursery:
+                caller = scene.caller
+                stream = caller.chat(daemons[0], max_tokens=60, stream=True)
+                nursery.start_soon(keep, "stream", stream)
+                nursery.start_soon(
+                    keep, "call", caller.book(daemons[0], "slot-1")
+                )
+                status = caller.send(daemons[0], "GET", "/services/status/1")
+                nursery.start_soon(keep, "status", status)
+                await scene.wait_until(self._has_running, scene, daemons[0], 3)
+                daemons[0].send_signal(signal.SIGTERM)
+            self.assertTrue(replies["stream"].is_unbroken())
+            self.assertEqual(200, replies["call"].status)
+            self.assertEqual(200, replies["status"].status)
+            self.assertEqual(0, await daemons[0].process.wait())
+            kept = await scene.caller.book(daemons[1], "slot-1")
+            self.assertEqual(replies["call"].body, kept.body)
+            self.assertEqual(1, service.runs["slot-1"])
+
+        self.run_scene(scenario)
+
+    def test_deferrable_work_is_handed_over_at_a_stop(self):
+        async def scenario(scene: scenarios.Scene) -> None:
+            shape = engine.EngineShape(token_s=0.03)
+            await scene.world.add_engine(
+                world.SERRANA, "serra-a", "model-1", shape
+            )
+            daemons = await scene.start_processes(world.SERRANA, 2)
+            tickets = []
+            for number in range(4):
+                reply = await scene.caller.chat(
+                    daemons[0], "review", f"part {number}", max_tokens=60
+                )
+                tickets.append(reply.read_json()["ticket"])
+            await scene.wait_until(self._has_running, scene, daemons[0], 1)
+            daemons[0].send_signal(signal.SIGTERM)
+            self.assertEqual(0, await daemons[0].process.wait())
+            for ticket in tickets:
+                answer = await scene.caller.fetch_answer(daemons[1], ticket)
+                self.assertEqual(200, answer.status)
+
+        self.run_scene(scenario)
+
+    def test_replacing_every_daemon_under_load_cuts_no_request_off(self):
+        async def scenario(scene: scenarios.Scene) -> None:
+            shape = engine.EngineShape(token_s=0.005)
+            for number in range(2):
+                await scene.world.add_engine(
+                    world.SERRANA, "serra-a", f"model-{number}", shape
+                )
+            balanced = list(await scene.start_processes(world.SERRANA, 3))
+            replies: list[scenarios.CallerReply] = []
+            done = trio.Event()
+
+            async def call_again_and_again(number: int) -> None:
+                while not done.is_set():
+                    # The balancer sends callers to ready daemons only.
+                    ready = balanced[number % len(balanced)]
+                    replies.append(
+                        await scene.caller.chat(
+                            ready, max_tokens=30, stream=True
+                        )
+                    )
+
+            async with trio.open_nursery() as nursery:
+                for number in range(6):
+                    nursery.start_soon(call_again_and_again, number)
+                for number in range(3):
+                    leaving = balanced[0]
+                    newer = await scene.world.start_process(
+                        world.SERRANA, "serra-a", f"entry-new-{number}"
+                    )
+                    await scene.wait_until(self._is_ready, scene, newer)
+                    balanced.append(newer)
+                    balanced.remove(leaving)
+                    leaving.send_signal(signal.SIGTERM)
+                    self.assertEqual(0, await leaving.process.wait())
+                done.set()
+            self.assertGreater(len(replies), 10)
+            for reply in replies:
+                self.assertEqual(200, reply.status, reply.body)
+                self.assertTrue(reply.is_unbroken())
+
+        self.run_scene(scenario)
+
+    def test_a_stopping_daemon_says_so_before_it_takes_no_more_callers(self):
+        async def scenario(scene: scenarios.Scene) -> None:
+            daemons = await scene.start_daemons(
+                world.SERRANA, 1, timing={"drain_notice_s": 1.0}
+            )
+            daemons[0].process.stop()
+            await scene.wait_until(self._is_unready, scene, daemons[0])
+            reply = await scene.caller.send(daemons[0], "GET", "/healthz")
+            self.assertEqual(200, reply.status)
+            await daemons[0].ended.wait()
+
+        self.run_scene(scenario)
+
+    async def _has_running(
+        self, scene: scenarios.Scene, daemon: Any, count: int
+    ) -> bool:
+        rows = await scene.list_rows(daemon, "show requests")
+        return len([row for row in rows if row["runner"]]) >= count
+
+    async def _is_ready(self, scene: scenarios.Scene, daemon: Any) -> bool:
+        return (await self._read_readiness(scene, daemon)) == 200
+
+    async def _is_unready(self, scene: scenarios.Scene, daemon: Any) -> bool:
+        return (await self._read_readiness(scene, daemon)) == 503
+
+    async def _read_readiness(self, scene: scenarios.Scene, daemon: Any) -> int:
+        async with http.open_client(reuse=False) as client:
+            url = f"http://{daemon.addresses.callers}/readyz"
+            answer = await client.call("GET", url)
+            return answer.ok.status if answer.is_ok() else 0
