Take configuration from a peer that is ahead, not only when the log fails

Cause: a zone cut from the platform took 14.9 s (median) to put a change into force, because its long poll hung in a cut connection and peers were asked only after it had failed. Heartbeats already said who was ahead.

Changed: heartbeats and their replies carry the offset in force, go out at once when it changes, and a daemon that is behind a peer for 0.25 s asks that peer. A fresh daemon reads its first page without waiting for news (it was not ready for 10 s).

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure martenquay; each module is a program of its own."""
--- a/packages/core/src/martenquay_core/peers/messages.py
+++ b/packages/core/src/martenquay_core/peers/messages.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "AnswerReply",
+    "AppliedReply",
     "Acknowledged",
     "ConfigReply",
     "FetchAnswer",
@@ -26,6 +27,7 @@
     "Settlement",
     "Unavailable",
     "Update",
+    "WaitApplied",
     "WaitOutcome",
     "decode_message",
     "encode_message",
@@ -53,7 +55,6 @@
         address: Where its peer link listens.
         incarnation: Raised by the daemon itself to refute a false report.
         state: Its state.
-        applied: The offset of the configuration in force there.
     """
 
     member: str
@@ -62,7 +63,6 @@
     address: str
     incarnation: int = 0
     state: MemberState = MemberState.ALIVE
-    applied: int = 0
 
 
 class RunnerLeaving(msgspec.Struct, frozen=True, array_like=True, tag="r"):
@@ -83,10 +83,12 @@
 
     Attributes:
         member: The sender.
+        applied: The offset of the configuration in force there.
         updates: What the receiver may not know yet.
     """
 
     member: str
+    applied: int
     updates: list[Update]
 
 
@@ -95,11 +97,13 @@
 
     Attributes:
         member: Who answers.
+        applied: The offset of the configuration in force there.
         updates: What the asker has to refute about itself.
     """
 
     member: str
-    updates: list[Update] = []
+    applied: int
+    updates: list[Update]
 
 
 class FetchConfig(msgspec.Struct, frozen=True, array_like=True, tag="fc"):
@@ -126,6 +130,28 @@
     applied: int
 
 
+class WaitApplied(msgspec.Struct, frozen=True, array_like=True, tag="wa"):
+    """Ask to be told when an offset of the configuration is in force.
+
+    Attributes:
+        offset: The offset.
+        wait_s: How long the asker waits.
+    """
+
+    offset: int
+    wait_s: float
+
+
+class AppliedReply(msgspec.Struct, frozen=True, array_like=True, tag="war"):
+    """What is in force.
+
+    Attributes:
+        applied: The offset in force when the wait ended.
+    """
+
+    applied: int
+
+
 class SettleClaim(
     msgspec.Struct, frozen=True, array_like=True, tag="sc", kw_only=True
 ):
@@ -274,6 +300,8 @@
     | HeartbeatReply
     | FetchConfig
     | ConfigReply
+    | WaitApplied
+    | AppliedReply
     | SettleClaim
     | SettleReply
     | WaitOutcome
--- a/packages/daemon/src/martenquay_daemon/answers.py
+++ b/packages/daemon/src/martenquay_daemon/answers.py
@@ -49,6 +49,8 @@
         match message:
             case messages.FetchConfig(from_offset=from_offset):
                 return self._config.serve_peer(from_offset)
+            case messages.WaitApplied(offset=offset, wait_s=wait_s):
+                return await self._config.wait_applied(offset, wait_s)
             case messages.SettleClaim():
                 return await self._claims.settle_for_peer(message)
             case messages.WaitOutcome():
--- a/packages/daemon/src/martenquay_daemon/configuration/changes.py
+++ b/packages/daemon/src/martenquay_daemon/configuration/changes.py
@@ -10,19 +10,19 @@
 
 from martenquay_core import logs, results
 from martenquay_core.config import fold, records
+from martenquay_core.peers import messages
 from martenquay_core.platform import outcome
 from martenquay_daemon.configuration import follower
 
 if TYPE_CHECKING:
     from martenquay_core.platform import log
     from martenquay_daemon.configuration import store
-    from martenquay_daemon.membership import table
+    from martenquay_daemon.membership import links, table
 
 __all__ = ["ChangeDesk", "Spread"]
 
 _LOG = logs.create_log("configuration")
 _READ_BACK_S = 5.0
-_POLL_S = 0.02
 
 _CODES = {
     fold.Verdict.CONFLICT: results.ResultCode.CONFLICT,
@@ -57,6 +57,7 @@
         config: store.ConfigStore,
         signer: records.Signer,
         members: table.MemberTable,
+        peers: links.PeerLinks,
         zones: list[str],
         spread_s: float,
     ) -> None:
@@ -64,6 +65,7 @@
         self._config = config
         self._signer = signer
         self._members = members
+        self._peers = peers
         self._zones = zones
         self._spread_s = spread_s
 
@@ -99,20 +101,40 @@
         return Error(results.Failure(code, message, retry_after_s=2.0))
 
     async def wait_in_force(self, offset: int) -> Spread:
-        """Wait until every zone reports the offset, or name those missing."""
+        """Wait until every daemon reports the offset, or name missing zones.
+
+        Each daemon is asked once and answers when it has the offset in force.
+        """
+        members = self._members.list_serving()
+        reporting: set[str] = set()
+
+        async def ask(member: messages.MemberUpdate) -> None:
+            if await self._wait_at(member.member, offset):
+                reporting.add(member.member)
+
         with trio.move_on_after(self._spread_s):
-            while self._measure_spread(offset).missing:
-                await trio.sleep(_POLL_S)
-        return self._measure_spread(offset)
-
-    def _measure_spread(self, offset: int) -> Spread:
-        lowest: dict[str, int] = {}
-        for member in self._members.list_serving():
-            known = lowest.get(member.zone, member.applied)
-            lowest[member.zone] = min(known, member.applied)
-        reported = [z for z in self._zones if lowest.get(z, 0) >= offset]
-        missing = [z for z in self._zones if z not in reported]
-        return Spread(reported, missing)
+            async with trio.open_nursery() as nursery:
+                for member in members:
+                    nursery.start_soon(ask, member)
+        served = {member.zone for member in members}
+        silent = {m.zone for m in members if m.member not in reporting}
+        whole = served - silent
+        return Spread(
+            [zone for zone in self._zones if zone in whole],
+            [zone for zone in self._zones if zone not in whole],
+        )
+
+    async def _wait_at(self, member: str, offset: int) -> bool:
+        if member == self._members.me.member:
+            await self._config.applied.wait_for(offset)
+            return True
+        message = messages.WaitApplied(offset, self._spread_s)
+        reply = await self._peers.request(member, message, self._spread_s)
+        match reply:
+            case Result(tag="ok", ok=messages.AppliedReply(applied=applied)):
+                return applied >= offset
+            case _:
+                return False
 
     async def _read_back(self, change_id: str) -> fold.Judgement:
         while True:
--- a/packages/daemon/src/martenquay_daemon/configuration/follower.py
+++ b/packages/daemon/src/martenquay_daemon/configuration/follower.py
@@ -26,6 +26,7 @@
 _WAIT_S = 10.0
 _PEER_TIMEOUT_S = 1.0
 _RETRY_S = 0.25
+_GRACE_S = 0.25
 
 
 class ConfigFollower:
@@ -55,13 +56,24 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         await self._read_snapshots()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_peers)
+            await self._follow_log()
+
+    async def _follow_log(self) -> None:
         while True:
+            # Before the first page, and after a failure, an answer at once
+            # says more than one that waits for news.
+            wait_s = _WAIT_S if self.ready.is_set() else 0.0
+            if not self._health.is_up:
+                wait_s = 0.0
             page = await self._client.read(
-                CONFIG_STREAM, self._config.applied.value + 1, wait_s=_WAIT_S
+                CONFIG_STREAM, self._config.applied.value + 1, wait_s=wait_s
             )
             if page.is_error():
                 self._health.note_failure(page.error.message)
-                await self._ask_peers()
+                if not self.ready.is_set():
+                    await self._ask_peers(self._list_peers())
                 await trio.sleep(_RETRY_S)
                 continue
             self._health.note_answer()
@@ -70,10 +82,27 @@
             else:
                 await self._close_gap(page.ok.start)
 
+    async def _watch_peers(self) -> None:
+        """Ask a peer that is ahead when the log itself says nothing.
+
+        A log that cannot be reached may look like one without news, so what
+        the peers have in force is the better sign.
+        """
+        highest = self._members.highest_applied
+        while True:
+            await highest.wait_beyond(self._config.applied.value)
+            with trio.move_on_after(_GRACE_S):
+                await self._config.applied.wait_for(highest.value)
+                continue
+            applied = self._config.applied.value
+            await self._ask_peers(self._members.list_ahead(applied))
+            if self._config.applied.value == applied:
+                await trio.sleep(_RETRY_S)
+
     def _take_page(self, page: log.LogPage) -> None:
         for record in page.records:
             self._config.apply(record.offset, record.payload)
-        self._members.announce(applied=self._config.applied.value)
+        self._members.announce_applied(self._config.applied.value)
         if self._config.applied.value + 1 >= page.end:
             self.ready.set()
 
@@ -81,7 +110,7 @@
         _LOG.write(f"Records before {start} are gone; looking for a snapshot.")
         await self._read_snapshots()
         if not self._config.can_continue(start):
-            await self._ask_peers()
+            await self._ask_peers(self._list_peers())
             await trio.sleep(_RETRY_S)
 
     async def _read_snapshots(self) -> None:
@@ -98,23 +127,23 @@
         self._config.take_snapshots(buffer)
         self._keep_whole(buffer)
 
-    async def _ask_peers(self) -> None:
-        """Ask one peer after the other, those of the own zone first."""
-        zone = self._members.me.zone
+    def _list_peers(self) -> list[str]:
+        """Return all other daemons, those of the own zone first."""
+        me = self._members.me
         peers = sorted(
             self._members.list_serving(),
-            key=lambda member: (member.zone != zone, -member.applied),
+            key=lambda member: member.zone != me.zone,
         )
+        return [peer.member for peer in peers if peer.member != me.member]
+
+    async def _ask_peers(self, peers: list[str]) -> None:
+        """Ask one peer after the other until one answers."""
         for member in peers:
-            if member.member == self._members.me.member:
-                continue
             message = messages.FetchConfig(self._config.applied.value + 1)
-            reply = await self._peers.request(
-                member.member, message, _PEER_TIMEOUT_S
-            )
+            reply = await self._peers.request(member, message, _PEER_TIMEOUT_S)
             match reply:
                 case Result(tag="ok", ok=messages.ConfigReply() as found):
-                    self._take_reply(member.member, found)
+                    self._take_reply(member, found)
                     return
                 case _:
                     continue
@@ -132,13 +161,13 @@
             return
         for offset, raw in reply.records:
             self._config.apply(offset, raw)
-        self._members.announce(applied=self._config.applied.value)
+        self._members.announce_applied(self._config.applied.value)
         if self._config.applied.value >= reply.applied > 0:
             self.ready.set()
         if self._config.applied.value > before:
             _LOG.write(
                 f"Took the configuration up to {self._config.applied.value} "
-                f"from {peer}, for the log does not answer."
+                f"from {peer}, for the log has not given it."
             )
 
     def _keep_whole(self, buffer: snapshot.SnapshotBuffer) -> None:
--- a/packages/daemon/src/martenquay_daemon/configuration/store.py
+++ b/packages/daemon/src/martenquay_daemon/configuration/store.py
@@ -10,6 +10,8 @@
 import collections
 from typing import TYPE_CHECKING
 
+import trio
+
 from martenquay_core import logs
 from martenquay_core.config import fold, objects, snapshot
 from martenquay_core.peers import messages
@@ -101,6 +103,14 @@
             records_after = list(self._tail)
         return messages.ConfigReply(chunks, records_after, self.applied.value)
 
+    async def wait_applied(
+        self, offset: int, wait_s: float
+    ) -> messages.AppliedReply:
+        """Tell a peer what is in force once an offset is, or time is up."""
+        with trio.move_on_after(wait_s):
+            await self.applied.wait_for(offset)
+        return messages.AppliedReply(self.applied.value)
+
     def find_team(self, partner: str, name: str) -> objects.Team | None:
         """Return a team."""
         key = objects.ObjectKey(partner, objects.Kind.TEAM, name)
--- a/packages/daemon/src/martenquay_daemon/daemon.py
+++ b/packages/daemon/src/martenquay_daemon/daemon.py
@@ -149,7 +149,7 @@
         """
         timing = self.settings.timing
         self.readiness.is_stopping = True
-        parts.members.announce(leaving=True)
+        parts.members.announce_leaving()
         parts.deferrable.hand_over()
         _LOG.write("Stopping: not ready any more.")
         await trio.sleep(timing.drain_notice_s)
@@ -266,6 +266,7 @@
             self.config,
             signer,
             self.members,
+            self.peers,
             settings.find_zones(),
             settings.timing.spread_s,
         )
--- a/packages/daemon/src/martenquay_daemon/membership/links.py
+++ b/packages/daemon/src/martenquay_daemon/membership/links.py
@@ -33,6 +33,7 @@
 LINKS_TO_ZONE = 2
 _IDLE_LINK_S = 30.0
 _MAX_UPDATES = 500
+_SPACING_S = 0.02
 
 
 @dataclasses.dataclass(frozen=True)
@@ -170,8 +171,11 @@
     def _take_heartbeat(self, message: messages.Heartbeat) -> messages.Message:
         for update in message.updates:
             self._members.merge(update)
+        self._members.note_applied(message.member, message.applied)
         return messages.HeartbeatReply(
-            self._members.me.member, self._members.judge_sender(message.member)
+            self._members.me.member,
+            self._members.applied,
+            self._members.judge_sender(message.member),
         )
 
     def _open(self, address: str) -> _Link:
@@ -206,6 +210,7 @@
         missed = 0
         while True:
             started = trio.current_time()
+            urgent = self._members.urgent.value
             if await self._beat_once(link, interval_s):
                 missed = 0
             else:
@@ -213,17 +218,23 @@
                 link.sent_version = 0
             if missed >= allowed and link.member:
                 self._members.suspect(link.member)
-            await trio.sleep_until(started + interval_s)
+            # News that come together go out together.
+            await trio.sleep(min(_SPACING_S, interval_s))
+            with trio.move_on_at(started + interval_s):
+                await self._members.urgent.wait_beyond(urgent)
 
     async def _beat_once(self, link: _Link, timeout_s: float) -> bool:
         updates, reached = self._members.changes_since(
             link.sent_version, _MAX_UPDATES
         )
-        message = messages.Heartbeat(self._members.me.member, updates)
+        message = messages.Heartbeat(
+            self._members.me.member, self._members.applied, updates
+        )
         reply = await self._ask(link, message, timeout_s)
         match reply:
             case Result(tag="ok", ok=messages.HeartbeatReply() as beat):
                 link.member = beat.member
+                self._members.note_applied(beat.member, beat.applied)
                 link.sent_version = reached
                 for update in beat.updates:
                     self._members.merge(update)
--- a/packages/daemon/src/martenquay_daemon/membership/table.py
+++ b/packages/daemon/src/martenquay_daemon/membership/table.py
@@ -16,6 +16,7 @@
 
 from martenquay_core import logs
 from martenquay_core.peers import messages
+from martenquay_core.util import progress
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -41,6 +42,9 @@
     Attributes:
         me: What this daemon says of itself.
         version: Raised with every change.
+        applied: The offset of the configuration in force here.
+        highest_applied: The highest offset in force at any linked daemon.
+        urgent: Counts news that should not wait for the next heartbeat.
     """
 
     def __init__(
@@ -48,9 +52,13 @@
     ) -> None:
         self.me = me
         self.version = 0
+        self.applied = 0
+        self.highest_applied = progress.Progress()
+        self.urgent = progress.Progress()
         self._dead_after_ticks = dead_after_ticks
         # The latest change comes last.
         self._entries: OrderedDict[str, _Entry] = OrderedDict()
+        self._applied: dict[str, int] = {}
         self._runner_listeners: list[Callable[[str], None]] = []
         self._store(me.member, me)
 
@@ -79,18 +87,32 @@
         self.me = me
         self._store(me.member, me)
 
-    def announce(
-        self, *, applied: int | None = None, leaving: bool = False
-    ) -> None:
-        """Change what this daemon says of itself."""
-        me = self.me
-        if applied is not None and applied > me.applied:
-            me = msgspec.structs.replace(me, applied=applied)
-        if leaving and me.state < _State.LEAVING:
-            me = msgspec.structs.replace(me, state=_State.LEAVING)
-        if me != self.me:
-            self.me = me
-            self._store(me.member, me)
+    def announce_leaving(self) -> None:
+        """Say that this daemon is leaving."""
+        if self.me.state < _State.LEAVING:
+            self.me = msgspec.structs.replace(self.me, state=_State.LEAVING)
+            self._store(self.me.member, self.me)
+            self._hurry()
+
+    def announce_applied(self, offset: int) -> None:
+        """Say which configuration is in force here."""
+        if offset > self.applied:
+            self.applied = offset
+            self._hurry()
+
+    def note_applied(self, member: str, offset: int) -> None:
+        """Note which configuration a linked daemon has in force."""
+        self._applied[member] = offset
+        self.highest_applied.advance(offset)
+
+    def list_ahead(self, offset: int) -> list[str]:
+        """Return linked daemons beyond an offset, the own zone's first."""
+        ahead = []
+        for member, applied in self._applied.items():
+            known = self.find(member)
+            if known is not None and applied > offset:
+                ahead.append((known.zone != self.me.zone, member))
+        return [member for _, member in sorted(ahead)]
 
     def tick(self) -> None:
         """Count time in heartbeats, so that a frozen process skips none."""
@@ -189,10 +211,14 @@
             return False
         self._store(key, update)
         _LOG.write(f"Runner {update.runner} is leaving.", runner=update.runner)
+        self._hurry()
         for listener in self._runner_listeners:
             listener(update.runner)
         return True
 
+    def _hurry(self) -> None:
+        self.urgent.advance(self.urgent.value + 1)
+
     def _refute(self, update: messages.MemberUpdate) -> bool:
         if _rank(update) <= _rank(self.me):
             return False
@@ -214,10 +240,11 @@
     def _forget_old(self, name: str, entry: _Entry) -> None:
         if entry.ticks >= _FORGET_TICKS:
             del self._entries[name]
+            self._applied.pop(name, None)
 
 
-def _rank(update: messages.MemberUpdate) -> tuple[int, int, int]:
-    return (update.incarnation, update.state, update.applied)
+def _rank(update: messages.MemberUpdate) -> tuple[int, int]:
+    return (update.incarnation, update.state)
 
 
 def _same_state(
--- a/packages/daemon/src/martenquay_daemon/operators/queries.py
+++ b/packages/daemon/src/martenquay_daemon/operators/queries.py
@@ -38,7 +38,7 @@
     "shares": objects.Kind.SHARE,
 }
 # What each daemon knows only of itself; all of the partner's are asked.
-_SPREAD_NOUNS = {"requests", "tickets"}
+_SPREAD_NOUNS = {"requests", "tickets", "config"}
 _WHY = "why"
 
 
@@ -135,6 +135,8 @@
         match noun:
             case "requests":
                 return rows.render_rows(self._list_requests())
+            case "config":
+                return rows.render_rows(self._list_config())
             case "tickets":
                 return rows.render_rows(self._list_tickets())
             case "why":
@@ -148,8 +150,6 @@
                 return rows.render_rows(self._list_runners())
             case "daemons":
                 return rows.render_rows(self._list_daemons())
-            case "config":
-                return rows.render_rows(self._list_config())
             case _:
                 return rows.render_rows(self._list_objects(_KINDS[noun]))
 
@@ -181,7 +181,6 @@
                 member.partner,
                 member.zone,
                 member.state.name.lower(),
-                member.applied,
             )
             for member in self._members.list_members()
         ]
--- a/packages/daemon/src/martenquay_daemon/operators/rows.py
+++ b/packages/daemon/src/martenquay_daemon/operators/rows.py
@@ -59,14 +59,12 @@
         partner: Its partner.
         zone: Its availability zone.
         state: alive, leaving, suspect or dead.
-        applied: The offset of the configuration in force there.
     """
 
     name: str
     partner: str
     zone: str
     state: str
-    applied: int
 
 
 @dataclasses.dataclass(frozen=True)
