Void a losing claim for ever, as the specification says

Cause: found by folding every short log through both the z3 specification and the code. In the log (claim 0, claim 1, release 0, claim 1 again) the code gave the key to daemon 1, which had been told that it lost. It would never call and never let go. A claim is appended again whenever a follower is slow and the next one is asked, so this can happen.

Ruled out: two calls. The checker shows at most one call either way; what breaks is that the key is held by a daemon that never calls, so the callers of that key wait and get an outcome unknown. The specification now says so, and its variant without the rule is refuted.

--- a/packages/daemon/src/martenquay_daemon/claims/table.py
+++ b/packages/daemon/src/martenquay_daemon/claims/table.py
@@ -36,7 +36,9 @@
     def __init__(self) -> None:
         # Both in the order of their offsets, so that old ones go first.
         self._entries: OrderedDict[str, Entry] = OrderedDict()
-        self._released: OrderedDict[str, int] = OrderedDict()
+        # Attempts that can never win: released ones, and those that found
+        # the key held. Their claims may come again or late.
+        self._void: OrderedDict[str, int] = OrderedDict()
 
     def __len__(self) -> int:
         """Return the number of keys that are held or done."""
@@ -61,15 +63,19 @@
     def forget_before(self, offset: int) -> None:
         """Drop what the log itself has forgotten."""
         _drop_oldest(self._entries, offset, lambda entry: entry.offset)
-        _drop_oldest(self._released, offset, lambda released: released)
+        _drop_oldest(self._void, offset, lambda voided: voided)
 
     def _apply_claim(self, offset: int, claim: records.Claim) -> None:
-        if claim.attempt in self._released or claim.key in self._entries:
+        if claim.attempt in self._void:
             return
-        self._entries[claim.key] = Entry(claim, offset)
+        entry = self._entries.get(claim.key)
+        if entry is None:
+            self._entries[claim.key] = Entry(claim, offset)
+        elif entry.claim.attempt != claim.attempt:
+            self._void[claim.attempt] = offset
 
     def _apply_release(self, offset: int, key: str, attempt: str) -> None:
-        self._released[attempt] = offset
+        self._void[attempt] = offset
         entry = self._entries.get(key)
         if entry is None or entry.claim.attempt != attempt:
             return
--- /dev/null
+++ b/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Specify the core protocols small enough for a model checker."""
--- /dev/null
+++ b/proofs/checker.py
@@ -0,0 +1,130 @@
+"""Search a transition relation for a violation with z3.
+
+Work is bounded by z3's own count of steps, which is the same on every
+machine, never by time. An answer of `unknown` counts as a failure.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from typing import TYPE_CHECKING, Any, Protocol
+
+import z3
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = [
+    "Finding",
+    "Specification",
+    "Verdict",
+    "prove_inductive",
+    "search_violation",
+]
+
+_STEP_LIMIT = 400_000_000
+
+
+class Verdict(enum.Enum):
+    """What the checker found."""
+
+    HOLDS = "holds"
+    VIOLATED = "violated"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True)
+class Finding:
+    """What the checker found and, for a violation, the way there.
+
+    Attributes:
+        verdict: The finding.
+        trace: The action and state of each step, as text.
+    """
+
+    verdict: Verdict
+    trace: list[str]
+
+
+class Specification(Protocol):
+    """A transition system over z3 variables."""
+
+    def make_state(self, step: int) -> dict[str, Any]:
+        """Return fresh variables for the state at a step."""
+
+    def start(self, state: dict[str, Any]) -> Any:
+        """Return the condition on the first state."""
+
+    def step(self, before: dict[str, Any], after: dict[str, Any]) -> Any:
+        """Return the condition on two states in a row."""
+
+    def is_safe(self, state: dict[str, Any]) -> Any:
+        """Return the condition that must always hold."""
+
+
+def search_violation(specification: Specification, depth: int) -> Finding:
+    """Look for a run of at most `depth` steps that ends in an unsafe state."""
+    solver = _make_solver()
+    states = [specification.make_state(0)]
+    solver.add(specification.start(states[0]))
+    for number in range(1, depth + 1):
+        states.append(specification.make_state(number))
+        solver.add(specification.step(states[-2], states[-1]))
+    unsafe = [z3.Not(specification.is_safe(state)) for state in states]
+    solver.add(z3.Or(unsafe))
+    return _conclude(solver, states)
+
+
+def prove_inductive(
+    specification: Specification,
+    invariant: Callable[[dict[str, Any]], Any],
+) -> dict[str, Finding]:
+    """Prove that an invariant holds at the start, is kept, and is enough.
+
+    Returns:
+        One finding for each of `start`, `kept` and `enough`.
+    """
+    before = specification.make_state(0)
+    after = specification.make_state(1)
+    obligations = {
+        "start": z3.And(specification.start(before), z3.Not(invariant(before))),
+        "kept": z3.And(
+            invariant(before),
+            specification.step(before, after),
+            z3.Not(invariant(after)),
+        ),
+        "enough": z3.And(
+            invariant(before), z3.Not(specification.is_safe(before))
+        ),
+    }
+    findings = {}
+    for name, counterexample in obligations.items():
+        solver = _make_solver()
+        solver.add(counterexample)
+        findings[name] = _conclude(solver, [before, after])
+    return findings
+
+
+def _make_solver() -> z3.Solver:
+    solver = z3.Solver()
+    solver.set("rlimit", _STEP_LIMIT)
+    solver.set("random_seed", 7)
+    return solver
+
+
+def _conclude(solver: z3.Solver, states: list[dict[str, Any]]) -> Finding:
+    answer = solver.check()
+    if answer == z3.unsat:
+        return Finding(Verdict.HOLDS, [])
+    if answer == z3.unknown:
+        return Finding(Verdict.UNKNOWN, [])
+    model = solver.model()
+    trace = [
+        ", ".join(
+            f"{name}={model.eval(variable, model_completion=True)}"
+            for name, variable in state.items()
+        )
+        for state in states
+    ]
+    return Finding(Verdict.VIOLATED, trace)
--- /dev/null
+++ b/proofs/claims.py
@@ -0,0 +1,253 @@
+"""Specify claim and call: a key's call is made at most once.
+
+Two daemons, one key, a log of a few places. A claim may be in the log, still
+on its way (its append's answer was lost), or not sent. A daemon makes the
+call only after it has read its own claim back as the one that holds the key.
+A daemon that gives up writes a release, which may come before its claim.
+Daemons freeze between any two steps simply by taking none.
+
+The broken variants call on the append's answer, or after a lost answer
+without reading back, or let a claim that lost take over after a release.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import Any
+
+import z3
+
+__all__ = ["Breakage", "ClaimSpecification", "State"]
+
+DAEMONS = (0, 1)
+PLACES = 4
+
+
+class Breakage(enum.Enum):
+    """A way in which the protocol may be broken."""
+
+    NONE = "none"
+    CALL_WITHOUT_READING = "call without reading back"
+    CALL_AFTER_GIVING_UP = "call after giving up"
+    LOSER_TAKES_OVER = "a losing claim takes over after a release"
+
+
+class State(enum.IntEnum):
+    """Where a daemon is with its claim."""
+
+    IDLE = 0
+    SENT = 1
+    WON = 2
+    LOST = 3
+    CALLED = 4
+    GIVEN_UP = 5
+
+
+# What a place of the log holds.
+_EMPTY, _CLAIM_0, _CLAIM_1, _RELEASE_0, _RELEASE_1 = range(5)
+_CLAIMS = (_CLAIM_0, _CLAIM_1)
+_RELEASES = (_RELEASE_0, _RELEASE_1)
+
+
+class ClaimSpecification:
+    """The claim protocol for one key."""
+
+    def __init__(self, breakage: Breakage = Breakage.NONE) -> None:
+        self._breakage = breakage
+
+    def make_state(self, step: int) -> dict[str, Any]:
+        """Return the variables of a state."""
+        state: dict[str, Any] = {}
+        for place in range(PLACES):
+            state[f"log{place}"] = z3.Int(f"log{place}_{step}")
+        state["end"] = z3.Int(f"end_{step}")
+        for daemon in DAEMONS:
+            state[f"at{daemon}"] = z3.Int(f"at{daemon}_{step}")
+            state[f"flying{daemon}"] = z3.Bool(f"flying{daemon}_{step}")
+            state[f"releasing{daemon}"] = z3.Bool(f"releasing{daemon}_{step}")
+            state[f"said_not_run{daemon}"] = z3.Bool(f"said{daemon}_{step}")
+        state["calls"] = z3.Int(f"calls_{step}")
+        return state
+
+    def start(self, state: dict[str, Any]) -> Any:
+        """Return the condition on the first state."""
+        conditions = [state["end"] == 0, state["calls"] == 0]
+        conditions += [
+            state[f"log{place}"] == _EMPTY for place in range(PLACES)
+        ]
+        for daemon in DAEMONS:
+            conditions.append(state[f"at{daemon}"] == State.IDLE)
+            conditions.append(z3.Not(state[f"flying{daemon}"]))
+            conditions.append(z3.Not(state[f"releasing{daemon}"]))
+            conditions.append(z3.Not(state[f"said_not_run{daemon}"]))
+        return z3.And(conditions)
+
+    def step(self, before: dict[str, Any], after: dict[str, Any]) -> Any:
+        """Return the condition on two states in a row."""
+        actions = [_keep(before, after, {})]
+        for daemon in DAEMONS:
+            actions += self._list_actions(before, after, daemon)
+        return z3.Or(actions)
+
+    def is_safe(self, state: dict[str, Any]) -> Any:
+        """Return: at most one call, none where only "not run" was said.
+
+        Nor does a daemon hold the key that was told that it lost: it would
+        never call and never let go.
+        """
+        alone = z3.And(
+            [
+                z3.Or(
+                    state[f"said_not_run{daemon}"],
+                    state[f"at{daemon}"] == State.IDLE,
+                )
+                for daemon in DAEMONS
+            ]
+        )
+        stuck = [
+            z3.And(
+                state[f"at{daemon}"] == State.LOST, self.holds(state, daemon)
+            )
+            for daemon in DAEMONS
+        ]
+        return z3.And(
+            state["calls"] <= 1,
+            z3.Implies(alone, state["calls"] == 0),
+            z3.Not(z3.Or(stuck)),
+        )
+
+    def _list_actions(
+        self, before: dict[str, Any], after: dict[str, Any], daemon: int
+    ) -> list[Any]:
+        at, flying = f"at{daemon}", f"flying{daemon}"
+        said, releasing = f"said_not_run{daemon}", f"releasing{daemon}"
+        actions = [
+            # The append leaves the daemon; the log takes it later, or never.
+            z3.And(
+                before[at] == State.IDLE,
+                _keep(before, after, {at: State.SENT, flying: True}),
+            ),
+            self._append(before, after, flying, _CLAIMS[daemon]),
+            # The append is refused and never reaches the log.
+            z3.And(
+                before[flying],
+                before[at] == State.GIVEN_UP,
+                _keep(before, after, {flying: False}),
+            ),
+            z3.And(
+                before[at] == State.SENT,
+                self.holds(before, daemon),
+                _keep(before, after, {at: State.WON}),
+            ),
+            z3.And(
+                before[at] == State.SENT,
+                _contains(before, _CLAIMS[daemon]),
+                z3.Not(self.holds(before, daemon)),
+                _keep(before, after, {at: State.LOST}),
+            ),
+            z3.And(
+                before[at] == State.WON,
+                _keep(
+                    before, after,
+                    {at: State.CALLED, "calls": before["calls"] + 1},
+                ),
+            ),
+            z3.And(
+                z3.Or(before[at] == State.SENT, before[at] == State.WON),
+                _keep(
+                    before, after,
+                    {at: State.GIVEN_UP, said: True, releasing: True},
+                ),
+            ),
+            self._append(before, after, releasing, _RELEASES[daemon]),
+        ]  # fmt: skip
+        return actions + self._list_broken(before, after, daemon)
+
+    def _list_broken(
+        self, before: dict[str, Any], after: dict[str, Any], daemon: int
+    ) -> list[Any]:
+        at = f"at{daemon}"
+        call = {at: State.CALLED, "calls": before["calls"] + 1}
+        match self._breakage:
+            case Breakage.CALL_WITHOUT_READING:
+                place = z3.And(
+                    before[at] == State.SENT, _contains(before, _CLAIMS[daemon])
+                )
+                return [z3.And(place, _keep(before, after, call))]
+            case Breakage.CALL_AFTER_GIVING_UP:
+                place = z3.And(
+                    before[at] == State.GIVEN_UP, self.holds(before, daemon)
+                )
+                return [z3.And(place, _keep(before, after, call))]
+            case _:
+                return []
+
+    def _append(
+        self, before: dict[str, Any], after: dict[str, Any], flag: str,
+        record: int,
+    ) -> Any:  # fmt: skip
+        """Return: a record on its way is put into the log's next place."""
+        ways = []
+        for place in range(PLACES):
+            changes = {f"log{place}": record, "end": place + 1, flag: False}
+            ways.append(
+                z3.And(before["end"] == place, _keep(before, after, changes))
+            )
+        return z3.And(before[flag], z3.Or(ways))
+
+    def holds(self, state: dict[str, Any], daemon: int) -> Any:
+        """Return: the fold of the log gives the key to this daemon."""
+        holder: Any = z3.IntVal(-1)
+        voided = [z3.BoolVal(False) for _ in DAEMONS]
+        released = [z3.BoolVal(False) for _ in DAEMONS]
+        for place in range(PLACES):
+            record = state[f"log{place}"]
+            free = holder == -1
+            for other in DAEMONS:
+                is_claim = record == _CLAIMS[other]
+                blocked = z3.Or(voided[other], released[other])
+                takes = z3.And(is_claim, free, z3.Not(blocked))
+                voided[other] = z3.Or(
+                    voided[other], z3.And(is_claim, z3.Not(free))
+                )
+                holder = z3.If(takes, other, holder)
+            holder, released = self._fold_release(
+                state, record, holder, released, place
+            )
+        return holder == daemon
+
+    def _fold_release(
+        self,
+        state: dict[str, Any],
+        record: Any,
+        holder: Any,
+        released: list[Any],
+        place: int,
+    ) -> tuple[Any, list[Any]]:
+        for other in DAEMONS:
+            is_release = record == _RELEASES[other]
+            released[other] = z3.Or(released[other], is_release)
+            successor: Any = z3.IntVal(-1)
+            if self._breakage is Breakage.LOSER_TAKES_OVER:
+                earlier = [
+                    state[f"log{before}"] == _CLAIMS[1 - other]
+                    for before in range(place)
+                ]
+                successor = z3.If(z3.Or([*earlier, False]), 1 - other, -1)
+            holder = z3.If(
+                z3.And(is_release, holder == other), successor, holder
+            )
+        return holder, released
+
+
+def _contains(state: dict[str, Any], record: int) -> Any:
+    return z3.Or([state[f"log{place}"] == record for place in range(PLACES)])
+
+
+def _keep(
+    before: dict[str, Any], after: dict[str, Any], changes: dict[str, Any]
+) -> Any:
+    """Return: the changes are made and all else stays as it was."""
+    return z3.And(
+        [after[name] == changes.get(name, before[name]) for name in before]
+    )
--- /dev/null
+++ b/tests/test_proofs/test_configuration.py
@@ -0,0 +1,107 @@
+"""The fold with snapshots is checked, and tied to the code's own store."""
+
+from __future__ import annotations
+
+import hypothesis
+import testtools
+from hypothesis import strategies
+from proofs import checker, configuration
+
+from martenquay_core.config import fold, records, snapshot
+from martenquay_daemon.configuration import store
+from tests import builders
+
+_DEPTH = 8
+
+
+class ConfigSpecificationTest(testtools.TestCase):
+    def test_the_invariant_holds_at_the_start_is_kept_and_is_enough(self):
+        findings = checker.prove_inductive(
+            configuration.ConfigSpecification(), configuration.holds_always
+        )
+        for name, found in findings.items():
+            self.assertEqual(
+                checker.Verdict.HOLDS, found.verdict, f"{name} {found.trace}"
+            )
+
+    def test_each_broken_variant_is_refuted(self):
+        for breakage in list(configuration.Breakage)[1:]:
+            broken = configuration.ConfigSpecification(breakage)
+            found = checker.search_violation(broken, _DEPTH)
+            self.assertEqual(checker.Verdict.VIOLATED, found.verdict, breakage)
+
+
+_ACTIONS = strategies.lists(
+    strategies.sampled_from(
+        ["append", "forget", "fold", "publish", "take", "restart"]
+    ),
+    max_size=40,
+)
+
+
+class StoreTest(testtools.TestCase):
+    @hypothesis.settings(
+        derandomize=True, deadline=None, max_examples=80, database=None
+    )
+    @hypothesis.given(actions=_ACTIONS)
+    def test_the_store_takes_the_specified_steps_and_never_goes_back(
+        self, actions
+    ):
+        partners = builders.build_partners()
+        log: list[tuple[int, bytes]] = []
+        start = 1
+        published = []
+        found = store.ConfigStore(["serrana", "lindqvist"], partners.verifier)
+        highest = 0
+        for action in actions:
+            match action:
+                case "append":
+                    log.append(_append(partners, len(log) + 1))
+                case "forget":
+                    start = min(start + 1, len(log) + 1)
+                case "fold" if found.can_continue(start):
+                    for offset, raw in log[found.applied.value :][:1]:
+                        found.apply(offset, raw)
+                case "publish":
+                    published = _publish(partners, found)
+                case "take":
+                    _take(partners, found, published)
+                case "restart":
+                    found = store.ConfigStore(
+                        ["serrana", "lindqvist"], partners.verifier
+                    )
+                    highest = 0
+            self.assertGreaterEqual(found.applied.value, highest)
+            highest = found.applied.value
+            self.assertEqual(_fold_all(partners, log, highest), found.state)
+
+
+def _append(partners, offset: int) -> tuple[int, bytes]:
+    change = builders.build_change(
+        name=f"pool-{offset}", change_id=f"change-{offset}"
+    )
+    return offset, records.encode_change(change, partners.serrana)
+
+
+def _publish(partners, found: store.ConfigStore) -> list[bytes]:
+    return [
+        chunk
+        for signer in (partners.serrana, partners.lindqvist)
+        for chunk in snapshot.encode_snapshot(
+            found.state.partners[signer.partner], signer
+        )
+    ]
+
+
+def _take(partners, found: store.ConfigStore, chunks: list[bytes]) -> None:
+    buffer = snapshot.SnapshotBuffer(partners.verifier)
+    for chunk in chunks:
+        buffer.add(chunk)
+    found.take_snapshots(buffer)
+
+
+def _fold_all(partners, log, end: int) -> fold.ConfigState:
+    state = partners.start_state()
+    for offset, raw in log[:end]:
+        fold.apply_record(state, offset, raw, partners.verifier)
+    return state
