Answer no accepted request for want of configuration; check histories

A daemon that had just started adopted a request before it had read the configuration, found no route, and wrote 'the route is gone' as the answer, for good. A daemon that is behind would do the same with a new route.

Changed: the record that accepts a request carries the offset by which it was accepted, and whoever works on it first waits until that is in force. Ruled out: starting the work only once a daemon is ready, which leaves the daemon that is behind.

Test: a daemon without configuration does not answer for want of it (failed with UNKNOWN_ROUTE as the answer before, passes now).

--- a/packages/daemon/src/martenquay_daemon/daemon.py
+++ b/packages/daemon/src/martenquay_daemon/daemon.py
@@ -359,6 +359,7 @@
             work_map,
             self.peers,
             self.members,
+            self.config.applied,
             spacing_s=settings.timing.commit_s,
             retention_s=settings.platform.log_retention_s,
             workers=limits.deferrable_workers,
--- a/packages/daemon/src/martenquay_daemon/deferrable/desk.py
+++ b/packages/daemon/src/martenquay_daemon/deferrable/desk.py
@@ -21,6 +21,7 @@
     from collections.abc import Awaitable, Callable
 
     from martenquay_core.platform import log
+    from martenquay_core.util import progress
     from martenquay_daemon.deferrable import table
     from martenquay_daemon.journal import health, shards
     from martenquay_daemon.membership import links
@@ -70,6 +71,7 @@
         shard_map: shards.ShardMap,
         peers: links.PeerLinks,
         members: member_table.MemberTable,
+        config_applied: progress.Progress,
         *,
         spacing_s: float,
         retention_s: float,
@@ -81,6 +83,7 @@
         self._peers = peers
         self._members = members
         self._perform: Perform | None = None
+        self._config_applied = config_applied
         self._spacing_s = spacing_s
         self._retention_s = retention_s
         self._workers = workers
@@ -136,7 +139,14 @@
         """Put a request into the log; only then is it accepted."""
         if not self._health.is_up:
             return Error(_explain_log_down())
-        pieces = records.encode_accepted(ticket, team, route, time.time(), body)
+        pieces = records.encode_accepted(
+            ticket,
+            team,
+            route,
+            body,
+            written_at=time.time(),
+            config_offset=self._config_applied.value,
+        )
         number = self._map.find_shard(ticket)
         appended = await self._find_appender(number).append_run(pieces)
         match appended:
@@ -267,6 +277,8 @@
         while work.answer is None and self._is_mine(number, work.ticket):
             _LOG.write(f"Work on {work.ticket}.", ticket=work.ticket)
             assert self._perform is not None, "the desk is not running"
+            # By an older configuration its route might not be there yet.
+            await self._config_applied.wait_for(work.config_offset)
             answer = await self._perform(work)
             if answer.is_ok():
                 await self._complete(number, work, answer.ok)
@@ -298,7 +310,12 @@
     async def _carry_forward(self, number: int, work: table.Work) -> None:
         """Write open work again before the log forgets it."""
         pieces = records.encode_accepted(
-            work.ticket, work.team, work.route, time.time(), work.body
+            work.ticket,
+            work.team,
+            work.route,
+            work.body,
+            written_at=time.time(),
+            config_offset=work.config_offset,
         )
         appended = await self._find_appender(number).append_run(pieces)
         if appended.is_ok():
--- a/packages/daemon/src/martenquay_daemon/deferrable/records.py
+++ b/packages/daemon/src/martenquay_daemon/deferrable/records.py
@@ -27,6 +27,7 @@
         team: Who pays.
         route: What was asked for.
         written_at: When this was written, in seconds since the epoch.
+        config_offset: The configuration by which it was accepted.
         index: The piece's place, from 0.
         count: How many pieces there are.
         piece: The bytes.
@@ -36,6 +37,7 @@
     team: str
     route: str
     written_at: float
+    config_offset: int
     index: int
     count: int
     piece: bytes
@@ -67,7 +69,13 @@
 
 
 def encode_accepted(
-    ticket: str, team: str, route: str, written_at: float, body: bytes
+    ticket: str,
+    team: str,
+    route: str,
+    body: bytes,
+    *,
+    written_at: float,
+    config_offset: int,
 ) -> list[bytes]:
     """Return the records that accept a request."""
     pieces = _cut(body)
@@ -78,6 +86,7 @@
                 team=team,
                 route=route,
                 written_at=written_at,
+                config_offset=config_offset,
                 index=index,
                 count=len(pieces),
                 piece=piece,
--- a/packages/daemon/src/martenquay_daemon/deferrable/table.py
+++ b/packages/daemon/src/martenquay_daemon/deferrable/table.py
@@ -24,6 +24,7 @@
         route: What was asked for.
         body: The request's body; empty once answered.
         written_at: When its newest record was written, in epoch seconds.
+        config_offset: The configuration by which it was accepted.
         offset: Where its newest whole record starts in the log.
         answer: The answer, once there is one.
     """
@@ -33,6 +34,7 @@
     route: str
     body: bytes
     written_at: float
+    config_offset: int
     offset: int
     answer: bytes | None = None
 
@@ -116,6 +118,7 @@
             piece.route,
             body,
             piece.written_at,
+            piece.config_offset,
             offset,
         )
         self._works[piece.ticket] = work
--- /dev/null
+++ b/packages/standins/src/martenquay_standins/chaos/faults.py
@@ -0,0 +1,145 @@
+"""Bring failures about in a world, from a seed."""
+
+from __future__ import annotations
+
+import random
+import signal
+from typing import TYPE_CHECKING
+
+import trio
+
+from martenquay_standins import network, world
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+__all__ = ["FaultMaker"]
+
+_SHORT_S = 0.8
+_NOTICE_S = 0.3
+_BETWEEN_S = 0.3
+
+
+class FaultMaker:
+    """Kill, freeze, cut and reclaim; everything is healed at the end.
+
+    Attributes:
+        daemons: The daemons that callers may turn to.
+        done: The faults made so far, for the report.
+    """
+
+    def __init__(
+        self,
+        place: world.World,
+        daemons: dict[str, list[world.DaemonProcess]],
+        seed: int,
+    ) -> None:
+        self.daemons = daemons
+        self.done: list[str] = []
+        self._place = place
+        self._random = random.Random(seed)
+        self._started = 0
+
+    async def make_faults(self, count: int) -> None:
+        """Make faults one after the other."""
+        kinds: list[Callable[[], Awaitable[None]]] = [
+            self._kill_daemon,
+            self._freeze_daemon,
+            self._cut_zones,
+            self._cut_platform,
+            self._stop_log,
+            self._lose_log_answers,
+            self._delay_log_effects,
+            self._break_services,
+            self._reclaim_runner,
+        ]
+        # Each kind comes as often as the others, in an order of the seed's.
+        chosen = [kinds[number % len(kinds)] for number in range(count)]
+        self._random.shuffle(chosen)
+        for fault in chosen:
+            self.done.append(fault.__name__.strip("_"))
+            await fault()
+            await trio.sleep(_BETWEEN_S * self._random.random())
+
+    def _choose(self) -> tuple[world.PartnerPlan, world.DaemonProcess]:
+        plan = self._random.choice(self._place.plans)
+        return plan, self._random.choice(self.daemons[plan.name])
+
+    async def _kill_daemon(self) -> None:
+        plan, daemon = self._choose()
+        daemon.send_signal(signal.SIGKILL)
+        await daemon.process.wait()
+        self.daemons[plan.name].remove(daemon)
+        self._started += 1
+        zone = self._random.choice(plan.zones)
+        newer = await self._place.start_process(
+            plan, zone, f"entry-new-{self._started}"
+        )
+        self.daemons[plan.name].append(newer)
+
+    async def _freeze_daemon(self) -> None:
+        _, daemon = self._choose()
+        daemon.send_signal(signal.SIGSTOP)
+        await trio.sleep(_SHORT_S * (1 + self._random.random()))
+        daemon.send_signal(signal.SIGCONT)
+
+    async def _cut_zones(self) -> None:
+        plan = self._random.choice(self._place.plans)
+        first, second = self._random.sample(plan.zones, 2)
+        await self._cut(first, second)
+
+    async def _cut_platform(self) -> None:
+        plan = self._random.choice(self._place.plans)
+        await self._cut(self._random.choice(plan.zones), network.PLATFORM)
+
+    async def _cut(self, first: str, second: str) -> None:
+        assert self._place.network is not None
+        self._place.network.cut(first, second)
+        await trio.sleep(_SHORT_S * (1 + self._random.random()))
+        self._place.network.heal()
+
+    async def _stop_log(self) -> None:
+        self._place.log.set_faults({"down": True})
+        await trio.sleep(_SHORT_S)
+        self._place.log.set_faults({"down": False})
+
+    async def _lose_log_answers(self) -> None:
+        count = self._random.randint(1, 8)
+        self._place.log.set_faults({"lose_answers": count})
+        await trio.sleep(_SHORT_S)
+        self._place.log.set_faults({"lose_answers": 0})
+
+    async def _delay_log_effects(self) -> None:
+        late_s = self._random.choice([0.2, 1.5, 3.0])
+        self._place.log.set_faults({"late_effect_s": late_s})
+        await trio.sleep(_SHORT_S)
+        self._place.log.set_faults({"late_effect_s": 0.0})
+
+    async def _break_services(self) -> None:
+        apps = [
+            running.app
+            for name, running in self._place.runners.items()
+            if name.startswith("service")
+        ]
+        for app in apps:
+            app.set_faults({"break_answers": True})
+        await trio.sleep(_SHORT_S)
+        for app in apps:
+            app.set_faults({"break_answers": False})
+
+    async def _reclaim_runner(self) -> None:
+        models = [
+            name for name in self._place.runners if name.startswith("model")
+        ]
+        name = self._random.choice(models)
+        plan = next(p for p in self._place.plans if f"-{p.name}-" in name)
+        zone = self._random.choice(plan.zones)
+        self._started += 1
+        # Starts are refused in a wave; here the next one succeeds.
+        await self._place.add_engine(
+            plan, zone, f"model-{plan.name}-new-{self._started}"
+        )
+        self._place.instances.give_notice(name, zone)
+        await trio.sleep(_NOTICE_S)
+        self._place.runners.pop(name).kill()
+        self._place.instances.remove(name)
--- /dev/null
+++ b/packages/standins/src/martenquay_standins/chaos/history.py
@@ -0,0 +1,234 @@
+"""Record what callers and operators were told, and judge it afterwards."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+__all__ = [
+    "BookingReply",
+    "ChangeReply",
+    "ChatReply",
+    "History",
+    "Observation",
+    "TicketReply",
+    "find_breaches",
+]
+
+# Codes from 2000 to 3999 say that nothing ran.
+_FIRST_NOT_RUN = 2000
+_LAST_NOT_RUN = 3999
+_OK = 1000
+
+
+@dataclasses.dataclass(frozen=True)
+class BookingReply:
+    """What one try of a booking was told.
+
+    Attributes:
+        key: The booking's key.
+        code: The numbered result; 0 if the connection broke.
+        body: The answer.
+    """
+
+    key: str
+    code: int
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class ChatReply:
+    """What a chat caller got.
+
+    Attributes:
+        expected: The whole answer.
+        text: What came.
+        is_whole: It came to its proper end.
+        has_error: It ended in an explicit error, or the connection broke.
+    """
+
+    expected: str
+    text: str
+    is_whole: bool
+    has_error: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class TicketReply:
+    """One fetch of the answer to an accepted request.
+
+    Attributes:
+        ticket: The ticket.
+        expected: The answer's text as it should be.
+        text: The text that came; None if none came by the end.
+        body: The whole answer.
+    """
+
+    ticket: str
+    expected: str
+    text: str | None
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class ChangeReply:
+    """What an operator was told of a change.
+
+    Attributes:
+        partner: The operator's partner.
+        version: The version it was accepted at; 0 if it was not accepted.
+        weight: The value that was asked for.
+    """
+
+    partner: str
+    version: int
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Observation:
+    """What a daemon process had in force at some time.
+
+    Attributes:
+        member: The daemon process.
+        partner: Whose object was read.
+        version: The object's version.
+        weight: The object's value.
+        is_final: It was read after everything had healed.
+    """
+
+    member: str
+    partner: str
+    version: int
+    weight: float
+    is_final: bool
+
+
+@dataclasses.dataclass
+class History:
+    """All that was told, in the order in which it was told.
+
+    Attributes:
+        bookings: Replies to bookings.
+        chats: Replies to chats.
+        tickets: Fetched answers.
+        accepted: Tickets that were accepted.
+        changes: Replies to operators.
+        observations: Readings of the configuration.
+        runs: How often each booking's key ran, counted by the services.
+    """
+
+    bookings: list[BookingReply] = dataclasses.field(default_factory=list)
+    chats: list[ChatReply] = dataclasses.field(default_factory=list)
+    tickets: list[TicketReply] = dataclasses.field(default_factory=list)
+    accepted: set[str] = dataclasses.field(default_factory=set)
+    changes: list[ChangeReply] = dataclasses.field(default_factory=list)
+    observations: list[Observation] = dataclasses.field(default_factory=list)
+    runs: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+
+def find_breaches(history: History) -> list[str]:
+    """Return a sentence for each promise that the history breaks."""
+    return [
+        *_check_bookings(history),
+        *_check_chats(history),
+        *_check_tickets(history),
+        *_check_reverts(history),
+        *_check_final(history),
+    ]
+
+
+def _check_bookings(history: History) -> list[str]:
+    replies: dict[str, list[BookingReply]] = collections.defaultdict(list)
+    for reply in history.bookings:
+        replies[reply.key].append(reply)
+    breaches = []
+    for key, told in replies.items():
+        runs = history.runs[key]
+        answers = {reply.body for reply in told if reply.code == _OK}
+        all_not_run = all(_says_not_run(reply.code) for reply in told)
+        if runs > 1:
+            breaches.append(f"{key} ran {runs} times")
+        if answers and runs == 0:
+            breaches.append(f"{key} was answered and never ran")
+        if len(answers) > 1:
+            breaches.append(f"{key} was answered in {len(answers)} ways")
+        if all_not_run and runs > 0:
+            breaches.append(f"{key} was told 'not run' and ran")
+    return breaches
+
+
+def _check_chats(history: History) -> list[str]:
+    breaches = []
+    for reply in history.chats:
+        if reply.is_whole and reply.text != reply.expected:
+            breaches.append(f"a whole chat was {reply.text!r}")
+        if not reply.is_whole and not reply.has_error:
+            breaches.append("a chat was cut off without a word")
+        if not reply.expected.startswith(reply.text):
+            breaches.append(f"a chat had foreign tokens: {reply.text!r}")
+    return breaches
+
+
+def _check_tickets(history: History) -> list[str]:
+    bodies: dict[str, set[bytes]] = collections.defaultdict(set)
+    breaches = []
+    for reply in history.tickets:
+        if reply.text is None:
+            breaches.append(f"{reply.ticket} was never answered")
+        elif reply.text != reply.expected:
+            breaches.append(f"{reply.ticket} was answered {reply.text!r}")
+        else:
+            bodies[reply.ticket].add(reply.body)
+    for ticket in sorted(history.accepted):
+        if len(bodies[ticket]) != 1:
+            breaches.append(f"{ticket} has {len(bodies[ticket])} answers")
+    return breaches
+
+
+def _check_reverts(history: History) -> list[str]:
+    highest: dict[tuple[str, str], int] = collections.defaultdict(int)
+    breaches = []
+    for seen in history.observations:
+        place = (seen.member, seen.partner)
+        if seen.version < highest[place]:
+            breaches.append(
+                f"{seen.member} went back from version {highest[place]} "
+                f"to {seen.version}"
+            )
+        highest[place] = max(highest[place], seen.version)
+    return breaches
+
+
+def _check_final(history: History) -> list[str]:
+    accepted: dict[tuple[str, int], float] = {
+        (change.partner, change.version): change.weight
+        for change in history.changes
+        if change.version
+    }
+    latest: dict[str, int] = collections.defaultdict(int)
+    for partner, version in accepted:
+        latest[partner] = max(latest[partner], version)
+    finals: dict[str, set[tuple[int, float]]] = collections.defaultdict(set)
+    breaches = []
+    for seen in history.observations:
+        known = accepted.get((seen.partner, seen.version))
+        if known is not None and known != seen.weight:
+            breaches.append(f"version {seen.version} has two values")
+        if seen.is_final:
+            finals[seen.partner].add((seen.version, seen.weight))
+            if seen.version < latest[seen.partner]:
+                breaches.append(
+                    f"{seen.member} ended at {seen.version}, though "
+                    f"{latest[seen.partner]} was accepted"
+                )
+    for partner, found in finals.items():
+        if len(found) > 1:
+            breaches.append(f"{partner} ended in {len(found)} ways")
+    return breaches
+
+
+def _says_not_run(code: int) -> bool:
+    return _FIRST_NOT_RUN <= code <= _LAST_NOT_RUN
--- /dev/null
+++ b/packages/standins/src/martenquay_standins/chaos/run.py
@@ -0,0 +1,377 @@
+"""Run the workload of callers and operators while faults are made."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import random
+from typing import TYPE_CHECKING, Any
+
+import trio
+
+from martenquay_core.util import http
+from martenquay_standins import engine, world
+from martenquay_standins.chaos import faults, history
+
+if TYPE_CHECKING:
+    from martenquay_standins import service
+
+__all__ = ["ChaosPlan", "ChaosReport", "run_chaos"]
+
+_TRIES = 4
+_TOKENS = 25
+_SHAPE = engine.EngineShape(token_s=0.004)
+_PENDING = 1002
+_ACCEPTED = 1001
+_POLL_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True)
+class ChaosPlan:
+    """How a run goes.
+
+    Attributes:
+        seed: Decides the faults and the callers' choices.
+        faults: How many faults are made.
+        callers: Callers of each kind and partner.
+        settle_s: How long accepted work may take once all has healed.
+    """
+
+    seed: int
+    faults: int = 9
+    callers: int = 2
+    settle_s: float = 60.0
+
+
+@dataclasses.dataclass(frozen=True)
+class ChaosReport:
+    """What came of a run.
+
+    Attributes:
+        history: All that was told.
+        breaches: The promises broken.
+        faults: The faults made, in order.
+    """
+
+    history: history.History
+    breaches: list[str]
+    faults: list[str]
+
+
+async def run_chaos(plan: ChaosPlan) -> ChaosReport:
+    """Run one seed and judge its history."""
+    async with (
+        trio.open_nursery() as nursery,
+        http.open_client(reuse=False) as client,
+    ):
+        place = world.World(nursery, with_network=True)
+        run = _Run(plan, place, client)
+        try:
+            report = await run.perform()
+        finally:
+            place.end_processes()
+        nursery.cancel_scope.cancel()
+    return report
+
+
+class _Run:
+    """One run: the world, the callers and what they were told."""
+
+    def __init__(
+        self, plan: ChaosPlan, place: world.World, client: http.HttpClient
+    ) -> None:
+        self._plan = plan
+        self._place = place
+        self._client = client
+        self._history = history.History()
+        self._random = random.Random(plan.seed + 1)
+        self._daemons: dict[str, list[world.DaemonProcess]] = {}
+        self._services: list[service.ServiceStandIn] = []
+        self._expected: dict[str, str] = {}
+        self._owners: dict[str, str] = {}
+        self._count = 0
+
+    async def perform(self) -> ChaosReport:
+        """Start everything, run the workload under faults, and judge."""
+        await self._start()
+        maker = faults.FaultMaker(self._place, self._daemons, self._plan.seed)
+        async with trio.open_nursery() as nursery:
+            for partner in self._place.plans:
+                for _ in range(self._plan.callers):
+                    nursery.start_soon(self._book_again_and_again, partner)
+                    nursery.start_soon(self._chat_again_and_again, partner)
+                nursery.start_soon(self._defer_again_and_again, partner)
+                nursery.start_soon(self._change_again_and_again, partner)
+                nursery.start_soon(self._observe_again_and_again, partner)
+            await maker.make_faults(self._plan.faults)
+            nursery.cancel_scope.cancel()
+        await self._settle()
+        for app in self._services:
+            self._history.runs.update(app.runs)
+        breaches = history.find_breaches(self._history)
+        return ChaosReport(self._history, breaches, maker.done)
+
+    async def _start(self) -> None:
+        await self._place.start_platform()
+        self._place.put_standard_config()
+        for partner in self._place.plans:
+            for zone in partner.zones:
+                await self._place.add_engine(
+                    partner, zone, f"model-{partner.name}-{zone}", _SHAPE
+                )
+                self._services.append(
+                    await self._place.add_service(
+                        partner, zone, f"service-{partner.name}-{zone}"
+                    )
+                )
+            self._daemons[partner.name] = [
+                await self._place.start_process(partner, zone, f"entry-{zone}")
+                for zone in partner.zones
+            ]
+        for daemons in self._daemons.values():
+            for daemon in daemons:
+                await self._wait_ready(daemon)
+
+    async def _wait_ready(self, daemon: world.DaemonProcess) -> None:
+        url = f"http://{daemon.addresses.callers}/readyz"
+        while True:
+            answer = await self._client.call("GET", url, timeout_s=1.0)
+            if answer.is_ok() and answer.ok.status == 200:
+                return
+            await trio.sleep(_POLL_S)
+
+    def _choose(self, partner: world.PartnerPlan) -> world.DaemonProcess:
+        return self._random.choice(self._daemons[partner.name])
+
+    def _next_name(self, kind: str) -> str:
+        self._count += 1
+        return f"{kind}-{self._count}"
+
+    async def _book_again_and_again(self, partner: world.PartnerPlan) -> None:
+        while True:
+            key = self._next_name("slot")
+            # A caller that cannot be sure tries the same key elsewhere, and
+            # some do so before the first answer came.
+            if self._random.random() < 0.3:
+                async with trio.open_nursery() as nursery:
+                    for _ in range(2):
+                        nursery.start_soon(self._book, partner, key)
+            for _ in range(self._random.randint(1, _TRIES)):
+                if await self._book(partner, key) == 1000:
+                    break
+            await trio.sleep(0.02)
+
+    async def _book(self, partner: world.PartnerPlan, key: str) -> int:
+        code, body = 0, b""
+        try:
+            answer = await self._post(
+                partner, "/services/booking/slots", b"slot", key
+            )
+            if answer is not None:
+                code, body = _read_code(answer), answer.body
+        finally:
+            # A caller that is cut short was told nothing; it still counts.
+            reply = history.BookingReply(key, code, body)
+            self._history.bookings.append(reply)
+        return code
+
+    async def _chat_again_and_again(self, partner: world.PartnerPlan) -> None:
+        while True:
+            prompt = f"{self._next_name('order')} with a long history " * 10
+            answer = await self._post(
+                partner, "/v1/chat/completions",
+                _build_chat("chat", prompt, stream=True), "",
+            )  # fmt: skip
+            self._history.chats.append(_judge_chat(prompt, answer))
+            await trio.sleep(0.02)
+
+    async def _defer_again_and_again(self, partner: world.PartnerPlan) -> None:
+        while True:
+            prompt = f"{self._next_name('review')} of a part " * 5
+            key = self._next_name("night")
+            answer = await self._post(
+                partner, "/v1/chat/completions",
+                _build_chat("review", prompt, stream=False), key,
+            )  # fmt: skip
+            if answer is not None and _read_code(answer) == _ACCEPTED:
+                ticket = json.loads(answer.body)["ticket"]
+                self._history.accepted.add(ticket)
+                self._expected[ticket] = _expect(prompt)
+                self._owners[ticket] = partner.name
+            await trio.sleep(0.1)
+
+    async def _change_again_and_again(self, partner: world.PartnerPlan) -> None:
+        while True:
+            weight = float(self._random.randint(1, 500))
+            answer = await self._ask(
+                partner, "command", f"set team counter weight={weight}"
+            )
+            version = 0
+            if answer is not None and answer.status == 200:
+                version = json.loads(answer.body)["version"]
+            self._history.changes.append(
+                history.ChangeReply(partner.name, version, weight)
+            )
+            await trio.sleep(0.1)
+
+    async def _observe_again_and_again(
+        self, partner: world.PartnerPlan
+    ) -> None:
+        while True:
+            await self._observe(partner, self._choose(partner), is_final=False)
+            await trio.sleep(0.05)
+
+    async def _observe(
+        self,
+        partner: world.PartnerPlan,
+        daemon: world.DaemonProcess,
+        *,
+        is_final: bool,
+    ) -> None:
+        answer = await self._ask(partner, "query", "show teams counter", daemon)
+        if answer is None or answer.status != 200:
+            return
+        for row in json.loads(answer.body)["rows"]:
+            self._history.observations.append(
+                history.Observation(
+                    daemon.member,
+                    row["partner"],
+                    row["version"],
+                    row.get("weight", 1.0),
+                    is_final,
+                )  # fmt: skip
+            )
+
+    async def _settle(self) -> None:
+        """Heal, wait for what is owed, and read everything once more."""
+        end = self._place.log.list_records("config")[-1].offset
+        for partner in self._place.plans:
+            for daemon in self._daemons[partner.name]:
+                await self._wait_applied(partner, daemon, end)
+                await self._observe(partner, daemon, is_final=True)
+        with trio.move_on_after(self._plan.settle_s):
+            async with trio.open_nursery() as nursery:
+                for ticket in self._history.accepted:
+                    nursery.start_soon(self._fetch, ticket)
+        answered = {reply.ticket for reply in self._history.tickets}
+        for ticket in self._history.accepted - answered:
+            self._history.tickets.append(
+                history.TicketReply(ticket, self._expected[ticket], None, b"")
+            )
+
+    async def _wait_applied(
+        self, partner: world.PartnerPlan, daemon: world.DaemonProcess, end: int
+    ) -> None:
+        while True:
+            answer = await self._ask(partner, "query", "show config", daemon)
+            rows = json.loads(answer.body)["rows"] if answer else []
+            own = [row for row in rows if row["name"] == daemon.member]
+            if own and all(row["applied"] >= end for row in own):
+                return
+            await trio.sleep(_POLL_S)
+
+    async def _fetch(self, ticket: str) -> None:
+        """Fetch an answer from every daemon of the partner."""
+        partner = next(
+            p for p in self._place.plans if p.name == self._owners[ticket]
+        )
+        for daemon in self._daemons[partner.name]:
+            while True:
+                answer = await self._call(
+                    partner, daemon, "GET", f"/v1/tickets/{ticket}", b"", ""
+                )
+                if answer is not None and answer.status == 200:
+                    break
+                await trio.sleep(_POLL_S)
+            text = _read_text(answer.body)
+            self._history.tickets.append(
+                history.TicketReply(
+                    ticket,
+                    self._expected[ticket],
+                    text,
+                    answer.body,
+                )  # fmt: skip
+            )
+
+    async def _post(
+        self, partner: world.PartnerPlan, path: str, body: bytes, key: str
+    ) -> http.Answer | None:
+        daemon = self._choose(partner)
+        return await self._call(partner, daemon, "POST", path, body, key)
+
+    async def _call(
+        self,
+        partner: world.PartnerPlan,
+        daemon: world.DaemonProcess,
+        method: str,
+        path: str,
+        body: bytes,
+        key: str,
+    ) -> http.Answer | None:
+        credential = f"Bearer {partner.name}-counter".encode()
+        headers = [(b"authorization", credential)]
+        if key:
+            headers.append((b"idempotency-key", key.encode()))
+        answer = await self._client.call(
+            method, f"http://{daemon.addresses.callers}{path}",
+            headers=headers, body=body, timeout_s=20.0,
+        )  # fmt: skip
+        return answer.default_value(None)
+
+    async def _ask(
+        self,
+        partner: world.PartnerPlan,
+        kind: str,
+        text: str,
+        daemon: world.DaemonProcess | None = None,
+    ) -> http.Answer | None:
+        daemon = daemon or self._choose(partner)
+        credential = f"Bearer {partner.operator_credential}".encode()
+        answer = await self._client.call(
+            "POST", f"http://{daemon.addresses.operators}/v1/{kind}",
+            headers=[(b"authorization", credential)],
+            body=json.dumps({"text": text}).encode(),
+        )  # fmt: skip
+        return answer.default_value(None)
+
+
+def _read_code(answer: http.Answer) -> int:
+    return int(dict(answer.headers).get(b"x-martenquay-result", b"0"))
+
+
+def _build_chat(route: str, prompt: str, *, stream: bool) -> bytes:
+    content: dict[str, Any] = {
+        "model": route,
+        "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": _TOKENS,
+        "stream": stream,
+    }
+    return json.dumps(content).encode()
+
+
+def _expect(prompt: str) -> str:
+    text = f"user: {prompt}"
+    return "".join(engine.make_token(text, index) for index in range(_TOKENS))
+
+
+def _read_text(body: bytes) -> str:
+    """Return a whole answer's text, or the answer itself if it is none."""
+    content = json.loads(body)
+    if "choices" not in content:
+        return body.decode()
+    return content["choices"][0]["message"]["content"]
+
+
+def _judge_chat(prompt: str, answer: http.Answer | None) -> history.ChatReply:
+    expected = _expect(prompt)
+    if answer is None or answer.status != 200:
+        return history.ChatReply(expected, "", False, has_error=True)
+    text = ""
+    for line in answer.body.split(b"\n"):
+        if line.startswith(b'data: {"id"'):
+            chunk = json.loads(line.removeprefix(b"data: "))
+            text += chunk["choices"][0]["delta"]["content"]
+    is_whole = answer.body.endswith(b"data: [DONE]\n\n")
+    return history.ChatReply(
+        expected, text, is_whole, has_error=b"event: error" in answer.body
+    )
--- a/packages/standins/src/martenquay_standins/log.py
+++ b/packages/standins/src/martenquay_standins/log.py
@@ -32,10 +32,12 @@
     Attributes:
         late_effect_s: Answer 502 to an append at once, do it this much later.
         answer_delay_s: Do an append, then answer this much later.
+        refused_stream: Refuse everything on this one stream.
     """
 
     late_effect_s: float = 0.0
     answer_delay_s: float = 0.0
+    refused_stream: str = ""
 
 
 class LogStandIn(web.StandIn):
@@ -66,6 +68,9 @@
         if await self.refuse_when_down(request):
             return
         name = request.path.removeprefix("/streams/")
+        if name == self.faults.refused_stream:
+            await web.reply_json(request.send, {"error": "down"}, 503)
+            return
         if request.method == "POST":
             await self._append(request, name)
         else:
--- a/tests/test_promises/test_deferrable.py
+++ b/tests/test_promises/test_deferrable.py
@@ -124,6 +124,27 @@
 
         self.run_scene(scenario, retention_s=2.0)
 
+    def test_a_daemon_without_configuration_does_not_answer_for_want_of_it(
+        self,
+    ):
+        async def scenario(scene: scenarios.Scene) -> None:
+            first = (await scene.start_daemons(world.SERRANA, 1))[0]
+            ticket = await self._accept(scene, first)
+            scene.world.log.set_faults({"refused_stream": "config"})
+            first.scope.cancel()
+            await first.ended.wait()
+            fresh = await scene.world.start_daemon(
+                world.SERRANA, "serra-b", "entry-fresh"
+            )
+            # Time enough to adopt the request, were it allowed to.
+            await trio.sleep(2.0)
+            scene.world.log.set_faults({"refused_stream": ""})
+            await scene.world.add_engine(world.SERRANA, "serra-a", "model-1")
+            await scene.wait_ready([fresh])
+            await self._check_answer(scene, [fresh], ticket)
+
+        self.run_scene(scenario)
+
     def test_the_same_key_sent_twice_is_one_ticket_with_one_answer(self):
         async def scenario(scene: scenarios.Scene) -> None:
             await scene.world.add_engine(world.SERRANA, "serra-a", "model-1")
--- /dev/null
+++ b/tests/test_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-ins and of the history checker."""
