Keep a gone runner's load until its own requests are done

A runner that left the list was forgotten while requests of this daemon were still at it; when they ended, the count went below nought and the task died with IndexError. A deferrable request would have taken the whole daemon with it.

Ruled out: counting from nought again on return, which hides the error and leaves a count that never goes back to nought.

--- /dev/null
+++ b/bench/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Compare ways of placing model requests, on in-process fake engines."""
--- a/packages/daemon/src/martenquay_daemon/routing/loads.py
+++ b/packages/daemon/src/martenquay_daemon/routing/loads.py
@@ -24,9 +24,9 @@
         reported_at: When that report came, in trio's time.
         placed_since: Own placements since then, as times.
         in_flight: Own requests there now.
-        held_tokens: Tokens of those requests.
         service_s: Mean time of a request there.
         prefill_tokens_s: Measured speed of reading prompts.
+        is_gone: The runner is off the list.
     """
 
     running: int = 0
@@ -38,6 +38,7 @@
     in_flight: int = 0
     service_s: float = _DEFAULT_SERVICE_S
     prefill_tokens_s: float = _DEFAULT_PREFILL_TOKENS_S
+    is_gone: bool = False
 
 
 class LoadBook:
@@ -80,6 +81,7 @@
             load.placed_since.popleft()
         if service_s is not None:
             load.service_s = _DECAY * load.service_s + (1 - _DECAY) * service_s
+        self._drop_if_idle(runner, load)
 
     def note_prefill(self, runner: str, tokens: int, seconds: float) -> None:
         """Note how fast a prompt was read on a runner with a free slot."""
@@ -98,5 +100,13 @@
         return max(reported, load.in_flight)
 
     def forget(self, runner: str) -> None:
-        """Drop a runner that is gone."""
-        self._loads.pop(runner, None)
+        """Drop a runner that is gone, once its own requests are done."""
+        load = self._loads.get(runner)
+        if load is None:
+            return
+        load.is_gone = True
+        self._drop_if_idle(runner, load)
+
+    def _drop_if_idle(self, runner: str, load: RunnerLoad) -> None:
+        if load.is_gone and load.in_flight == 0:
+            del self._loads[runner]
