--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,631 @@
+"""Work out docs/CAPACITY.md from slopes measured here.
+
+Each slope is the extra cost of one more daemon, runner, change, claim or
+request, taken from runs at different sizes. The totals are these slopes at
+the size that the users expect in two years; nothing is assumed that is not
+named in the table.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import random
+import sys
+import time
+import tracemalloc
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+import trio.testing
+from absl import app, flags
+
+from bench import figures
+from martenquay_core.config import fold, objects, records, snapshot
+from martenquay_core.peers import messages
+from martenquay_core.platform import instances
+from martenquay_core.util import blocks
+from martenquay_daemon.claims import records as claim_records
+from martenquay_daemon.claims import table as claim_table
+from martenquay_daemon.configuration import store
+from martenquay_daemon.deferrable import records as work_records
+from martenquay_daemon.deferrable import table as work_table
+from martenquay_daemon.membership import directory, links, table
+from martenquay_daemon.routing import prefixes, ring
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_JSON = flags.DEFINE_bool("json", False, "Print the slopes as JSON.")
+
+# The size in two years, from the users' letter.
+NODES = 400
+RUNNERS = 790
+ZONES = 7
+REGIONS = 2
+REQUESTS_S = 4000.0
+CHANGES_DAY = 1100
+FAILURES_DAY = 18
+REPLACED_DAY = 74
+DAY_S = 86_400.0
+HEARTBEAT_S = 1.0
+# Nothing in the letter says how many calls carry a key or may wait; these
+# are this page's own assumptions and are named on it.
+KEYED_SHARE = 0.05
+DEFERRABLE_SHARE = 0.10
+WORK_BYTES = 12_000
+SHARDS = 256
+FOLLOWERS = 3
+RETENTION_S = 86_400.0
+LINKS = links.LINKS_IN_ZONE + links.LINKS_TO_ZONE * (ZONES - 1)
+CPU_BUDGET = 0.016
+BYTES_BUDGET = 5_000.0
+MEMORY_BUDGET_MB = 128.0
+# ZeroMQ's framing and TCP's headers for one small message.
+MESSAGE_OVERHEAD = 60
+
+
+@dataclasses.dataclass(frozen=True)
+class Slope:
+    """The cost of one more thing.
+
+    Attributes:
+        name: What there is one more of.
+        seconds: Processor time each.
+        memory: Bytes of memory each.
+        wire: Bytes sent or received each.
+    """
+
+    name: str
+    seconds: float = 0.0
+    memory: float = 0.0
+    wire: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Role:
+    """What a role costs one node at the size to come.
+
+    Attributes:
+        name: The role.
+        mechanism: What carries it.
+        state: What it keeps.
+        messages_s: Messages a second.
+        cpu: Share of a core.
+        memory_mb: Megabytes.
+        bytes_s: Bytes a second.
+    """
+
+    name: str
+    mechanism: str
+    state: str
+    messages_s: float
+    cpu: float
+    memory_mb: float
+    bytes_s: float
+
+
+def main(argv: list[str]) -> int:
+    """Measure the slopes, print them and the roles."""
+    del argv
+    slopes = trio.run(_measure_all)
+    if _JSON.value:
+        print(msgspec.json.encode(list(slopes.values())).decode())
+        return 0
+    figures.print_table(
+        ["slope", "processor us", "memory bytes", "wire bytes"],
+        [
+            [s.name, f"{s.seconds * 1e6:.1f}", f"{s.memory:.0f}",
+             f"{s.wire:.0f}"]
+            for s in slopes.values()
+        ],
+    )  # fmt: skip
+    roles = _compute_roles(slopes)
+    print()
+    figures.print_table(
+        ["role", "carried by", "state", "messages/s", "of a core", "MB",
+         "bytes/s"],
+        [
+            [r.name, r.mechanism, r.state, f"{r.messages_s:.2f}",
+             f"{100 * r.cpu:.3f}%", f"{r.memory_mb:.2f}", f"{r.bytes_s:.0f}"]
+            for r in [*roles, _sum_roles(roles)]
+        ],
+    )  # fmt: skip
+    return 0
+
+
+async def _measure_all() -> dict[str, Slope]:
+    found = [
+        _measure_import(),
+        _measure_heartbeat(),
+        _measure_member(),
+        _measure_change(),
+        _measure_object(),
+        _measure_snapshot(),
+        _measure_runner(),
+        _measure_ring(),
+        _measure_prefix(),
+        _measure_claim(),
+        _measure_work(),
+        await _measure_request_state(),
+    ]
+    return {slope.name: slope for slope in found}
+
+
+def _measure_import() -> Slope:
+    """Return what an idle daemon's process holds, from its own status."""
+    with open("/proc/self/status", encoding="ascii") as status:
+        for line in status:
+            if line.startswith("VmRSS:"):
+                return Slope("this process", memory=int(line.split()[1]) * 1024)
+    return Slope("this process")
+
+
+def _measure_heartbeat() -> Slope:
+    """One heartbeat and its reply without news, both ends of it."""
+    beat = messages.Heartbeat("entry-lakes-a-12.89ab12cd", 123_456, [])
+    reply = messages.HeartbeatReply("entry-lakes-b-7.89ab12cd", 123_456, [])
+    members = _build_members(50)
+
+    def run() -> None:
+        members.changes_since(members.version, 500)
+        raw = messages.encode_message(beat)
+        received = messages.decode_message(raw)
+        members.note_applied(received.member, received.applied)
+        members.judge_sender(received.member)
+        answer = messages.decode_message(messages.encode_message(reply))
+        members.note_applied(answer.member, answer.applied)
+
+    wire = (
+        len(messages.encode_message(beat))
+        + len(messages.encode_message(reply))
+        + 2 * MESSAGE_OVERHEAD
+    )
+    return Slope("heartbeat with its reply", _time(run), 0.0, wire)
+
+
+def _measure_member() -> Slope:
+    """One member's change of state: merged, kept and sent on."""
+    small, large = 100, 1100
+    memory = (
+        _weigh(lambda: _build_members(large))
+        - _weigh(lambda: _build_members(small))
+    ) / (large - small)
+    members = _build_members(400)
+    numbers = itertools.count(1)
+
+    def run() -> None:
+        members.merge(_build_update(7, incarnation=next(numbers)))
+        members.changes_since(members.version - 1, 500)
+
+    wire = len(
+        messages.encode_message(
+            messages.Heartbeat("", 0, [_build_update(7, incarnation=3)])
+        )
+    )
+    return Slope("daemon in the table", _time(run), memory, wire)
+
+
+def _measure_change() -> Slope:
+    """One change record: decoded, its signature checked, folded."""
+    signer, verifier = _build_signer()
+    state = fold.create_state(["serrana"])
+    raws = [
+        records.encode_change(_build_change(number), signer)
+        for number in range(1, 501)
+    ]
+    offsets = itertools.count(1)
+
+    def run() -> None:
+        offset = next(offsets)
+        fold.apply_record(state, offset, raws[offset % 500], verifier)
+
+    return Slope("configuration change", _time(run), 0.0, len(raws[0]))
+
+
+def _measure_object() -> Slope:
+    """One object in force, with its verdict and its typed form."""
+
+    def build(count: int) -> store.ConfigStore:
+        signer, verifier = _build_signer()
+        found = store.ConfigStore(["serrana"], verifier)
+        for number in range(1, count + 1):
+            change = _build_change(number)
+            found.apply(number, records.encode_change(change, signer))
+            found.find(change.key)
+        return found
+
+    memory = (_weigh(lambda: build(1200)) - _weigh(lambda: build(200))) / 1000
+    return Slope("configured object", 0.0, memory)
+
+
+def _measure_snapshot() -> Slope:
+    """One object in a snapshot: encoded, signed, restored."""
+    signer, verifier = _build_signer()
+
+    def span(count: int) -> tuple[float, float]:
+        state = fold.create_state(["serrana"])
+        for number in range(1, count + 1):
+            raw = records.encode_change(_build_change(number), signer)
+            fold.apply_record(state, number, raw, verifier)
+        partner = state.partners["serrana"]
+
+        def run() -> None:
+            buffer = snapshot.SnapshotBuffer(verifier)
+            for chunk in snapshot.encode_snapshot(partner, signer):
+                buffer.add(chunk)
+
+        size = sum(map(len, snapshot.encode_snapshot(partner, signer)))
+        return _time(run, 20), size
+
+    small, large = span(200), span(1200)
+    return Slope(
+        "object in a snapshot", (large[0] - small[0]) / 1000, 0.0,
+        (large[1] - small[1]) / 1000,
+    )  # fmt: skip
+
+
+def _measure_runner() -> Slope:
+    """One runner of the instance list: decoded, compared and kept."""
+    small = _time_list(100)
+    large = _time_list(RUNNERS)
+    count = RUNNERS - 100
+    memory = (
+        _weigh(lambda: _decode_list(RUNNERS))
+        - _weigh(lambda: _decode_list(100))
+    ) / count
+    wire = (len(_encode_list(RUNNERS)) - len(_encode_list(100))) / count
+    return Slope(
+        "runner in one reading of the list", (large - small) / count, memory,
+        wire,
+    )  # fmt: skip
+
+
+def _measure_ring() -> Slope:
+    """One runner of a pool's ring, built anew."""
+
+    def build(count: int) -> ring.RunnerRing:
+        return ring.RunnerRing([f"runner-{n}" for n in range(count)])
+
+    seconds = (
+        _time(lambda: build(RUNNERS), 10) - _time(lambda: build(100), 10)
+    ) / (RUNNERS - 100)
+    memory = (_weigh(lambda: build(RUNNERS)) - _weigh(lambda: build(100))) / (
+        RUNNERS - 100
+    )
+    return Slope("runner in a ring", seconds, memory)
+
+
+def _measure_prefix() -> Slope:
+    """One block of the prefix index: noted and kept."""
+    rng = random.Random(1)
+
+    def build(count: int) -> prefixes.PrefixIndex:
+        index = prefixes.PrefixIndex()
+        for _ in range(count // 20):
+            chain = [rng.getrandbits(64) for _ in range(20)]
+            index.note_held(f"runner-{rng.randrange(16)}", chain)
+        return index
+
+    memory = _weigh(lambda: build(40_000)) - _weigh(lambda: build(20_000))
+    index = build(40_000)
+    chain = [rng.getrandbits(64) for _ in range(20)]
+    seconds = _time(lambda: index.note_held("runner-1", chain)) / 20
+    return Slope("block in the prefix index", seconds, memory / 20_000)
+
+
+def _measure_claim() -> Slope:
+    """One claim with its outcome: encoded, read back, folded, kept."""
+
+    def build(count: int) -> claim_table.ClaimTable:
+        claims = claim_table.ClaimTable()
+        for number in range(count):
+            for place, raw in enumerate(_encode_claim(number)):
+                claims.apply(2 * number + place + 1, raw)
+        return claims
+
+    memory = (_weigh(lambda: build(3000)) - _weigh(lambda: build(1000))) / 2000
+    claims = claim_table.ClaimTable()
+    numbers = itertools.count()
+
+    def run() -> None:
+        number = next(numbers)
+        for place, raw in enumerate(_encode_claim(number)):
+            claims.apply(2 * number + place + 1, raw)
+
+    wire = sum(map(len, _encode_claim(1)))
+    return Slope("claim with its outcome", _time(run), memory, wire)
+
+
+def _measure_work() -> Slope:
+    """One accepted request with its answer: read, folded and kept."""
+    body = b"x" * WORK_BYTES
+    answer = b"y" * 2000
+
+    def encode(number: int) -> list[bytes]:
+        return [
+            *work_records.encode_accepted(
+                f"team.{number}", "team", "review", body, written_at=1.0,
+                config_offset=1,
+            ),
+            *work_records.encode_completed(f"team.{number}", "a", answer),
+        ]  # fmt: skip
+
+    def build(count: int) -> work_table.WorkTable:
+        works = work_table.WorkTable()
+        for number in range(count):
+            for place, raw in enumerate(encode(number)):
+                works.apply(2 * number + place + 1, raw)
+        return works
+
+    memory = (_weigh(lambda: build(600)) - _weigh(lambda: build(200))) / 400
+    works = work_table.WorkTable()
+    numbers = itertools.count()
+
+    def run() -> None:
+        number = next(numbers)
+        for place, raw in enumerate(encode(number)):
+            works.apply(2 * number + place + 1, raw)
+
+    wire = sum(map(len, encode(1)))
+    return Slope("deferrable request", _time(run), memory, wire)
+
+
+async def _measure_request_state() -> Slope:
+    """One request in flight: its task, its prompt and its tokens."""
+
+    async def hold(count: int) -> int:
+        tracemalloc.start()
+        async with trio.open_nursery() as nursery:
+            for _ in range(count):
+                nursery.start_soon(_hold_request)
+            await trio.testing.wait_all_tasks_blocked()
+            held = tracemalloc.get_traced_memory()[0]
+            nursery.cancel_scope.cancel()
+        tracemalloc.stop()
+        return held
+
+    memory = (await hold(1200) - await hold(200)) / 1000
+    return Slope("request in flight", 0.0, memory)
+
+
+async def _hold_request() -> None:
+    prompt = " ".join(f"w{n}" for n in range(600))
+    chain = blocks.chain_blocks(prompt)
+    tokens = ["word "] * 275
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.sleep_forever)
+        await trio.sleep_forever()
+    del prompt, chain, tokens
+
+
+def _compute_roles(slopes: dict[str, Slope]) -> list[Role]:
+    return [
+        _compute_links(slopes),
+        _compute_spread(slopes),
+        _compute_configuration(slopes),
+        _compute_snapshots(slopes),
+        _compute_directory(slopes),
+        _compute_routing(slopes),
+        _compute_claims(slopes),
+        _compute_work(slopes),
+        _compute_gateway(slopes),
+    ]
+
+
+def _compute_links(slopes: dict[str, Slope]) -> Role:
+    beat = slopes["heartbeat with its reply"]
+    # Each node sends to its chosen peers and is chosen by as many.
+    rate = 2 * LINKS / HEARTBEAT_S
+    return Role(
+        "peer links", "heartbeats to peers chosen by rendezvous hashing",
+        f"{LINKS} links out, as many in", 2 * rate, rate * beat.seconds, 0.0,
+        rate * beat.wire,
+    )  # fmt: skip
+
+
+def _compute_spread(slopes: dict[str, Slope]) -> Role:
+    member = slopes["daemon in the table"]
+    # Each failure is told as suspected and dead, each start and planned stop
+    # as alive and leaving; every link may carry each report both ways.
+    reports = (2 * FAILURES_DAY + 2 * REPLACED_DAY) / DAY_S
+    carried = reports * 2 * LINKS
+    return Role(
+        "membership", "reports merged by a fixed order, sent as deltas",
+        f"{NODES} daemons", carried, carried * member.seconds,
+        NODES * member.memory / 1e6, carried * member.wire,
+    )  # fmt: skip
+
+
+def _compute_configuration(slopes: dict[str, Slope]) -> Role:
+    change = slopes["configuration change"]
+    beat = slopes["heartbeat with its reply"]
+    per_s = CHANGES_DAY / DAY_S
+    # Each change also makes every link carry one more heartbeat.
+    beats = per_s * 2 * LINKS
+    held = slopes["configured object"].memory
+    return Role(
+        "log follower and operators", "long poll of the log; fold",
+        "2,000 objects, 4,096 verdicts", per_s + beats,
+        per_s * change.seconds + beats * beat.seconds,
+        (2000 + 4096) * held / 1e6,
+        per_s * change.wire + beats * beat.wire + 300 / 10.0,
+    )  # fmt: skip
+
+
+def _compute_snapshots(slopes: dict[str, Slope]) -> Role:
+    item = slopes["object in a snapshot"]
+    # Read once at a start, made by one daemon of each partner every 10 min.
+    made = 1 / 600.0 / (NODES / 2)
+    started = REPLACED_DAY / NODES / DAY_S
+    objects_held = 2000 + 4096
+    return Role(
+        "snapshot publisher", "signed chunks in the log",
+        "the latest snapshot of each partner", made,
+        (made + started) * objects_held * item.seconds,
+        objects_held * item.wire / 1e6,
+        (made + started) * objects_held * item.wire,
+    )  # fmt: skip
+
+
+def _compute_directory(slopes: dict[str, Slope]) -> Role:
+    runner = slopes["runner in one reading of the list"]
+    listed = RUNNERS + NODES
+    per_s = 1.0
+    return Role(
+        "instance list", "read whole every second",
+        f"{listed} instances", per_s, per_s * listed * runner.seconds,
+        listed * runner.memory / 1e6, per_s * listed * runner.wire,
+    )  # fmt: skip
+
+
+def _compute_routing(slopes: dict[str, Slope]) -> Role:
+    block = slopes["block in the prefix index"]
+    in_ring = slopes["runner in a ring"]
+    changes_s = (RUNNERS / NODES) * REPLACED_DAY / DAY_S
+    blocks_s = REQUESTS_S / NODES * 19
+    held = 200_000 * block.memory / 1e6
+    return Role(
+        "routing index", "own placements and prefix homes on a ring",
+        "200,000 blocks, one ring a pool", 0.0,
+        blocks_s * block.seconds + changes_s * RUNNERS * in_ring.seconds,
+        held + RUNNERS * in_ring.memory / 1e6, 0.0,
+    )  # fmt: skip
+
+
+def _compute_claims(slopes: dict[str, Slope]) -> Role:
+    claim = slopes["claim with its outcome"]
+    rate = REQUESTS_S * KEYED_SHARE * FOLLOWERS / NODES
+    kept = rate * RETENTION_S
+    return Role(
+        "claims", f"{SHARDS} streams, {FOLLOWERS} followers each",
+        f"{kept:.0f} keys of one day", 2 * rate, rate * claim.seconds,
+        kept * claim.memory / 1e6, 2 * rate * claim.wire,
+    )  # fmt: skip
+
+
+def _compute_work(slopes: dict[str, Slope]) -> Role:
+    work = slopes["deferrable request"]
+    rate = REQUESTS_S * DEFERRABLE_SHARE * FOLLOWERS / NODES
+    kept = rate * RETENTION_S
+    return Role(
+        "acceptances", f"{SHARDS} streams, {FOLLOWERS} followers each",
+        f"{kept:.0f} answers of one day", 2 * rate, rate * work.seconds,
+        kept * work.memory / 1e6, rate * work.wire,
+    )  # fmt: skip
+
+
+def _compute_gateway(slopes: dict[str, Slope]) -> Role:
+    held = slopes["request in flight"].memory
+    # 275 tokens at 49 ms and the first at 0.57 s: 14 s a request.
+    in_flight = REQUESTS_S / NODES * 14
+    return Role(
+        "caller gateway (state only)", "one task a request",
+        f"{in_flight:.0f} requests in flight", 0.0, 0.0,
+        in_flight * held / 1e6, 0.0,
+    )  # fmt: skip
+
+
+def _sum_roles(roles: list[Role]) -> Role:
+    return Role(
+        "all", f"budget {100 * CPU_BUDGET:.1f}% of a core, "
+        f"{MEMORY_BUDGET_MB:.0f} MB, {BYTES_BUDGET:.0f} bytes/s", "",
+        sum(r.messages_s for r in roles), sum(r.cpu for r in roles),
+        sum(r.memory_mb for r in roles), sum(r.bytes_s for r in roles),
+    )  # fmt: skip
+
+
+def _build_update(number: int, incarnation: int = 0) -> messages.MemberUpdate:
+    return messages.MemberUpdate(
+        member=f"entry-lakes-a-{number}.89ab12cd", partner="lindqvist",
+        zone="lakes-a", address=f"10.12.1.{number % 250}:7000",
+        incarnation=incarnation,
+    )  # fmt: skip
+
+
+def _build_members(count: int) -> table.MemberTable:
+    members = table.MemberTable(_build_update(0), 5)
+    for number in range(1, count):
+        members.merge(_build_update(number))
+    return members
+
+
+def _build_signer() -> tuple[records.Signer, records.Verifier]:
+    private, public = records.generate_key()
+    signer = records.create_signer("serrana", private)
+    return signer, records.create_verifier({"serrana": public})
+
+
+def _build_change(number: int) -> records.Change:
+    return records.Change(
+        "serrana", "ines", f"change-{number:016d}", "serrana",
+        objects.Kind.ROUTE, f"route-{number}", 0,
+        {"pool": "reviews", "urgency": "interactive", "deadline_s": 30.0},
+    )  # fmt: skip
+
+
+def _encode_claim(number: int) -> list[bytes]:
+    key = f"workshops/booking/harvest-{number:012d}"
+    claim = claim_records.Claim(
+        key, f"{number:016x}", "entry-serra-a-12.89ab12cd", "0" * 16
+    )
+    outcome = claim_records.Outcome(
+        key, f"{number:016x}", 200, "application/json", b"z" * 120
+    )
+    return [claim_records.encode(claim), claim_records.encode(outcome)]
+
+
+def _encode_list(count: int) -> bytes:
+    return msgspec.json.encode(
+        [
+            instances.Instance(
+                f"runner-{number}", instances.InstanceKind.RUNNER, "serrana",
+                f"zone-{number % 7}", f"10.1.{number // 250}.{number % 250}:80",
+                pool=f"pool-{number % 20}",
+            )
+            for number in range(count)
+        ]
+    )  # fmt: skip
+
+
+def _decode_list(count: int) -> list[instances.Instance]:
+    return msgspec.json.decode(
+        _encode_list(count), type=list[instances.Instance]
+    )
+
+
+def _time_list(count: int) -> float:
+    raw = _encode_list(count)
+    config = store.ConfigStore(["serrana"], records.create_verifier({}))
+    runners = directory.RunnerDirectory(config, _build_members(1))
+
+    def run() -> None:
+        listed = msgspec.json.decode(raw, type=list[instances.Instance])
+        runners.replace_all(listed)
+
+    return _time(run, 50)
+
+
+def _time(run: Callable[[], object], repeats: int = 400) -> float:
+    """Return the median processor time of one call, in seconds."""
+    spans = []
+    for _ in range(repeats):
+        started = time.process_time_ns()
+        run()
+        spans.append((time.process_time_ns() - started) / 1e9)
+    return figures.compute_percentile(spans, 50)
+
+
+def _weigh(build: Callable[[], object]) -> int:
+    """Return the bytes that what is built holds."""
+    tracemalloc.start()
+    built = build()
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del built
+    return held
+
+
+if __name__ == "__main__":
+    sys.exit(app.run(main))
--- a/bench/routing/sites.py
+++ b/bench/routing/sites.py
@@ -134,6 +134,7 @@
         finally:
             self.admission.leave(permit.ok)
         times = sink.times
+        gaps_s = [after - before for before, after in itertools.pairwise(times)]
         [after - before for before, after in itertools.pairwise(times)]
         return Outcome(
             self.partner, arrival.urgency, at,
