--- a/bench/processes.py
+++ b/bench/processes.py
@@ -7,7 +7,7 @@
 
 import trio
 
-__all__ = ["Program", "read_resident_mb", "start_program"]
+__all__ = ["Program", "read_cpu_s", "read_resident_mb", "start_program"]
 
 
 class Program:
--- a/bench/routing/cases.py
+++ b/bench/routing/cases.py
@@ -65,15 +65,40 @@
 
 
 def run_case(
-    policy: str, case: Case, *, seconds: float, seed: int, runners: int = 5
+    policy: str,
+    case: Case,
+    *,
+    seconds: float,
+    seed: int,
+    runners: int = 5,
+    flood: workloads.Mix | None = None,
 ) -> RunResult:
-    """Run one case in virtual time."""
+    """Run one case in virtual time.
+
+    Args:
+        policy: The way of placing.
+        case: What befalls the fleet.
+        seconds: How long requests come.
+        seed: Decides the workloads.
+        runners: Model runners a partner.
+        flood: A further workload for the Bureau's daemons.
+    """
     clock = trio.testing.MockClock(autojump_threshold=0)
-    return trio.run(_run, policy, case, seconds, seed, runners, clock=clock)
+    mixes = [workloads.BUREAU, workloads.FLOWER_SHOP]
+    if flood is not None:
+        mixes.append(flood)
+    return trio.run(
+        _run, policy, case, seconds, seed, runners, mixes, clock=clock
+    )
 
 
 async def _run(
-    policy: str, case: Case, seconds: float, seed: int, runners: int
+    policy: str,
+    case: Case,
+    seconds: float,
+    seed: int,
+    runners: int,
+    mixes: list[workloads.Mix],
 ) -> RunResult:
     fleet = sites.Fleet(policy, case.engine_model, runners, case.share)
     outcomes: list[sites.Outcome] = []
@@ -84,7 +109,7 @@
         async with trio.open_nursery() as nursery:
             if case.events:
                 nursery.start_soon(_EVENTS[case.events], fleet)
-            for mix in (workloads.BUREAU, workloads.FLOWER_SHOP):
+            for mix in mixes:
                 factor = case.flood_factor if mix.name == "lindqvist" else 1.0
                 arrivals = workloads.make_arrivals(
                     mix, seconds, seed, rate_factor=factor
--- a/bench/routing/engines.py
+++ b/bench/routing/engines.py
@@ -18,6 +18,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+_CHUNK_TOKENS = 256
+
 __all__ = ["EngineModel", "FakeEngine", "FakeEngineClient", "Tally"]
 
 
@@ -214,15 +216,19 @@
     async def _read_prompt(self, order: orders.GenerateOrder) -> int:
         chain = blocks.chain_blocks(order.full_text())
         total = order.count_tokens()
-        async with self._prefill.enter(order.priority):
-            held = 0
-            while held < len(chain) and chain[held] in self._cache:
-                held += 1
-            cause = "placement" if order.attempt == 1 else "moved"
-            self._tally.count(chain, held, total, cause)
-            uncached = total - held * blocks.BLOCK_TOKENS
-            await trio.sleep(uncached / self._model.prefill_tokens_s)
-            self.hold(chain)
+        held = 0
+        while held < len(chain) and chain[held] in self._cache:
+            held += 1
+        cause = "placement" if order.attempt == 1 else "moved"
+        self._tally.count(chain, held, total, cause)
+        # Prompts are read in chunks, and the more urgent one's chunk is next.
+        uncached = total - held * blocks.BLOCK_TOKENS
+        while uncached > 0:
+            chunk = min(uncached, _CHUNK_TOKENS)
+            async with self._prefill.enter(order.priority):
+                await trio.sleep(chunk / self._model.prefill_tokens_s)
+            uncached -= chunk
+        self.hold(chain)
         return held * blocks.BLOCK_TOKENS
 
     def _note_load(self) -> None:
--- a/packages/core/src/martenquay_core/config/objects.py
+++ b/packages/core/src/martenquay_core/config/objects.py
@@ -184,7 +184,7 @@
     Attributes:
         pool: The owner's pool.
         to: The partner who may use it.
-        fraction: The part of each runner's slots that may be used.
+        fraction: The part of the pool's runners that may be used.
         serves: The borrower's pool whose requests may come here.
     """
 
--- a/packages/core/src/martenquay_core/platform/instances.py
+++ b/packages/core/src/martenquay_core/platform/instances.py
@@ -22,6 +22,7 @@
 ]
 
 _TIMEOUT_S = 3.0
+_NOT_MODIFIED = 304
 
 Content = TypeVar("Content")
 
@@ -99,15 +100,31 @@
     def __init__(self, client: http.HttpClient, url: str) -> None:
         self._client = client
         self._url = url.rstrip("/")
+        self._tag = b""
+        self._latest: list[Instance] = []
 
     async def list_instances(
         self,
     ) -> Result[list[Instance], outcome.PlatformFailure]:
-        """Return the list as it stands at the platform, which lags."""
+        """Return the list as it stands at the platform, which lags.
+
+        The list is large and seldom changes, so it is sent again only when
+        its entity tag has changed.
+        """
+        headers = [(b"if-none-match", self._tag)] if self._tag else []
         answer = await self._client.call(
-            "GET", f"{self._url}/instances", timeout_s=_TIMEOUT_S
+            "GET",
+            f"{self._url}/instances",
+            headers=headers,
+            timeout_s=_TIMEOUT_S,
         )
-        return _decode(answer, list[Instance])
+        if answer.is_ok() and answer.ok.status == _NOT_MODIFIED:
+            return Ok(self._latest)
+        listed = _decode(answer, list[Instance])
+        if listed.is_ok():
+            self._tag = dict(answer.ok.headers).get(b"etag", b"")
+            self._latest = listed.ok
+        return listed
 
     async def read_notices(
         self, position: int, wait_s: float
--- a/packages/daemon/src/martenquay_daemon/callers/gate.py
+++ b/packages/daemon/src/martenquay_daemon/callers/gate.py
@@ -99,17 +99,21 @@
             self._partner, objects.Kind.LIMIT
         ):
             if isinstance(limit, objects.Limit) and limit.pool == pool:
-                return admission.PoolCapacity(limit.concurrency, limit.queue)
+                return admission.PoolCapacity(
+                    limit.concurrency, limit.queue, limit.concurrency
+                )
         runners = self._runners.list_pool(self._partner, pool)
-        slots = float(sum(runner.slots for runner in runners))
-        for runner, fraction in self._runners.list_lent(self._partner, pool):
-            slots += runner.slots * fraction
+        slots = sum(runner.slots for runner in runners)
+        lent = self._runners.list_lent(self._partner, pool)
+        slots += sum(runner.slots for runner in lent)
         if slots == 0:
-            return admission.PoolCapacity(_DEFAULT_RUNNING, _DEFAULT_QUEUE)
+            return admission.PoolCapacity(
+                _DEFAULT_RUNNING, _DEFAULT_QUEUE, _DEFAULT_RUNNING
+            )
         daemons = max(1, len(self._members.list_serving(self._partner)))
         even = slots / daemons
         return admission.PoolCapacity(
-            max(2, math.ceil(even * _UNEVEN)), _DEFAULT_QUEUE
+            max(2, math.ceil(even * _UNEVEN)), _DEFAULT_QUEUE, even
         )
 
     def _find_urgency(self, route: str, team: str) -> objects.Urgency | None:
--- a/packages/daemon/src/martenquay_daemon/dispatch/model.py
+++ b/packages/daemon/src/martenquay_daemon/dispatch/model.py
@@ -16,6 +16,7 @@
 from expression import Error, Ok, Result
 
 from martenquay_core import logs, results
+from martenquay_core.config import objects
 from martenquay_core.runners import engine, orders
 from martenquay_core.util import blocks
 from martenquay_daemon.dispatch import relay
@@ -24,7 +25,6 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from martenquay_core.config import objects
     from martenquay_core.platform import instances
     from martenquay_daemon.dispatch import book
     from martenquay_daemon.limits import ejection, retries
@@ -81,6 +81,7 @@
         generated: The tokens generated.
         attempts: How many runners were tried.
         recomputed: Prompt tokens read again because of a move or a loss.
+        started_at: When its last runner had read the prompt.
         runner: The runner that finished it.
         zone: That runner's availability zone.
     """
@@ -89,6 +90,7 @@
     generated: list[str] = dataclasses.field(default_factory=list)
     attempts: int = 0
     recomputed: int = 0
+    started_at: float = 0.0
     runner: str = ""
     zone: str = ""
 
@@ -194,6 +196,7 @@
                 chain,
                 usage.prompt_tokens + len(usage.generated),
                 frozenset(excluded),
+                request.urgency is objects.Urgency.DEFERRABLE,
             )
             chosen = self._placer.place(ask)
             if chosen is None:
@@ -271,11 +274,10 @@
             usage.attempts,
             request.prompt,
             request.max_tokens,
-            request.urgency.rank,
+            _choose_priority(request, chosen),
             list(usage.generated),
         )
         self._loads.note_placed(runner.name)
-        started = trio.current_time()
         service_s: float | None = None
         end: _End = _Lost("given up")
         try:
@@ -284,7 +286,7 @@
             end = _Lost(str(error))
         finally:
             if isinstance(end, _Finished):
-                service_s = trio.current_time() - started
+                service_s = trio.current_time() - usage.started_at
                 self._ejector.note_success(runner.name)
             else:
                 await self._cancel_at(runner, request.request_id)
@@ -364,7 +366,8 @@
         opened: float,
     ) -> None:
         computed = event.prompt_tokens - event.cached_tokens
-        seconds = trio.current_time() - opened
+        usage.started_at = trio.current_time()
+        seconds = usage.started_at - opened
         if chosen.chosen.ahead < chosen.runner.slots:
             self._loads.note_prefill(chosen.runner.name, computed, seconds)
         missing = (
@@ -416,6 +419,12 @@
             await self._client.cancel(runner.address, request_id)
 
 
+def _choose_priority(request: ModelRequest, chosen: placement.Placement) -> int:
+    """Return the engine's priority; a lender's own requests come first."""
+    borrowed = len(objects.Urgency) if chosen.is_borrowed else 0
+    return request.urgency.rank + borrowed
+
+
 def _explain_deadline(usage: Usage) -> results.Failure:
     if usage.attempts == 0:
         return results.Failure(
--- a/packages/daemon/src/martenquay_daemon/limits/admission.py
+++ b/packages/daemon/src/martenquay_daemon/limits/admission.py
@@ -24,13 +24,12 @@
 
 __all__ = ["Admission", "Ask", "Permit", "PoolCapacity"]
 
-# The part of a pool's capacity that each urgency may fill, so that urgent
-# requests find room without waiting for one that may wait.
-_FILL = {
-    objects.Urgency.URGENT: 1.0,
-    objects.Urgency.INTERACTIVE: 0.9,
-    objects.Urgency.DEFERRABLE: 0.6,
-}
+# The part of a pool's capacity that requests which are not urgent may fill.
+_INTERACTIVE_FILL = 0.9
+# Room kept free of requests that may wait: so many times what the others
+# have used lately, for they come in bursts.
+_RESERVE = 4.0
+_LATELY_S = 10.0
 _RATE_DECAY = 0.9
 _MIN_RETRY_S = 1.0
 _MAX_RETRY_S = 60.0
@@ -44,10 +43,13 @@
     Attributes:
         running: The most requests running at once.
         queue: The most requests waiting.
+        even: This daemon's even part of the pool's slots; requests that may
+            wait never fill more.
     """
 
     running: int
     queue: int
+    even: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -127,6 +129,9 @@
         ] = {urgency: {} for urgency in objects.Urgency}
         self.finish_tags: dict[str, float] = {}
         self.drain_rate = 0.0
+        self.foreground = 0
+        self._foreground_mean = 0.0
+        self._mean_at = now
         self._last_leave = now
 
     def tag(self, ask: Ask) -> float:
@@ -135,6 +140,20 @@
         self.finish_tags[ask.team] = start + ask.cost / ask.weight
         return start
 
+    def count_foreground(self, now: float, change: int) -> None:
+        """Note a request that may not wait, starting (1) or leaving (-1)."""
+        self.read_foreground(now)
+        self.foreground += change
+
+    def read_foreground(self, now: float) -> float:
+        """Return how many of them ran lately, or run now if those are more."""
+        kept = math.exp(-(now - self._mean_at) / _LATELY_S)
+        self._mean_at = now
+        self._foreground_mean = (
+            kept * self._foreground_mean + (1 - kept) * self.foreground
+        )
+        return max(self._foreground_mean, self.foreground)
+
     def note_leave(self, now: float) -> None:
         """Update the measured rate at which requests leave."""
         elapsed = max(now - self._last_leave, 1e-4)
@@ -189,6 +208,8 @@
         pool.running -= 1
         self._team_running[ask.team] -= 1
         pool.note_leave(trio.current_time())
+        if ask.urgency is not objects.Urgency.DEFERRABLE:
+            pool.count_foreground(trio.current_time(), -1)
         # The team's limit may have held requests to any pool.
         for name, other in self._pools.items():
             self._admit_waiting(name, other)
@@ -229,15 +250,15 @@
             pool.running += 1
             pool.virtual_time = max(pool.virtual_time, chosen.start_tag)
             self._team_running[chosen.ask.team] += 1
+            if chosen.ask.urgency is not objects.Urgency.DEFERRABLE:
+                pool.count_foreground(trio.current_time(), 1)
             chosen.entered.set()
 
     def _choose_next(
         self, pool: _PoolQueue, capacity: PoolCapacity
     ) -> _Waiting | None:
         for urgency, queues in pool.waiting.items():
-            if pool.running >= max(
-                1, math.floor(capacity.running * _FILL[urgency])
-            ):
+            if pool.running >= _find_bound(pool, capacity, urgency):
                 return None
             heads = [
                 queue
@@ -265,5 +286,19 @@
         return _bound_retry((pool.queued + 1) / pool.drain_rate)
 
 
+def _find_bound(
+    pool: _PoolQueue, capacity: PoolCapacity, urgency: objects.Urgency
+) -> int:
+    """Return how many may run in all for one more of this urgency to start."""
+    match urgency:
+        case objects.Urgency.URGENT:
+            return capacity.running
+        case objects.Urgency.INTERACTIVE:
+            return max(1, math.floor(capacity.running * _INTERACTIVE_FILL))
+        case objects.Urgency.DEFERRABLE:
+            foreground = pool.read_foreground(trio.current_time())
+            return max(1, math.floor(capacity.even - _RESERVE * foreground))
+
+
 def _bound_retry(seconds: float) -> float:
     return min(max(seconds, _MIN_RETRY_S), _MAX_RETRY_S)
--- a/packages/daemon/src/martenquay_daemon/membership/directory.py
+++ b/packages/daemon/src/martenquay_daemon/membership/directory.py
@@ -10,6 +10,7 @@
 from martenquay_core.config import objects
 from martenquay_core.peers import messages
 from martenquay_core.platform import instances
+from martenquay_core.util import rendezvous
 from martenquay_daemon.membership import links
 
 if TYPE_CHECKING:
@@ -63,22 +64,32 @@
         """Return the pool's own runners that may get new work."""
         return self._pools.get((partner, pool), [])
 
-    def list_lent(self, partner: str, pool: str) -> list[tuple[Runner, float]]:
-        """Return other partners' runners lent to a pool, with the fraction."""
-        lent: list[tuple[Runner, float]] = []
+    def list_lent(self, partner: str, pool: str) -> list[Runner]:
+        """Return other partners' runners that are lent to a pool.
+
+        The lent part of a pool is whole runners, the same ones for all
+        daemons: a borrower's prompts push the lender's out of the caches of
+        these runners only.
+        """
+        lent: list[Runner] = []
         for key, _ in self._config.state.iterate(objects.Kind.SHARE):
             share = self._config.find(key)
             if not isinstance(share, objects.Share) or key.partner == partner:
                 continue
             if share.to == partner and share.serves == pool:
                 runners = self.list_pool(key.partner, share.pool)
-                lent.extend((runner, share.fraction) for runner in runners)
+                lent.extend(_choose_part(str(key), runners, share.fraction))
         return lent
 
     def list_all(self) -> list[Runner]:
         """Return every runner of the list, leaving ones too."""
         return list(self._runners.values())
 
+    def count_daemons(self) -> int:
+        """Return how many daemons of the own partner are serving."""
+        own = self._members.list_serving(self._members.me.partner)
+        return max(1, len(own))
+
     def find(self, name: str) -> Runner | None:
         """Return a runner of the list."""
         return self._runners.get(name)
@@ -104,6 +115,17 @@
             self._pools.setdefault(place, []).append(runner)
 
 
+def _choose_part(
+    key: str, runners: list[Runner], fraction: float
+) -> list[Runner]:
+    """Return the lent part of a pool, at least one runner if any is lent."""
+    if not runners or fraction == 0:
+        return []
+    count = max(1, round(len(runners) * fraction))
+    names = rendezvous.rank_candidates(key, [r.name for r in runners])[:count]
+    return [runner for runner in runners if runner.name in names]
+
+
 class InstanceFollower:
     """Read the lagging list again and again."""
 
--- a/packages/daemon/src/martenquay_daemon/membership/links.py
+++ b/packages/daemon/src/martenquay_daemon/membership/links.py
@@ -29,8 +29,8 @@
 __all__ = ["PeerAddress", "PeerFailure", "PeerLinks"]
 
 _LOG = logs.create_log("peers")
-LINKS_IN_ZONE = 8
-LINKS_TO_ZONE = 2
+LINKS_IN_ZONE = 6
+LINKS_TO_ZONE = 1
 _IDLE_LINK_S = 30.0
 _MAX_UPDATES = 500
 _SPACING_S = 0.02
--- a/packages/daemon/src/martenquay_daemon/routing/placement.py
+++ b/packages/daemon/src/martenquay_daemon/routing/placement.py
@@ -30,6 +30,9 @@
 # The depth at which prompts that share a beginning get the same home: long
 # enough to tell orders apart, short enough that a longer one still matches.
 _HOME_BLOCKS = 4
+# A lent runner is used while less than this part of its slots is busy.
+_IDLE_OTHERS = 0.5
+_IDLE_DEFERRABLE = 0.25
 
 
 @dataclasses.dataclass(frozen=True)
@@ -61,6 +64,7 @@
         chain: Hashes of the prompt's blocks.
         prompt_tokens: Tokens of the prompt.
         excluded: Runners that have failed this request.
+        may_wait: It may wait, so it borrows only what lies idle.
     """
 
     partner: str
@@ -68,6 +72,7 @@
     chain: list[int]
     prompt_tokens: int
     excluded: frozenset[str] = frozenset()
+    may_wait: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -94,12 +99,14 @@
     Attributes:
         runner: The instance chosen.
         chosen: Its estimate.
+        is_borrowed: The runner belongs to another partner.
         considered: All that were looked at, the chosen one too.
     """
 
     runner: instances.Instance
     chosen: Candidate
     considered: list[Candidate]
+    is_borrowed: bool = False
 
     def explain(self) -> str:
         """Return the reason in a few words."""
@@ -146,7 +153,9 @@
             for name, runner in names.items()
         ]
         chosen = min(considered, key=lambda candidate: candidate.cost_s)
-        return Placement(names[chosen.runner], chosen, considered)
+        runner = names[chosen.runner]
+        is_borrowed = runner.partner != ask.partner
+        return Placement(runner, chosen, considered, is_borrowed)
 
     def _choose_names(self, ask: ModelAsk) -> dict[str, instances.Instance]:
         own = self._runners.list_pool(ask.partner, ask.pool)
@@ -157,9 +166,13 @@
         if not found:
             for runner in self._ejector_view(own):
                 self._add(ask, found, runner)
-        self._add_lent(ask, found)
+        if not any(self._has_room(runner) for runner in found.values()):
+            self._add_lent(ask, found)
         return found
 
+    def _has_room(self, runner: instances.Instance) -> bool:
+        return self._loads.count_ahead(runner.name) < runner.slots
+
     def _suggest(
         self, ask: ModelAsk, own: list[instances.Instance]
     ) -> list[str]:
@@ -196,16 +209,23 @@
     def _add_lent(
         self, ask: ModelAsk, found: dict[str, instances.Instance]
     ) -> None:
+        """Add lent runners that lie idle, within this daemon's even part.
+
+        The lender's own requests come first: a runner that is half busy gets
+        no more, and the engine is told a lower priority.
+        """
         lent = self._runners.list_lent(ask.partner, ask.pool)
         if not lent:
             return
-        for runner, fraction in self._rng.sample(lent, min(_RANDOM, len(lent))):
-            bound = max(1, int(runner.slots * fraction))
-            in_flight = self._loads.get(runner.name).in_flight
-            blocked = runner.name in ask.excluded or self._ejector.is_ejected(
-                runner.name
-            )
-            if in_flight < bound and not blocked:
+        slots = sum(runner.slots for runner in lent)
+        in_use = sum(self._loads.get(r.name).in_flight for r in lent)
+        if in_use + 1 > max(1.0, slots / self._runners.count_daemons()):
+            return
+        busy = _IDLE_DEFERRABLE if ask.may_wait else _IDLE_OTHERS
+        for runner in self._rng.sample(lent, min(_RANDOM, len(lent))):
+            is_idle = self._loads.count_ahead(runner.name) < runner.slots * busy
+            is_kept_out = self._ejector.is_ejected(runner.name)
+            if is_idle and not is_kept_out and runner.name not in ask.excluded:
                 found[runner.name] = runner
 
     def _estimate(
--- a/packages/standins/src/martenquay_standins/instances.py
+++ b/packages/standins/src/martenquay_standins/instances.py
@@ -8,7 +8,7 @@
 import trio
 
 from martenquay_core.platform import instances
-from martenquay_core.util import progress
+from martenquay_core.util import progress, serving
 from martenquay_standins import web
 
 __all__ = ["InstanceListStandIn"]
@@ -26,11 +26,16 @@
 
 
 class InstanceListStandIn(web.StandIn):
-    """Keep the list and the notices in memory."""
+    """Keep the list and the notices in memory.
+
+    Attributes:
+        unchanged_count: Readings answered with "not modified".
+    """
 
     def __init__(self) -> None:
         super().__init__()
         self.faults: ListFaults = ListFaults()
+        self.unchanged_count = 0
         self._history: list[tuple[float, dict[str, instances.Instance]]] = [
             (-1e9, {})
         ]
@@ -43,7 +48,7 @@
             return
         match request.method, request.path:
             case "GET", "/instances":
-                await web.reply_json(request.send, self._list_lagging())
+                await self._send_list(request)
             case "POST", "/instances":
                 self.put(
                     msgspec.json.decode(request.body, type=instances.Instance)
@@ -74,14 +79,26 @@
         self._notices.append({"instance": name, "zone": zone})
         self._notice_end.advance(len(self._notices))
 
+    async def _send_list(self, request: web.Request) -> None:
+        """Send the list, or only that it has not changed."""
+        until = trio.current_time() - self.faults.lag_s
+        seen = [
+            (number, entry)
+            for number, (time, entry) in enumerate(self._history)
+            if time <= until
+        ]
+        number, listed = seen[-1]
+        tag = str(number).encode()
+        if serving.find_header(request.scope, b"if-none-match") == str(number):
+            self.unchanged_count += 1
+            await serving.send_answer(request.send, 304, b"", [(b"etag", tag)])
+            return
+        body = msgspec.json.encode(list(listed.values()))
+        await serving.send_answer(request.send, 200, body, [(b"etag", tag)])
+
     def _write(self, latest: dict[str, instances.Instance]) -> None:
         self._history.append((trio.current_time(), latest))
 
-    def _list_lagging(self) -> list[instances.Instance]:
-        until = trio.current_time() - self.faults.lag_s
-        seen = [entry for time, entry in self._history if time <= until]
-        return list(seen[-1].values())
-
     async def _read_notices(self, request: web.Request) -> None:
         start = int(request.query.get("from", "0"))
         wait_s = int(request.query.get("wait_ms", "0")) / 1000
--- a/packages/standins/src/martenquay_standins/world.py
+++ b/packages/standins/src/martenquay_standins/world.py
@@ -128,7 +128,12 @@
 
         async def send_mapped(message: Any) -> None:
             if message["type"] == "http.response.start":
-                message["headers"] = []
+                # The mapped list has another length.
+                message["headers"] = [
+                    (name, value)
+                    for name, value in message["headers"]
+                    if name != b"content-length"
+                ]
             elif message.get("body"):
                 message["body"] = await self._map(message["body"])
             await send(message)
