Keep contents beside the work streams and old keys in few bytes

Changed: bodies and answers stand in a content stream of their own, which only the worker and whoever fetches reads; the work stream has small records. Keys and answers that are done are kept as a hash and a place in the log, 104 bytes each; an old booking's answer is read from the log, and when that does not answer it is told 4001, never 'not run'. The prefix index holds 80,000 blocks. Heartbeats are answered without a task each. Ruled out: forgetting keys after an hour by the clock in the records: one daemon with a wrong clock would forget everybody's keys.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -49,14 +49,16 @@
 FAILURES_DAY = 18
 REPLACED_DAY = 74
 DAY_S = 86_400.0
-HEARTBEAT_S = 1.0
+# At this size heartbeats go every two seconds; news goes out at once.
+HEARTBEAT_S = 2.0
+LIST_POLL_S = 2.0
 # Nothing in the letter says how many calls carry a key or may wait; these
 # are this page's own assumptions and are named on it.
 KEYED_SHARE = 0.05
 DEFERRABLE_SHARE = 0.10
-WORK_BYTES = 12_000
 SHARDS = 256
-FOLLOWERS = 3
+INDEX_BLOCKS = 80_000
+FOLLOWERS = 2
 RETENTION_S = 86_400.0
 LINKS = links.LINKS_IN_ZONE + links.LINKS_TO_ZONE * (ZONES - 1)
 CPU_BUDGET = 0.016
@@ -132,9 +134,29 @@
             for r in [*roles, _sum_roles(roles)]
         ],
     )  # fmt: skip
+    print()
+    _print_log()
     return 0
 
 
+def _print_log() -> None:
+    """Print how many appends a second the log has to take."""
+    claims = REQUESTS_S * KEYED_SHARE
+    works = REQUESTS_S * DEFERRABLE_SHARE
+    today = 2 * claims + 2 * works + 2 * works
+    shared = 24 / 0.1 + 24 / 0.2 + ZONES / 0.1
+    figures.print_table(
+        ["way", "appends/s", "how"],
+        [
+            ["as built", f"{today:.0f}",
+             f"{SHARDS} streams: hardly two records share an append"],
+            ["shared appenders", f"{shared:.0f}",
+             "24 claim streams every 0.1 s, 24 work streams every 0.2 s, "
+             "contents by one daemon a zone every 0.1 s"],
+        ],
+    )  # fmt: skip
+
+
 async def _measure_all() -> dict[str, Slope]:
     found = [
         _measure_import(),
@@ -142,6 +164,7 @@
         _measure_member(),
         _measure_change(),
         _measure_object(),
+        _measure_verdict(),
         _measure_snapshot(),
         _measure_runner(),
         _measure_ring(),
@@ -240,6 +263,20 @@
     return Slope("configured object", 0.0, memory)
 
 
+def _measure_verdict() -> Slope:
+    """One remembered verdict of a change that is no longer in force."""
+
+    def build(count: int) -> fold.PartnerState:
+        state = fold.PartnerState("serrana")
+        for number in range(count):
+            judged = fold.Judgement(fold.Verdict.ACCEPTED, number)
+            state.judged[f"change-{number:016d}"] = judged
+        return state
+
+    memory = (_weigh(lambda: build(2048)) - _weigh(lambda: build(48))) / 2000
+    return Slope("remembered verdict", 0.0, memory)
+
+
 def _measure_snapshot() -> Slope:
     """One object in a snapshot: encoded, signed, restored."""
     signer, verifier = _build_signer()
@@ -319,14 +356,14 @@
     """One claim with its outcome: encoded, read back, folded, kept."""
 
     def build(count: int) -> claim_table.ClaimTable:
-        claims = claim_table.ClaimTable()
+        claims = claim_table.ClaimTable(full_outcomes=100)
         for number in range(count):
             for place, raw in enumerate(_encode_claim(number)):
                 claims.apply(2 * number + place + 1, raw)
         return claims
 
-    memory = (_weigh(lambda: build(3000)) - _weigh(lambda: build(1000))) / 2000
-    claims = claim_table.ClaimTable()
+    memory = (_weigh(lambda: build(9000)) - _weigh(lambda: build(1000))) / 8000
+    claims = claim_table.ClaimTable(full_outcomes=100)
     numbers = itertools.count()
 
     def run() -> None:
@@ -339,18 +376,22 @@
 
 
 def _measure_work() -> Slope:
-    """One accepted request with its answer: read, folded and kept."""
-    body = b"x" * WORK_BYTES
-    answer = b"y" * 2000
+    """One accepted request and its answer: read, folded and kept.
+
+    Only the small records: bodies and answers stand in a stream of their own
+    and are read by whoever works on them.
+    """
 
     def encode(number: int) -> list[bytes]:
-        return [
-            *work_records.encode_accepted(
-                f"team.{number}", "team", "review", body, written_at=1.0,
-                config_offset=1,
-            ),
-            *work_records.encode_completed(f"team.{number}", "a", answer),
-        ]  # fmt: skip
+        ticket = f"workshops.{number:032x}"
+        accepted = work_records.Accepted(
+            ticket=ticket, team="workshops", route="review", written_at=1.5e9,
+            config_offset=123_456, offset=10 * number, count=1,
+        )  # fmt: skip
+        completed = work_records.Completed(
+            ticket=ticket, offset=10 * number + 5, count=1
+        )
+        return [work_records.encode(accepted), work_records.encode(completed)]
 
     def build(count: int) -> work_table.WorkTable:
         works = work_table.WorkTable()
@@ -359,7 +400,7 @@
                 works.apply(2 * number + place + 1, raw)
         return works
 
-    memory = (_weigh(lambda: build(600)) - _weigh(lambda: build(200))) / 400
+    memory = (_weigh(lambda: build(9000)) - _weigh(lambda: build(1000))) / 8000
     works = work_table.WorkTable()
     numbers = itertools.count()
 
@@ -369,7 +410,7 @@
             works.apply(2 * number + place + 1, raw)
 
     wire = sum(map(len, encode(1)))
-    return Slope("deferrable request", _time(run), memory, wire)
+    return Slope("deferrable request, answered", _time(run), memory, wire)
 
 
 async def _measure_request_state() -> Slope:
@@ -449,7 +490,7 @@
         "log follower and operators", "long poll of the log; fold",
         "2,000 objects, 4,096 verdicts", per_s + beats,
         per_s * change.seconds + beats * beat.seconds,
-        (2000 + 4096) * held / 1e6,
+        2000 * held / 1e6 + 4096 * slopes["remembered verdict"].memory / 1e6,
         per_s * change.wire + beats * beat.wire + 300 / 10.0,
     )  # fmt: skip
 
@@ -472,11 +513,17 @@
 def _compute_directory(slopes: dict[str, Slope]) -> Role:
     runner = slopes["runner in one reading of the list"]
     listed = RUNNERS + NODES
-    per_s = 1.0
+    # Each instance that comes or goes changes the list twice: listed,
+    # leaving or gone. Runners are taken to be replaced as often as nodes.
+    changes_s = 2 * (FAILURES_DAY + REPLACED_DAY) * listed / NODES / DAY_S
+    polls_s = 1 / LIST_POLL_S
+    not_modified = 300
     return Role(
-        "instance list", "read whole every second",
-        f"{listed} instances", per_s, per_s * listed * runner.seconds,
-        listed * runner.memory / 1e6, per_s * listed * runner.wire,
+        "instance list",
+        "conditional reads; whole only when changed",
+        f"{listed} instances", polls_s, changes_s * listed * runner.seconds,
+        listed * runner.memory / 1e6,
+        polls_s * not_modified + changes_s * listed * runner.wire,
     )  # fmt: skip
 
 
@@ -485,10 +532,10 @@
     in_ring = slopes["runner in a ring"]
     changes_s = (RUNNERS / NODES) * REPLACED_DAY / DAY_S
     blocks_s = REQUESTS_S / NODES * 19
-    held = 200_000 * block.memory / 1e6
+    held = INDEX_BLOCKS * block.memory / 1e6
     return Role(
         "routing index", "own placements and prefix homes on a ring",
-        "200,000 blocks, one ring a pool", 0.0,
+        f"{INDEX_BLOCKS} blocks, one ring a pool", 0.0,
         blocks_s * block.seconds + changes_s * RUNNERS * in_ring.seconds,
         held + RUNNERS * in_ring.memory / 1e6, 0.0,
     )  # fmt: skip
@@ -506,7 +553,7 @@
 
 
 def _compute_work(slopes: dict[str, Slope]) -> Role:
-    work = slopes["deferrable request"]
+    work = slopes["deferrable request, answered"]
     rate = REQUESTS_S * DEFERRABLE_SHARE * FOLLOWERS / NODES
     kept = rate * RETENTION_S
     return Role(
@@ -571,7 +618,7 @@
         key, f"{number:016x}", "entry-serra-a-12.89ab12cd", "0" * 16
     )
     outcome = claim_records.Outcome(
-        key, f"{number:016x}", 200, "application/json", b"z" * 120
+        key, f"{number:016x}", 200, "application/json", b"z" * 120, "0" * 16
     )
     return [claim_records.encode(claim), claim_records.encode(outcome)]
 
--- a/packages/core/src/martenquay_core/peers/messages.py
+++ b/packages/core/src/martenquay_core/peers/messages.py
@@ -250,12 +250,10 @@
 
     Attributes:
         known: The ticket was accepted.
-        team: Whose it is.
         answer: The answer's bytes, None while there is none.
     """
 
     known: bool
-    team: str
     answer: bytes | None
 
 
--- a/packages/core/src/martenquay_core/settings/models.py
+++ b/packages/core/src/martenquay_core/settings/models.py
@@ -97,6 +97,7 @@
         claim_shards: Streams over which claims are spread.
         work_shards: Streams over which deferrable work is spread.
         shard_followers: Daemons that follow each of these streams.
+        full_outcomes: Outcomes of calls kept in memory, for each stream.
         deferrable_workers: Deferrable requests one daemon works on at once.
     """
 
@@ -107,6 +108,7 @@
     claim_shards: Annotated[int, pydantic.Field(ge=1, le=256)] = 4
     work_shards: Annotated[int, pydantic.Field(ge=1, le=256)] = 4
     shard_followers: Annotated[int, pydantic.Field(ge=1, le=16)] = 3
+    full_outcomes: Count = 2000
     deferrable_workers: Count = 4
 
 
--- a/packages/daemon/src/martenquay_daemon/callers/app.py
+++ b/packages/daemon/src/martenquay_daemon/callers/app.py
@@ -13,6 +13,7 @@
 from martenquay_core.config import objects
 from martenquay_core.util import blocks, serving
 from martenquay_daemon.callers import chat, replies
+from martenquay_daemon.deferrable import table
 from martenquay_daemon.dispatch import book, model, service
 
 if TYPE_CHECKING:
@@ -20,7 +21,7 @@
 
     from martenquay_core.settings import models
     from martenquay_daemon.callers import gate, teams
-    from martenquay_daemon.deferrable import desk, table
+    from martenquay_daemon.deferrable import desk
     from martenquay_daemon.limits import admission
     from martenquay_daemon.util import metrics
 
@@ -308,8 +309,9 @@
     async def _send_ticket(
         self, caller: _Caller, team: teams.KnownTeam, ticket: str
     ) -> None:
-        state = await self._deferrable.fetch(ticket)
-        if not state.known or state.team != team.name:
+        is_own = table.find_team(ticket) == team.name
+        state = await self._deferrable.fetch(ticket) if is_own else None
+        if state is None or not state.known:
             code = results.ResultCode.UNKNOWN_TICKET
             message = f"no ticket {ticket!r}"
             await self._fail(caller, results.Failure(code, message))
@@ -327,10 +329,12 @@
             headers.append((b"content-type", b"application/json"))
             await serving.send_answer(caller.send, 200, state.answer, headers)
 
-    async def perform(self, work: table.Work) -> Result[bytes, results.Failure]:
-        """Answer an accepted deferrable request."""
+    async def perform(
+        self, work: table.Work, body: bytes
+    ) -> Result[bytes, results.Failure]:
+        """Answer an accepted deferrable request from its body."""
         team = self._teams.find_by_name(work.team)
-        asked = chat.read_chat(work.body)
+        asked = chat.read_chat(body)
         known = asked.bind(lambda a: self._gate.find_route(a.model, work.team))
         if team is None or known.is_error():
             # It can never run, so this is its answer.
--- a/packages/daemon/src/martenquay_daemon/claims/desk.py
+++ b/packages/daemon/src/martenquay_daemon/claims/desk.py
@@ -40,12 +40,14 @@
         shard_map: shards.ShardMap,
         peers: links.PeerLinks,
         spacing_s: float,
+        full_outcomes: int,
     ) -> None:
         self._client = client
         self._health = log_health
         self._map = shard_map
         self._peers = peers
         self._spacing_s = spacing_s
+        self._full_outcomes = full_outcomes
         self._own: dict[int, shard.ClaimShard] = {}
         self._unreported: trio.MemorySendChannel[records.ClaimRecord]
         self._unreported, self._reports = trio.open_memory_channel(100_000)
@@ -156,6 +158,7 @@
                 self._map.name_stream(number),
                 self._health,
                 self._spacing_s,
+                self._full_outcomes,
             )
             self._own[number] = own
             self._nursery.start_soon(own.run)
--- a/packages/daemon/src/martenquay_daemon/claims/records.py
+++ b/packages/daemon/src/martenquay_daemon/claims/records.py
@@ -44,6 +44,7 @@
         status: The answer's HTTP status; 0 if the answer was lost.
         content_type: The answer's content type.
         body: The answer's body.
+        request_digest: The claim's; an old outcome stands alone.
     """
 
     key: str
@@ -51,6 +52,7 @@
     status: int
     content_type: str
     body: bytes
+    request_digest: str
 
 
 ClaimRecord = Claim | Release | Outcome
--- a/packages/daemon/src/martenquay_daemon/claims/shard.py
+++ b/packages/daemon/src/martenquay_daemon/claims/shard.py
@@ -15,7 +15,7 @@
 
 if TYPE_CHECKING:
     from martenquay_core.platform import log
-    from martenquay_daemon.journal import health
+    from martenquay_daemon.journal import archive, health
 
 __all__ = ["ClaimShard", "create_shard"]
 
@@ -34,12 +34,14 @@
 
     def __init__(
         self,
+        client: log.LogClient,
         stream_follower: follower.StreamFollower,
         stream_appender: appender.StreamAppender,
         claims: table.ClaimTable,
         log_health: health.LogHealth,
     ) -> None:
         self.claims = claims
+        self._client = client
         self._follower = stream_follower
         self._appender = stream_appender
         self._health = log_health
@@ -58,9 +60,9 @@
 
         A claim is never said to be won before it was read back.
         """
-        known = self.claims.find(claim.key)
+        known = await self._find_known(claim)
         if known is not None:
-            return _judge(claim, known)
+            return known
         if not self._health.is_up:
             return _refuse()
         appended = await self._appender.append(records.encode(claim))
@@ -74,8 +76,7 @@
                 await self._look_for(claim)
             case _:
                 return _refuse()
-        settled = self.claims.find(claim.key)
-        return _judge(claim, settled) if settled is not None else _refuse()
+        return await self._find_known(claim) or _refuse()
 
     async def append(self, record: records.ClaimRecord) -> bool:
         """Append a release or an outcome; tell whether that is certain."""
@@ -93,17 +94,38 @@
         with trio.move_on_after(wait_s):
             while True:
                 applied = self._follower.applied.value
-                reply = self._describe(claim)
+                reply = await self._describe(claim)
                 if reply.settlement is not messages.Settlement.HELD:
                     return reply
                 await self._follower.applied.wait_beyond(applied)
-        return self._describe(claim)
+        return await self._describe(claim)
 
-    def _describe(self, claim: records.Claim) -> messages.SettleReply:
+    async def _describe(self, claim: records.Claim) -> messages.SettleReply:
+        free = messages.SettleReply(settlement=messages.Settlement.FREE)
+        return await self._find_known(claim) or free
+
+    async def _find_known(
+        self, claim: records.Claim
+    ) -> messages.SettleReply | None:
+        """Return how a key stands, or None if nobody holds it."""
         entry = self.claims.find(claim.key)
-        if entry is None:
-            return messages.SettleReply(settlement=messages.Settlement.FREE)
-        return _judge(claim, entry)
+        if entry is not None:
+            return _judge(claim, entry)
+        place = self.claims.find_old(claim.key)
+        return await self._read_old(claim, place) if place else None
+
+    async def _read_old(
+        self, claim: records.Claim, place: archive.Place
+    ) -> messages.SettleReply:
+        page = await self._client.read(
+            self._appender.stream, place.offset, limit=1
+        )
+        if page.is_ok() and page.ok.records:
+            found = records.decode(page.ok.records[0].payload)
+            if isinstance(found, records.Outcome) and found.key == claim.key:
+                return _tell_outcome(claim, found)
+        # It ran; what came of it cannot be read now.
+        return messages.SettleReply(settlement=messages.Settlement.DONE)
 
     async def _look_for(self, claim: records.Claim) -> None:
         with trio.move_on_after(_READ_BACK_S):
@@ -116,10 +138,12 @@
     stream: str,
     log_health: health.LogHealth,
     spacing_s: float,
+    full_outcomes: int,
 ) -> ClaimShard:
     """Return a shard that follows the stream once it runs."""
-    claims = table.ClaimTable()
+    claims = table.ClaimTable(full_outcomes)
     return ClaimShard(
+        client,
         follower.StreamFollower(client, stream, log_health, claims.apply),
         appender.StreamAppender(client, stream, log_health, spacing_s),
         claims,
@@ -132,13 +156,7 @@
     if entry.claim.request_digest != claim.request_digest:
         return messages.SettleReply(settlement=messages.Settlement.MISMATCH)
     if entry.outcome is not None:
-        return messages.SettleReply(
-            settlement=messages.Settlement.DONE,
-            holder=entry.claim.holder,
-            status=entry.outcome.status,
-            content_type=entry.outcome.content_type,
-            body=entry.outcome.body,
-        )
+        return _tell_outcome(claim, entry.outcome)
     won = entry.claim.attempt == claim.attempt
     settlement = messages.Settlement.WON if won else messages.Settlement.HELD
     return messages.SettleReply(
@@ -146,5 +164,18 @@
     )
 
 
+def _tell_outcome(
+    claim: records.Claim, outcome: records.Outcome
+) -> messages.SettleReply:
+    if outcome.request_digest != claim.request_digest:
+        return messages.SettleReply(settlement=messages.Settlement.MISMATCH)
+    return messages.SettleReply(
+        settlement=messages.Settlement.DONE,
+        status=outcome.status,
+        content_type=outcome.content_type,
+        body=outcome.body,
+    )
+
+
 def _refuse() -> messages.SettleReply:
     return messages.SettleReply(settlement=messages.Settlement.LOG_DOWN)
--- a/packages/daemon/src/martenquay_daemon/claims/table.py
+++ b/packages/daemon/src/martenquay_daemon/claims/table.py
@@ -1,5 +1,8 @@
 """Fold a claim stream: the first claim on a key in the log's order wins.
 
+Keys whose outcome is old stay held, but of each only its place in the log is
+kept; what the outcome was is read from there.
+
 A claim that finds the key held is void for ever, even if the holder lets go
 later: whoever made it has been told so. A holder that lets go writes a
 release, which also counts when its claim turns up after it.
@@ -11,6 +14,7 @@
 from collections import OrderedDict
 
 from martenquay_daemon.claims import records
+from martenquay_daemon.journal import archive
 
 __all__ = ["ClaimTable", "Entry"]
 
@@ -33,7 +37,10 @@
 class ClaimTable:
     """The keys that are held or done."""
 
-    def __init__(self) -> None:
+    def __init__(self, full_outcomes: int) -> None:
+        self._full_outcomes = full_outcomes
+        self._done: OrderedDict[str, int] = OrderedDict()
+        self._archive = archive.Archive()
         # Both in the order of their offsets, so that old ones go first.
         self._entries: OrderedDict[str, Entry] = OrderedDict()
         # Attempts that can never win: released ones, and those that found
@@ -42,7 +49,7 @@
 
     def __len__(self) -> int:
         """Return the number of keys that are held or done."""
-        return len(self._entries)
+        return len(self._entries) + len(self._archive)
 
     def apply(self, offset: int, raw: bytes) -> None:
         """Fold the next record in."""
@@ -52,21 +59,26 @@
             case records.Release(key=key, attempt=attempt):
                 self._apply_release(offset, key, attempt)
             case records.Outcome() as outcome:
-                self._apply_outcome(outcome)
+                self._apply_outcome(offset, outcome)
             case None:
                 pass
 
     def find(self, key: str) -> Entry | None:
-        """Return who holds the key, or None."""
+        """Return who holds the key, or None; not if its outcome is old."""
         return self._entries.get(key)
 
+    def find_old(self, key: str) -> archive.Place | None:
+        """Return where a key's old outcome stands in the log, or None."""
+        return self._archive.find(key)
+
     def forget_before(self, offset: int) -> None:
         """Drop what the log itself has forgotten."""
         _drop_oldest(self._entries, offset, lambda entry: entry.offset)
         _drop_oldest(self._void, offset, lambda voided: voided)
+        self._archive.forget_before(offset)
 
     def _apply_claim(self, offset: int, claim: records.Claim) -> None:
-        if claim.attempt in self._void:
+        if claim.attempt in self._void or self._archive.find(claim.key):
             return
         entry = self._entries.get(claim.key)
         if entry is None:
@@ -82,12 +94,20 @@
         if entry.outcome is None:
             del self._entries[key]
 
-    def _apply_outcome(self, outcome: records.Outcome) -> None:
+    def _apply_outcome(self, offset: int, outcome: records.Outcome) -> None:
         entry = self._entries.get(outcome.key)
         if entry is None or entry.claim.attempt != outcome.attempt:
             return
         if entry.outcome is None:
             entry.outcome = outcome
+            self._done[outcome.key] = offset
+            self._archive_oldest()
+
+    def _archive_oldest(self) -> None:
+        while len(self._done) > self._full_outcomes:
+            key, offset = self._done.popitem(last=False)
+            if self._entries.pop(key, None) is not None:
+                self._archive.add(key, offset, archive.Place(offset, 1))
 
 
 def _drop_oldest(entries, offset, offset_of) -> None:
--- a/packages/daemon/src/martenquay_daemon/daemon.py
+++ b/packages/daemon/src/martenquay_daemon/daemon.py
@@ -21,6 +21,7 @@
 from martenquay_daemon.claims import desk as claim_desk
 from martenquay_daemon.configuration import changes, follower, publisher, store
 from martenquay_daemon.deferrable import desk as deferrable_desk
+from martenquay_daemon.deferrable import worker
 from martenquay_daemon.dispatch import book, model, service
 from martenquay_daemon.journal import health, shards
 from martenquay_daemon.limits import admission, ejection, retries
@@ -97,7 +98,7 @@
             peer_address = await nursery.start(parts.peers.run)
             parts.announce_address(peer_address)
             await nursery.start(parts.claims.run)
-            await nursery.start(parts.deferrable.run, parts.caller_app.perform)
+            await nursery.start(parts.worker.run, parts.caller_app.perform)
             for task in parts.list_tasks():
                 nursery.start_soon(task)
             addresses = await self._start_servers(parts, nursery, peer_address)
@@ -150,7 +151,7 @@
         timing = self.settings.timing
         self.readiness.is_stopping = True
         parts.members.announce_leaving()
-        parts.deferrable.hand_over()
+        parts.worker.hand_over()
         _LOG.write("Stopping: not ready any more.")
         await trio.sleep(timing.drain_notice_s)
         self._close.set()
@@ -315,6 +316,7 @@
             claim_map,
             self.peers,
             self._settings.timing.commit_s,
+            limits.full_outcomes,
         )
 
     def _build_dispatch(
@@ -358,9 +360,14 @@
             self.health,
             work_map,
             self.peers,
+            self.config.applied,
+            settings.timing.commit_s,
+        )
+        self.worker = worker.DeferrableWorker(
+            self.deferrable,
+            work_map,
             self.members,
             self.config.applied,
-            spacing_s=settings.timing.commit_s,
             retention_s=settings.platform.log_retention_s,
             workers=limits.deferrable_workers,
         )
--- a/packages/daemon/src/martenquay_daemon/deferrable/records.py
+++ b/packages/daemon/src/martenquay_daemon/deferrable/records.py
@@ -1,26 +1,29 @@
-"""Define the records of a work stream; large contents come in pieces."""
+"""Define the records of a work stream; contents stand in one of their own.
+
+Followers read only the small records here. Bodies and answers are read from
+the content stream by whoever needs them.
+"""
 
 from __future__ import annotations
 
 import msgspec
 
 __all__ = [
-    "PIECE_BYTES",
-    "AcceptedPiece",
-    "CompletedPiece",
+    "Accepted",
+    "Completed",
     "WorkRecord",
+    "cut_content",
     "decode",
-    "encode_accepted",
-    "encode_completed",
+    "encode",
 ]
 
 PIECE_BYTES = 48_000
 
 
-class AcceptedPiece(
+class Accepted(
     msgspec.Struct, frozen=True, array_like=True, tag="a", kw_only=True
 ):
-    """A piece of an accepted request.
+    """A request is accepted.
 
     Attributes:
         ticket: Names the request.
@@ -28,9 +31,9 @@
         route: What was asked for.
         written_at: When this was written, in seconds since the epoch.
         config_offset: The configuration by which it was accepted.
-        index: The piece's place, from 0.
-        count: How many pieces there are.
-        piece: The bytes.
+        offset: Where its body stands in the content stream.
+        count: How many records the body has.
+        is_carried: Written again before the log forgets the first one.
     """
 
     ticket: str
@@ -38,79 +41,35 @@
     route: str
     written_at: float
     config_offset: int
-    index: int
+    offset: int
     count: int
-    piece: bytes
+    is_carried: bool = False
 
 
-class CompletedPiece(
+class Completed(
     msgspec.Struct, frozen=True, array_like=True, tag="d", kw_only=True
 ):
-    """A piece of an answer.
+    """A request is answered.
 
     Attributes:
         ticket: Names the request.
-        attempt: Whose answer it is, when several daemons worked on it.
-        index: The piece's place, from 0.
-        count: How many pieces there are.
-        piece: The bytes.
+        offset: Where the answer stands in the content stream.
+        count: How many records the answer has.
     """
 
     ticket: str
-    attempt: str
-    index: int
+    offset: int
     count: int
-    piece: bytes
 
 
-WorkRecord = AcceptedPiece | CompletedPiece
+WorkRecord = Accepted | Completed
 
 _DECODER = msgspec.msgpack.Decoder(WorkRecord)
 
 
-def encode_accepted(
-    ticket: str,
-    team: str,
-    route: str,
-    body: bytes,
-    *,
-    written_at: float,
-    config_offset: int,
-) -> list[bytes]:
-    """Return the records that accept a request."""
-    pieces = _cut(body)
-    return [
-        msgspec.msgpack.encode(
-            AcceptedPiece(
-                ticket=ticket,
-                team=team,
-                route=route,
-                written_at=written_at,
-                config_offset=config_offset,
-                index=index,
-                count=len(pieces),
-                piece=piece,
-            )
-        )
-        for index, piece in enumerate(pieces)
-    ]
-
-
-def encode_completed(ticket: str, attempt: str, answer: bytes) -> list[bytes]:
-    """Return the records that answer a request."""
-    pieces = _cut(answer)
-    return [
-        msgspec.msgpack.encode(
-            CompletedPiece(
-                ticket=ticket,
-                attempt=attempt,
-                index=index,
-                count=len(pieces),
-                piece=piece,
-            )
-        )
-        for index, piece in enumerate(pieces)
-    ]
+def encode(record: WorkRecord) -> bytes:
+    """Return a record's bytes."""
+    return msgspec.msgpack.encode(record)
 
 
 def decode(raw: bytes) -> WorkRecord | None:
@@ -121,6 +80,7 @@
         return None
 
 
-def _cut(content: bytes) -> list[bytes]:
+def cut_content(content: bytes) -> list[bytes]:
+    """Return a content's pieces, at least one."""
     starts = range(0, max(len(content), 1), PIECE_BYTES)
     return [content[start : start + PIECE_BYTES] for start in starts]
--- a/packages/daemon/src/martenquay_daemon/dispatch/service.py
+++ b/packages/daemon/src/martenquay_daemon/dispatch/service.py
@@ -33,7 +33,7 @@
 _POLL_S = 0.25
 # Beyond this an answer is not kept in the log, only that the call ran.
 _KEPT_BODY_BYTES = 16_384
-_BODY_NOT_KEPT = 0
+_NOT_KEPT = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -222,8 +222,7 @@
         if answered.is_ok():
             self._claims.report(_keep(claim, answered.ok))
         elif answered.error.code is results.ResultCode.UNKNOWN_ANSWER_LOST:
-            lost = records.Outcome(claim.key, claim.attempt, 0, "", b"")
-            self._claims.report(lost)
+            self._claims.report(_keep(claim, None))
         else:
             self._release(claim)
         return answered
@@ -343,22 +342,24 @@
     )
 
 
-def _keep(claim: records.Claim, answer: ServiceAnswer) -> records.Outcome:
-    if len(answer.body) > _KEPT_BODY_BYTES:
-        return records.Outcome(
-            claim.key, claim.attempt, _BODY_NOT_KEPT, "", b""
-        )
+def _keep(
+    claim: records.Claim, answer: ServiceAnswer | None
+) -> records.Outcome:
+    """Return the outcome to be kept; without an answer, that it was lost."""
+    if answer is None or len(answer.body) > _KEPT_BODY_BYTES:
+        answer = ServiceAnswer(_NOT_KEPT, "", b"")
     return records.Outcome(
         claim.key,
         claim.attempt,
         answer.status,
         answer.content_type,
         answer.body,
+        claim.request_digest,
     )
 
 
 def _open_kept(reply: messages.SettleReply) -> _Answered:
-    if reply.status == _BODY_NOT_KEPT:
+    if reply.status == _NOT_KEPT:
         code = results.ResultCode.UNKNOWN_ANSWER_LOST
         message = "the call was made under this key and its answer is lost"
         return Error(results.Failure(code, message))
--- a/packages/daemon/src/martenquay_daemon/membership/links.py
+++ b/packages/daemon/src/martenquay_daemon/membership/links.py
@@ -34,6 +34,7 @@
 _IDLE_LINK_S = 30.0
 _MAX_UPDATES = 500
 _SPACING_S = 0.02
+_REQUEST_FRAMES = 3
 
 
 @dataclasses.dataclass(frozen=True)
@@ -149,23 +150,32 @@
     ) -> None:
         while True:
             frames = await router.receive()
-            if len(frames) != 3:
+            if len(frames) != _REQUEST_FRAMES:
                 continue
-            nursery.start_soon(self._reply, router, frames)
+            peer, request_id, payload = frames
+            try:
+                message = messages.decode_message(payload)
+            except msgspec.MsgspecError as error:
+                _LOG.write(f"Dropped a message that cannot be read: {error}.")
+                continue
+            if isinstance(message, messages.Heartbeat):
+                # Most messages are these; they need no task of their own.
+                reply = self._take_heartbeat(message)
+                raw = messages.encode_message(reply)
+                router.send([peer, request_id, raw])
+            else:
+                nursery.start_soon(
+                    self._reply, router, peer, request_id, message
+                )
 
     async def _reply(
-        self, router: sockets.PeerSocket, frames: list[bytes]
+        self,
+        router: sockets.PeerSocket,
+        peer: bytes,
+        request_id: bytes,
+        message: messages.Message,
     ) -> None:
-        peer, request_id, payload = frames
-        try:
-            message = messages.decode_message(payload)
-        except msgspec.MsgspecError as error:
-            _LOG.write(f"Dropped a message that cannot be read: {error}.")
-            return
-        if isinstance(message, messages.Heartbeat):
-            reply = self._take_heartbeat(message)
-        else:
-            reply = await self._answer(message)
+        reply = await self._answer(message)
         router.send([peer, request_id, messages.encode_message(reply)])
 
     def _take_heartbeat(self, message: messages.Heartbeat) -> messages.Message:
--- a/packages/daemon/src/martenquay_daemon/routing/prefixes.py
+++ b/packages/daemon/src/martenquay_daemon/routing/prefixes.py
@@ -12,7 +12,7 @@
 __all__ = ["PrefixIndex"]
 
 _MAX_HOLDERS = 4
-_DEFAULT_BLOCKS = 200_000
+_DEFAULT_BLOCKS = 80_000
 
 
 class PrefixIndex:
--- a/packages/standins/src/martenquay_standins/chaos/run.py
+++ b/packages/standins/src/martenquay_standins/chaos/run.py
@@ -244,6 +244,9 @@
 
     async def _settle(self) -> None:
         """Heal, wait for what is owed, and read everything once more."""
+        # A change that takes effect late, between two of the readings below,
+        # would make daemons differ that only were read at different times.
+        await self._place.log.wait_settled()
         end = self._place.log.list_records("config")[-1].offset
         for partner in self._place.plans:
             for daemon in self._daemons[partner.name]:
--- a/packages/standins/src/martenquay_standins/log.py
+++ b/packages/standins/src/martenquay_standins/log.py
@@ -13,6 +13,8 @@
 
 __all__ = ["LogStandIn"]
 
+_POLL_S = 0.05
+
 
 @dataclasses.dataclass
 class _Stream:
@@ -87,6 +89,12 @@
         stream.end.advance(first + len(payloads))
         return first
 
+    async def wait_settled(self) -> None:
+        """Return once no append that was answered is still to take effect."""
+        while self._late:
+            self._apply_late()
+            await trio.sleep(_POLL_S)
+
     def list_records(self, name: str) -> list[log.LogRecord]:
         """Return the records that a stream still keeps."""
         return list(self._find(name).records)
--- /dev/null
+++ b/tests/test_daemon/test_claims.py
@@ -0,0 +1,76 @@
+"""Old keys stay held, though only their place in the log is kept."""
+
+from __future__ import annotations
+
+import testtools
+
+from martenquay_daemon.claims import records, table
+from martenquay_daemon.journal import archive
+from martenquay_standins import world
+from tests import scenarios
+
+
+def _run_key(claims: table.ClaimTable, offset: int, key: str) -> int:
+    for record in (
+        records.Claim(key, f"a-{key}", "d-1", "x"),
+        records.Outcome(key, f"a-{key}", 200, "text/plain", b"ok", "x"),
+    ):
+        offset += 1
+        claims.apply(offset, records.encode(record))
+    return offset
+
+
+class ArchiveTest(testtools.TestCase):
+    def test_a_place_is_found_by_name_until_it_is_forgotten(self):
+        kept = archive.Archive()
+        for number in range(1, 6):
+            kept.add(f"key-{number}", 10 * number, archive.Place(number, 3))
+        self.assertEqual(archive.Place(4, 3), kept.find("key-4"))
+        kept.forget_before(40)
+        self.assertIsNone(kept.find("key-3"))
+        self.assertEqual(2, len(kept))
+
+
+class ClaimTableTest(testtools.TestCase):
+    def test_an_old_key_is_still_held_and_its_outcome_has_a_place(self):
+        claims = table.ClaimTable(full_outcomes=2)
+        offset = 0
+        for number in range(5):
+            offset = _run_key(claims, offset, f"key-{number}")
+        self.assertIsNone(claims.find("key-0"))
+        self.assertEqual(archive.Place(2, 1), claims.find_old("key-0"))
+        late = records.Claim("key-0", "another", "d-2", "x")
+        claims.apply(offset + 1, records.encode(late))
+        self.assertIsNone(claims.find("key-0"))
+        self.assertEqual(5, len(claims))
+
+    def test_keys_are_forgotten_with_the_log(self):
+        claims = table.ClaimTable(full_outcomes=2)
+        offset = 0
+        for number in range(5):
+            offset = _run_key(claims, offset, f"key-{number}")
+        claims.forget_before(offset + 1)
+        self.assertEqual(0, len(claims))
+
+
+class OldOutcomeTest(scenarios.ScenarioTestCase):
+    def test_an_old_booking_is_answered_from_the_log(self):
+        async def scenario(scene: scenarios.Scene) -> None:
+            service = await scene.world.add_service(
+                world.SERRANA, "serra-a", "desk-1"
+            )
+            daemons = await scene.start_daemons(
+                world.SERRANA, 2, limits={"full_outcomes": 1}
+            )
+            first = await scene.caller.book(daemons[0], "slot-1")
+            for number in range(2, 30):
+                await scene.caller.book(daemons[0], f"slot-{number}")
+            again = await scene.caller.book(daemons[1], "slot-1")
+            self.assertEqual(first.body, again.body)
+            scene.world.log.set_faults({"down": True})
+            unread = await scene.caller.book(daemons[1], "slot-1")
+            # It ran, so it must not be told "not run".
+            self.assertEqual(4001, unread.code)
+            self.assertEqual(1, service.runs["slot-1"])
+
+        self.run_scene(scenario)
--- a/tests/test_proofs/test_claims.py
+++ b/tests/test_proofs/test_claims.py
@@ -41,7 +41,7 @@
             written = list(itertools.takewhile(bool, log))
             if any(log[len(written) :]):
                 continue
-            folded = table.ClaimTable()
+            folded = table.ClaimTable(full_outcomes=1)
             for offset, code in enumerate(written, 1):
                 record = records.encode(records_by_code[code])
                 folded.apply(offset, record)
