--- a/packages/daemon/src/martenquay_daemon/deferrable/worker.py
+++ b/packages/daemon/src/martenquay_daemon/deferrable/worker.py
@@ -34,7 +34,7 @@
 __all__ = ["DeferrableWorker"]
 
 _LOG = logs.create_log("deferrable")
-_REVIEW_S = 0.25
+_REVIEW_S = 0.5
 _RETRY_S = 0.5
 _LONGEST_RETRY_S = 10.0
 # Open work is written again when its record has this share of its time left.
--- a/packages/daemon/src/martenquay_daemon/journal/follower.py
+++ b/packages/daemon/src/martenquay_daemon/journal/follower.py
@@ -18,7 +18,7 @@
 __all__ = ["StreamFollower"]
 
 _LOG = logs.create_log("journal")
-_WAIT_S = 10.0
+_WAIT_S = 20.0
 _RETRY_S = 0.2
 
 
--- a/packages/daemon/src/martenquay_daemon/membership/directory.py
+++ b/packages/daemon/src/martenquay_daemon/membership/directory.py
@@ -23,7 +23,7 @@
 
 _LOG = logs.create_log("membership")
 _RETRY_S = 0.25
-_NOTICE_WAIT_S = 10.0
+_NOTICE_WAIT_S = 20.0
 
 Runner = instances.Instance
 
--- a/tests/test_core/test_fold.py
+++ b/tests/test_core/test_fold.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hypothesis
+import msgspec
 import testtools
 from hypothesis import strategies
 
@@ -58,6 +59,15 @@
             fold.apply_record(self.state, 9, b"noise", self.partners.verifier)
         )
 
+    def test_a_signature_by_another_than_the_named_partner_is_false(self):
+        body = msgspec.msgpack.encode(builders.build_change())
+        signature = self.partners.lindqvist.key.sign(body)
+        forged = records.SignedPayload("serrana", signature, body)
+        raw = msgspec.msgpack.encode(forged)
+        verifier = self.partners.verifier
+        self.assertIsNone(fold.apply_record(self.state, 1, raw, verifier))
+        self.assertIsNone(self.state.find(builders.build_change().key))
+
     def test_an_object_with_a_wrong_field_is_invalid(self):
         change = builders.build_change(fields={"kind": "oven"})
         judged = self._fold(change)
