--- a/packages/client/src/martenquay_client/main.py
+++ b/packages/client/src/martenquay_client/main.py
@@ -88,7 +88,14 @@
     # A change without a name could not be sent again when its answer is lost.
     change_id = _CHANGE_ID.value or f"change-{secrets.token_hex(8)}"
     options = connection.StatementOptions(change_id, _WAIT.value)
-    credential = os.environ.get(_CREDENTIAL_VARIABLE, "")
+    credential = os.environ.get(_CREDENTIAL_VARIABLE, "").strip()
+    if not credential:
+        return _fail(
+            results.Failure(
+                results.ResultCode.BAD_CREDENTIAL,
+                f"{_CREDENTIAL_VARIABLE} is not set",
+            )
+        )
     async with http.open_client() as client:
         link = connection.Connection(client, _DAEMON.value, credential)
         match words:
@@ -128,8 +135,10 @@
     if reply.is_ok():
         print(render.render_reply(reply.ok, as_json=_JSON.value))
         return 0
-    print(
-        render.render_failure(reply.error, as_json=_JSON.value),
-        file=sys.stderr,
-    )
-    return results.describe_result(reply.error.code).exit_code
+    return _fail(reply.error)
+
+
+def _fail(failure: results.Failure) -> int:
+    text = render.render_failure(failure, as_json=_JSON.value)
+    print(text, file=sys.stderr)
+    return results.describe_result(failure.code).exit_code
