Split what had grown: the callers' app, the daemon's parts, the slopes

No change of behaviour. callers/app.py (540 lines) is now the exchange, chats, services and a thin app; daemon.py's parts stand in a module of their own; bench/capacity is a package; two decoders of JSON answers and two ways of starting daemons in tests were the same and are one.

--- /dev/null
+++ b/bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Work out docs/CAPACITY.md from slopes measured here."""
--- a/packages/core/src/martenquay_core/platform/instances.py
+++ b/packages/core/src/martenquay_core/platform/instances.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import enum
-from typing import TypeVar
 
 import msgspec
-from expression import Error, Ok, Result
+from expression import Ok, Result
 
 from martenquay_core.platform import outcome
 from martenquay_core.util import http
@@ -24,8 +23,6 @@
 _TIMEOUT_S = 3.0
 _NOT_MODIFIED = 304
 
-Content = TypeVar("Content")
-
 
 class InstanceKind(enum.Enum):
     """What an instance is for."""
@@ -120,11 +117,11 @@
         )
         if answer.is_ok() and answer.ok.status == _NOT_MODIFIED:
             return Ok(self._latest)
-        listed = _decode(answer, list[Instance])
+        listed = http.decode_json(answer, list[Instance])
         if listed.is_ok():
             self._tag = dict(answer.ok.headers).get(b"etag", b"")
             self._latest = listed.ok
-        return listed
+        return listed.map_error(outcome.describe_call_failure)
 
     async def read_notices(
         self, position: int, wait_s: float
@@ -136,23 +133,10 @@
             f"{self._url}/notices?{query}",
             timeout_s=_TIMEOUT_S + wait_s,
         )
-        return _decode(answer, NoticePage)
+        page = http.decode_json(answer, NoticePage)
+        return page.map_error(outcome.describe_call_failure)
 
 
 def create_client(client: http.HttpClient, url: str) -> InstanceClient:
     """Return a client for the instance list at `url`."""
     return InstanceClient(client, url)
-
-
-def _decode(
-    answer: Result[http.Answer, http.CallFailure], wanted: type[Content]
-) -> Result[Content, outcome.PlatformFailure]:
-    match answer:
-        case Result(tag="ok", ok=http.Answer(status=200, body=body)):
-            return Ok(msgspec.json.decode(body, type=wanted))
-        case Result(tag="ok", ok=whole):
-            message = f"status {whole.status}"
-            effect = outcome.Effect.NOT_DONE
-            return Error(outcome.PlatformFailure(effect, message))
-        case _:
-            return Error(outcome.describe_call_failure(answer.error))
--- a/packages/core/src/martenquay_core/runners/engine.py
+++ b/packages/core/src/martenquay_core/runners/engine.py
@@ -7,11 +7,10 @@
 from __future__ import annotations
 
 import contextlib
-from typing import TYPE_CHECKING, Any, TypeVar
+from typing import TYPE_CHECKING, Any
 
 import httpcore
 import msgspec
-from expression import Error, Ok, Result
 
 from martenquay_core.runners import orders
 from martenquay_core.util import http
@@ -19,6 +18,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from expression import Result
+
 __all__ = ["EngineClient", "EngineStream", "StreamLostError"]
 
 _TIMEOUT_S = 2.0
@@ -26,8 +27,6 @@
 _OK = 200
 _EVENT_DECODER = msgspec.json.Decoder(orders.StreamEvent)
 
-Content = TypeVar("Content")
-
 
 class StreamLostError(Exception):
     """The engine's stream ended early or could not be opened."""
@@ -99,7 +98,7 @@
     ) -> Result[list[int], http.CallFailure]:
         """Return the cache of a text, to be imported elsewhere."""
         answer = await self._post(address, "kv/export", {"text": text})
-        return _decode(answer, dict[str, list[int]]).map(
+        return http.decode_json(answer, dict[str, list[int]]).map(
             lambda fields: fields["blocks"]
         )
 
@@ -113,7 +112,7 @@
         self, address: str
     ) -> Result[orders.Load, http.CallFailure]:
         """Return the engine's load, which lags."""
-        return _decode(await self._get(address, "load"), orders.Load)
+        return http.decode_json(await self._get(address, "load"), orders.Load)
 
     async def read_events(
         self, address: str, number: int, wait_s: float
@@ -121,13 +120,15 @@
         """Return cache events after a number, waiting for one."""
         query = f"events?from={number}&wait_ms={int(wait_s * 1000)}"
         answer = await self._get(address, query, wait_s)
-        return _decode(answer, list[orders.CacheEvent])
+        return http.decode_json(answer, list[orders.CacheEvent])
 
     async def list_blocks(
         self, address: str
     ) -> Result[orders.BlockList, http.CallFailure]:
         """Return all that the engine's cache holds."""
-        return _decode(await self._get(address, "blocks"), orders.BlockList)
+        return http.decode_json(
+            await self._get(address, "blocks"), orders.BlockList
+        )
 
     async def _post(
         self, address: str, call: str, content: Any
@@ -147,16 +148,3 @@
             f"http://{address}/v1/{call}",
             timeout_s=_TIMEOUT_S + wait_s,
         )
-
-
-def _decode(
-    answer: Result[http.Answer, http.CallFailure], wanted: type[Content]
-) -> Result[Content, http.CallFailure]:
-    match answer:
-        case Result(tag="ok", ok=http.Answer(status=200, body=body)):
-            return Ok(msgspec.json.decode(body, type=wanted))
-        case Result(tag="ok", ok=whole):
-            message = f"status {whole.status}"
-            return Error(http.CallFailure(sent=True, message=message))
-        case _:
-            return Error(answer.error)
--- a/packages/core/src/martenquay_core/util/http.py
+++ b/packages/core/src/martenquay_core/util/http.py
@@ -5,9 +5,10 @@
 import contextlib
 import dataclasses
 import socket
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import httpcore
+import msgspec
 import trio
 from expression import Error, Ok, Result
 
@@ -19,6 +20,7 @@
     "CallFailure",
     "HttpClient",
     "StreamedAnswer",
+    "decode_json",
     "open_client",
 ]
 
@@ -28,6 +30,7 @@
 _MAX_CONNECTIONS = 1000
 _KEEPALIVE_S = 4.0
 
+Content = TypeVar("Content")
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -156,6 +159,20 @@
             yield StreamedAnswer(response)
 
 
+def decode_json(
+    answer: Result[Answer, CallFailure], wanted: type[Content]
+) -> Result[Content, CallFailure]:
+    """Return the typed content of a good answer."""
+    match answer:
+        case Result(tag="ok", ok=Answer(status=200, body=body)):
+            return Ok(msgspec.json.decode(body, type=wanted))
+        case Result(tag="ok", ok=whole):
+            message = f"status {whole.status}"
+            return Error(CallFailure(sent=True, message=message))
+        case _:
+            return Error(answer.error)
+
+
 @contextlib.asynccontextmanager
 async def open_client(*, reuse: bool = True) -> AsyncIterator[HttpClient]:
     """Open a client; without `reuse`, each call gets a fresh connection.
--- /dev/null
+++ b/packages/daemon/src/martenquay_daemon/callers/exchange.py
@@ -0,0 +1,121 @@
+"""Hold one request of a caller and send it its one final answer."""
+
+from __future__ import annotations
+
+import re
+import secrets
+from typing import TYPE_CHECKING
+
+import trio
+from expression import Error, Ok, Result
+
+from martenquay_core import logs, results
+from martenquay_core.util import serving
+from martenquay_daemon.callers import replies
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from martenquay_core.settings import models
+    from martenquay_daemon.callers import gate
+    from martenquay_daemon.util import metrics
+
+__all__ = ["ID_PATTERN", "Exchange"]
+
+_LOG = logs.create_log("callers")
+ID_PATTERN = re.compile(r"^[A-Za-z0-9_.:-]{1,128}$")
+
+
+class Exchange:
+    """One request and its answer.
+
+    Attributes:
+        scope: The ASGI scope.
+        send: Sends pieces of the answer.
+        key: The caller's idempotency key, or None.
+        request_id: The caller's own id if it can be used, else a new one.
+    """
+
+    def __init__(
+        self,
+        scope: serving.Scope,
+        receive: serving.Receive,
+        send: serving.Send,
+        limits: models.LimitSettings,
+        counters: metrics.DaemonMetrics,
+    ) -> None:
+        self.scope = scope
+        self.send = send
+        self.key = serving.find_header(scope, b"idempotency-key")
+        given = serving.find_header(scope, b"x-request-id") or ""
+        is_usable = ID_PATTERN.match(given) is not None
+        self.request_id = given if is_usable else f"req-{secrets.token_hex(8)}"
+        self._receive = receive
+        self._limits = limits
+        self._metrics = counters
+
+    async def read_body(self) -> Result[bytes, results.Failure]:
+        """Return the whole body within the limits of the settings."""
+        try:
+            body = await serving.read_body(
+                self._receive,
+                limit=self._limits.body_bytes,
+                timeout_s=self._limits.body_timeout_s,
+            )
+        except serving.BodyTooLargeError as error:
+            code = results.ResultCode.BODY_TOO_LARGE
+            message = f"the body is over {error.limit} bytes"
+            return Error(results.Failure(code, message))
+        except trio.TooSlowError:
+            code = results.ResultCode.SLOW_CALLER
+            message = f"no whole body in {self._limits.body_timeout_s:g} s"
+            return Error(results.Failure(code, message))
+        return Ok(body)
+
+    async def run_while_connected(
+        self, work: Callable[..., Awaitable[None]], *args: object
+    ) -> None:
+        """Run work and give it up when the caller leaves.
+
+        Raises:
+            serving.CallerGoneError: The caller left.
+        """
+        gone = False
+
+        async def watch() -> None:
+            nonlocal gone
+            while (await self._receive())["type"] != "http.disconnect":
+                pass
+            gone = True
+            nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch)
+            await work(*args)
+            nursery.cancel_scope.cancel()
+        if gone:
+            raise serving.CallerGoneError
+
+    async def fail(
+        self, failure: results.Failure, known: gate.KnownRoute | None = None
+    ) -> None:
+        """Send a failure as the final answer."""
+        self.count(failure.code, known)
+        _LOG.write(
+            f"Refused {self.request_id}: {failure.message}.",
+            request=self.request_id,
+            code=failure.code.value,
+        )
+        await replies.send_failure(self.send, self.request_id, failure)
+
+    def count(
+        self, code: results.ResultCode, known: gate.KnownRoute | None
+    ) -> None:
+        """Count the answer by route, urgency and result."""
+        self._metrics.requests.inc(
+            {
+                "route": known.name if known else "",
+                "urgency": known.urgency.value if known else "",
+                "code": str(code.value),
+            }
+        )
--- a/packages/daemon/src/martenquay_daemon/callers/gate.py
+++ b/packages/daemon/src/martenquay_daemon/callers/gate.py
@@ -18,7 +18,7 @@
     from martenquay_daemon.configuration import store
     from martenquay_daemon.membership import directory, table
 
-__all__ = ["Gate", "KnownRoute"]
+__all__ = ["Gate", "KnownRoute", "require_kind"]
 
 _DEFAULT_RUNNING = 64
 _DEFAULT_QUEUE = 256
@@ -125,3 +125,14 @@
             if (rule.route, rule.team) == (route, team):
                 return rule.urgency
         return None
+
+
+def require_kind(
+    known: KnownRoute, kind: objects.PoolKind
+) -> Result[KnownRoute, results.Failure]:
+    """Return the route if its pool is of a kind, or say that it is not."""
+    if known.pool.kind is kind:
+        return Ok(known)
+    code = results.ResultCode.UNKNOWN_ROUTE
+    message = f"route {known.name!r} leads to a {known.pool.kind.value}"
+    return Error(results.Failure(code, message))
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -154,28 +154,29 @@
     async def start_daemons(
         self, plan: world.PartnerPlan, count: int, **sections: Any
     ) -> list[world.LocalDaemon]:
-        """Start daemons in the partner's zones, one after the other."""
-        daemons = []
-        for number in range(count):
-            zone = plan.zones[number % len(plan.zones)]
-            name = f"entry-{plan.name}-{number}"
-            daemons.append(
-                await self.world.start_daemon(plan, zone, name, **sections)
-            )
-        await self.wait_ready(daemons)
-        return daemons
+        """Start daemons in this process, in the partner's zones by turns."""
+        return await self._start(self.world.start_daemon, plan, count, sections)
 
     async def start_processes(
         self, plan: world.PartnerPlan, count: int, **sections: Any
     ) -> list[world.DaemonProcess]:
-        """Start daemons as processes in the partner's zones."""
+        """Start daemons as processes, in the partner's zones by turns."""
+        return await self._start(
+            self.world.start_process, plan, count, sections
+        )
+
+    async def _start(
+        self,
+        start: Callable[..., Awaitable[Any]],
+        plan: world.PartnerPlan,
+        count: int,
+        sections: dict[str, Any],
+    ) -> list[Any]:
         daemons = []
         for number in range(count):
             zone = plan.zones[number % len(plan.zones)]
             name = f"entry-{plan.name}-{number}"
-            daemons.append(
-                await self.world.start_process(plan, zone, name, **sections)
-            )
+            daemons.append(await start(plan, zone, name, **sections))
         await self.wait_ready(daemons)
         return daemons
 
