--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -27,8 +27,15 @@
     )
     print()
     figures.print_table(
-        ["role", "carried by", "state", "messages/s", "of a core", "MB",
-         "bytes/s"],
+        [
+            "role",
+            "carried by",
+            "state",
+            "messages/s",
+            "of a core",
+            "MB",
+            "bytes/s",
+        ],
         [
             [
                 role.name,
@@ -41,7 +48,7 @@
             ]
             for role in roles.compute_roles(measured)
         ],
-    )  # fmt: skip
+    )
     as_built, shared = roles.count_appends()
     print()
     figures.print_table(
--- a/bench/capacity/roles.py
+++ b/bench/capacity/roles.py
@@ -99,10 +99,14 @@
     # Each node sends to its chosen peers and is chosen by as many.
     rate = 2 * LINKS / HEARTBEAT_S
     return Role(
-        "peer links", "heartbeats to peers chosen by rendezvous hashing",
-        f"{LINKS} links out, as many in", 2 * rate, rate * beat.seconds, 0.0,
+        "peer links",
+        "heartbeats to peers chosen by rendezvous hashing",
+        f"{LINKS} links out, as many in",
+        2 * rate,
+        rate * beat.seconds,
+        0.0,
         rate * beat.wire,
-    )  # fmt: skip
+    )
 
 
 def _compute_spread(slopes: dict[str, Slope]) -> Role:
@@ -112,10 +116,14 @@
     reports = (2 * FAILURES_DAY + 2 * REPLACED_DAY) / DAY_S
     carried = reports * 2 * LINKS
     return Role(
-        "membership", "reports merged by a fixed order, sent as deltas",
-        f"{NODES} daemons", carried, carried * member.seconds,
-        NODES * member.memory / 1e6, carried * member.wire,
-    )  # fmt: skip
+        "membership",
+        "reports merged by a fixed order, sent as deltas",
+        f"{NODES} daemons",
+        carried,
+        carried * member.seconds,
+        NODES * member.memory / 1e6,
+        carried * member.wire,
+    )
 
 
 def _compute_configuration(slopes: dict[str, Slope]) -> Role:
@@ -126,12 +134,14 @@
     beats = per_s * 2 * LINKS
     held = slopes["configured object"].memory
     return Role(
-        "log follower and operators", "long poll of the log; fold",
-        "2,000 objects, 4,096 verdicts", per_s + beats,
+        "log follower and operators",
+        "long poll of the log; fold",
+        "2,000 objects, 4,096 verdicts",
+        per_s + beats,
         per_s * change.seconds + beats * beat.seconds,
         2000 * held / 1e6 + 4096 * slopes["remembered verdict"].memory / 1e6,
         per_s * change.wire + beats * beat.wire + 300 / 10.0,
-    )  # fmt: skip
+    )
 
 
 def _compute_snapshots(slopes: dict[str, Slope]) -> Role:
@@ -141,12 +151,14 @@
     started = REPLACED_DAY / NODES / DAY_S
     objects_held = 2000 + 4096
     return Role(
-        "snapshot publisher", "signed chunks in the log",
-        "the latest snapshot of each partner", made,
+        "snapshot publisher",
+        "signed chunks in the log",
+        "the latest snapshot of each partner",
+        made,
         (made + started) * objects_held * item.seconds,
         objects_held * item.wire / 1e6,
         (made + started) * objects_held * item.wire,
-    )  # fmt: skip
+    )
 
 
 def _compute_directory(slopes: dict[str, Slope]) -> Role:
@@ -160,10 +172,12 @@
     return Role(
         "instance list",
         "conditional reads; whole only when changed",
-        f"{listed} instances", polls_s, changes_s * listed * runner.seconds,
+        f"{listed} instances",
+        polls_s,
+        changes_s * listed * runner.seconds,
         listed * runner.memory / 1e6,
         polls_s * not_modified + changes_s * listed * runner.wire,
-    )  # fmt: skip
+    )
 
 
 def _compute_routing(slopes: dict[str, Slope]) -> Role:
@@ -173,11 +187,14 @@
     blocks_s = REQUESTS_S / NODES * 19
     held = INDEX_BLOCKS * block.memory / 1e6
     return Role(
-        "routing index", "own placements and prefix homes on a ring",
-        f"{INDEX_BLOCKS} blocks, one ring a pool", 0.0,
+        "routing index",
+        "own placements and prefix homes on a ring",
+        f"{INDEX_BLOCKS} blocks, one ring a pool",
+        0.0,
         blocks_s * block.seconds + changes_s * RUNNERS * in_ring.seconds,
-        held + RUNNERS * in_ring.memory / 1e6, 0.0,
-    )  # fmt: skip
+        held + RUNNERS * in_ring.memory / 1e6,
+        0.0,
+    )
 
 
 def _compute_claims(slopes: dict[str, Slope]) -> Role:
@@ -185,10 +202,14 @@
     rate = REQUESTS_S * KEYED_SHARE * FOLLOWERS / NODES
     kept = rate * RETENTION_S
     return Role(
-        "claims", f"{SHARDS} streams, {FOLLOWERS} followers each",
-        f"{kept:.0f} keys of one day", 2 * rate, rate * claim.seconds,
-        kept * claim.memory / 1e6, 2 * rate * claim.wire,
-    )  # fmt: skip
+        "claims",
+        f"{SHARDS} streams, {FOLLOWERS} followers each",
+        f"{kept:.0f} keys of one day",
+        2 * rate,
+        rate * claim.seconds,
+        kept * claim.memory / 1e6,
+        2 * rate * claim.wire,
+    )
 
 
 def _compute_work(slopes: dict[str, Slope]) -> Role:
@@ -196,10 +217,14 @@
     rate = REQUESTS_S * DEFERRABLE_SHARE * FOLLOWERS / NODES
     kept = rate * RETENTION_S
     return Role(
-        "acceptances", f"{SHARDS} streams, {FOLLOWERS} followers each",
-        f"{kept:.0f} answers of one day", 2 * rate, rate * work.seconds,
-        kept * work.memory / 1e6, rate * work.wire,
-    )  # fmt: skip
+        "acceptances",
+        f"{SHARDS} streams, {FOLLOWERS} followers each",
+        f"{kept:.0f} answers of one day",
+        2 * rate,
+        rate * work.seconds,
+        kept * work.memory / 1e6,
+        rate * work.wire,
+    )
 
 
 def _compute_gateway(slopes: dict[str, Slope]) -> Role:
@@ -207,16 +232,24 @@
     # 275 tokens at 49 ms and the first at 0.57 s: 14 s a request.
     in_flight = REQUESTS_S / NODES * 14
     return Role(
-        "caller gateway (state only)", "one task a request",
-        f"{in_flight:.0f} requests in flight", 0.0, 0.0,
-        in_flight * held / 1e6, 0.0,
-    )  # fmt: skip
+        "caller gateway (state only)",
+        "one task a request",
+        f"{in_flight:.0f} requests in flight",
+        0.0,
+        0.0,
+        in_flight * held / 1e6,
+        0.0,
+    )
 
 
 def _sum_roles(roles: list[Role]) -> Role:
     return Role(
-        "all", f"budget {100 * CPU_BUDGET:.1f}% of a core, "
-        f"{MEMORY_BUDGET_MB:.0f} MB, {BYTES_BUDGET:.0f} bytes/s", "",
-        sum(r.messages_s for r in roles), sum(r.cpu for r in roles),
-        sum(r.memory_mb for r in roles), sum(r.bytes_s for r in roles),
-    )  # fmt: skip
+        "all",
+        f"budget {100 * CPU_BUDGET:.1f}% of a core, "
+        f"{MEMORY_BUDGET_MB:.0f} MB, {BYTES_BUDGET:.0f} bytes/s",
+        "",
+        sum(r.messages_s for r in roles),
+        sum(r.cpu for r in roles),
+        sum(r.memory_mb for r in roles),
+        sum(r.bytes_s for r in roles),
+    )
--- a/bench/capacity/slopes.py
+++ b/bench/capacity/slopes.py
@@ -195,9 +195,11 @@
 
     small, large = span(200), span(1200)
     return Slope(
-        "object in a snapshot", (large[0] - small[0]) / 1000, 0.0,
+        "object in a snapshot",
+        (large[0] - small[0]) / 1000,
+        0.0,
         (large[1] - small[1]) / 1000,
-    )  # fmt: skip
+    )
 
 
 def _measure_runner() -> Slope:
@@ -211,9 +213,11 @@
     ) / count
     wire = (len(_encode_list(_LISTED)) - len(_encode_list(100))) / count
     return Slope(
-        "runner in one reading of the list", (large - small) / count, memory,
+        "runner in one reading of the list",
+        (large - small) / count,
+        memory,
         wire,
-    )  # fmt: skip
+    )
 
 
 def _measure_ring() -> Slope:
@@ -282,9 +286,14 @@
     def encode(number: int) -> list[bytes]:
         ticket = f"workshops.{number:032x}"
         accepted = work_records.Accepted(
-            ticket=ticket, team="workshops", route="review", written_at=1.5e9,
-            config_offset=123_456, offset=10 * number, count=1,
-        )  # fmt: skip
+            ticket=ticket,
+            team="workshops",
+            route="review",
+            written_at=1.5e9,
+            config_offset=123_456,
+            offset=10 * number,
+            count=1,
+        )
         completed = work_records.Completed(
             ticket=ticket, offset=10 * number + 5, count=1
         )
@@ -340,10 +349,12 @@
 
 def _build_update(number: int, incarnation: int = 0) -> messages.MemberUpdate:
     return messages.MemberUpdate(
-        member=f"entry-lakes-a-{number}.89ab12cd", partner="lindqvist",
-        zone="lakes-a", address=f"10.12.1.{number % 250}:7000",
+        member=f"entry-lakes-a-{number}.89ab12cd",
+        partner="lindqvist",
+        zone="lakes-a",
+        address=f"10.12.1.{number % 250}:7000",
         incarnation=incarnation,
-    )  # fmt: skip
+    )
 
 
 def _build_members(count: int) -> table.MemberTable:
@@ -361,10 +372,15 @@
 
 def _build_change(number: int) -> records.Change:
     return records.Change(
-        "serrana", "ines", f"change-{number:016d}", "serrana",
-        objects.Kind.ROUTE, f"route-{number}", 0,
+        "serrana",
+        "ines",
+        f"change-{number:016d}",
+        "serrana",
+        objects.Kind.ROUTE,
+        f"route-{number}",
+        0,
         {"pool": "reviews", "urgency": "interactive", "deadline_s": 30.0},
-    )  # fmt: skip
+    )
 
 
 def _encode_claim(number: int) -> list[bytes]:
@@ -382,13 +398,16 @@
     return msgspec.json.encode(
         [
             instances.Instance(
-                f"runner-{number}", instances.InstanceKind.RUNNER, "serrana",
-                f"zone-{number % 7}", f"10.1.{number // 250}.{number % 250}:80",
+                f"runner-{number}",
+                instances.InstanceKind.RUNNER,
+                "serrana",
+                f"zone-{number % 7}",
+                f"10.1.{number // 250}.{number % 250}:80",
                 pool=f"pool-{number % 20}",
             )
             for number in range(count)
         ]
-    )  # fmt: skip
+    )
 
 
 def _decode_list(count: int) -> list[instances.Instance]:
--- a/bench/config_spread.py
+++ b/bench/config_spread.py
@@ -25,9 +25,13 @@
 _DAEMONS = flags.DEFINE_integer("daemons", 12, "Daemon processes.")
 _MARK_S = 2.0
 _TIMING = {
-    "heartbeat_s": 1.0, "suspect_after_s": 3.0, "dead_after_s": 5.0,
-    "list_poll_s": 1.0, "commit_s": 0.01, "log_timeout_s": 2.0,
-}  # fmt: skip
+    "heartbeat_s": 1.0,
+    "suspect_after_s": 3.0,
+    "dead_after_s": 5.0,
+    "list_poll_s": 1.0,
+    "commit_s": 0.01,
+    "log_timeout_s": 2.0,
+}
 
 
 def main(argv: list[str]) -> int:
@@ -112,28 +116,33 @@
     client: http.HttpClient, daemon: world.DaemonProcess, number: int
 ) -> int:
     answer = await client.call(
-        "POST", f"http://{daemon.addresses.operators}/v1/command",
+        "POST",
+        f"http://{daemon.addresses.operators}/v1/command",
         headers=[(b"authorization", b"Bearer serrana-operator")],
         body=json.dumps(
             {"text": f"set team counter weight={number % 90 + 1}"}
         ).encode(),
-    )  # fmt: skip
+    )
     return json.loads(answer.ok.body)["version"]
 
 
 async def _load(client: http.HttpClient, daemon: Any) -> None:
     body = json.dumps(
-        {"model": "chat", "max_tokens": 20,
-         "messages": [{"role": "user", "content": "a care card"}]}
-    ).encode()  # fmt: skip
+        {
+            "model": "chat",
+            "max_tokens": 20,
+            "messages": [{"role": "user", "content": "a care card"}],
+        }
+    ).encode()
     while True:
         for partner in ("serrana", "lindqvist"):
             credential = f"Bearer {partner}-counter".encode()
             await client.call(
                 "POST",
                 f"http://{daemon.addresses.callers}/v1/chat/completions",
-                headers=[(b"authorization", credential)], body=body,
-            )  # fmt: skip
+                headers=[(b"authorization", credential)],
+                body=body,
+            )
 
 
 def _read_spans(folder: pathlib.Path, offsets: list[int]) -> list[float]:
--- a/bench/decision.py
+++ b/bench/decision.py
@@ -87,13 +87,16 @@
     runners.replace_all(
         [
             instances.Instance(
-                f"runner-{number}", instances.InstanceKind.RUNNER, "serrana",
-                f"zone-{number % 7}", f"10.0.{number // 250}.{number % 250}",
+                f"runner-{number}",
+                instances.InstanceKind.RUNNER,
+                "serrana",
+                f"zone-{number % 7}",
+                f"10.0.{number // 250}.{number % 250}",
                 pool="model",
             )
             for number in range(size)
         ]
-    )  # fmt: skip
+    )
     load_book = loads.LoadBook()
     index = prefixes.PrefixIndex()
     placer = placement.Placer(
--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -44,8 +44,9 @@
             "martenquay_standins", "engine", "--token_s=0", "--slots=64"
         )
         for name, pool, program in (
-            ("desk-1", "counter", service), ("model-1", "reviews", engine),
-        ):  # fmt: skip
+            ("desk-1", "counter", service),
+            ("model-1", "reviews", engine),
+        ):
             place.instances.put(
                 instances.Instance(
                     name,
@@ -55,12 +56,14 @@
                     program.address,
                     pool=pool,
                     slots=64,
-                )  # fmt: skip
+                )
             )
         daemon = await place.start_process(
-            world.SERRANA, "serra-a", "entry-1",
+            world.SERRANA,
+            "serra-a",
+            "entry-1",
             timing={"load_poll_s": 0.5, "list_poll_s": 1.0, "heartbeat_s": 1.0},
-        )  # fmt: skip
+        )
         await trio.sleep(2.0)
         idle_mb = processes.read_resident_mb(daemon.process.pid)
         to_service = await processes.start_program(
@@ -82,8 +85,10 @@
         }
         await _measure(client, calls, streams)
         busy_mb = processes.read_resident_mb(daemon.process.pid)
-        print(f"\nresident memory of the daemon: idle {idle_mb:.1f} MB, "
-              f"after the load {busy_mb:.1f} MB")  # fmt: skip
+        print(
+            f"\nresident memory of the daemon: idle {idle_mb:.1f} MB, "
+            f"after the load {busy_mb:.1f} MB"
+        )
         for program in (service, engine, to_service, to_engine):
             program.end()
         place.end_processes()
@@ -123,11 +128,16 @@
         )
     figures.print_table(
         [
-            "way", "p50 ms", "p95 ms", f"calls/s at {_CLIENTS.value}",
-            "of forwarder", "tokens/s", "of forwarder",
+            "way",
+            "p50 ms",
+            "p95 ms",
+            f"calls/s at {_CLIENTS.value}",
+            "of forwarder",
+            "tokens/s",
+            "of forwarder",
         ],
         rows,
-    )  # fmt: skip
+    )
 
 
 async def _call_for(
@@ -163,14 +173,20 @@
 async def _read_stream(client: http.HttpClient, url: str, number: int) -> None:
     if url.endswith("generate"):
         content = {
-            "request_id": f"r{number}", "attempt": 1, "prompt": "a brief",
-            "max_tokens": _STREAM_TOKENS, "priority": 1, "generated": [],
-        }  # fmt: skip
+            "request_id": f"r{number}",
+            "attempt": 1,
+            "prompt": "a brief",
+            "max_tokens": _STREAM_TOKENS,
+            "priority": 1,
+            "generated": [],
+        }
     else:
         content = {
-            "model": "chat", "max_tokens": _STREAM_TOKENS, "stream": True,
+            "model": "chat",
+            "max_tokens": _STREAM_TOKENS,
+            "stream": True,
             "messages": [{"role": "user", "content": "a brief"}],
-        }  # fmt: skip
+        }
     headers = [(b"authorization", b"Bearer serrana-counter")]
     body = json.dumps(content).encode()
     lines = 0
--- a/bench/idle_cost.py
+++ b/bench/idle_cost.py
@@ -15,10 +15,14 @@
 _SIZES = flags.DEFINE_list("sizes", ["2", "4", "8", "16", "32"], "Daemons.")
 _SECONDS = flags.DEFINE_float("seconds", 12.0, "Seconds a measurement.")
 _TIMING = {
-    "heartbeat_s": 1.0, "suspect_after_s": 3.0, "dead_after_s": 5.0,
-    "list_poll_s": 1.0, "load_poll_s": 0.5, "commit_s": 0.01,
+    "heartbeat_s": 1.0,
+    "suspect_after_s": 3.0,
+    "dead_after_s": 5.0,
+    "list_poll_s": 1.0,
+    "load_poll_s": 0.5,
+    "commit_s": 0.01,
     "log_timeout_s": 2.0,
-}  # fmt: skip
+}
 
 
 def main(argv: list[str]) -> int:
--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -223,9 +223,13 @@
         _replace(copy, *_HANG)
         done = subprocess.run(
             [sys.executable, "-m", "testtools.run", mutation.tests],
-            cwd=copy, env=_build_environment(copy), check=False,
-            capture_output=True, text=True, timeout=500,
-        )  # fmt: skip
+            cwd=copy,
+            env=_build_environment(copy),
+            check=False,
+            capture_output=True,
+            text=True,
+            timeout=500,
+        )
     failed = [
         line.split(".")[-1]
         for line in done.stdout.splitlines()
--- a/bench/routing/compare.py
+++ b/bench/routing/compare.py
@@ -56,10 +56,17 @@
         ]
         print(f"\n### {case.name}\n")
         figures.print_table(
-            ["way", "first token p50/p95/p99 ms", "between tokens p95 ms",
-             "urgent p99 ms", "recomputed placement/moved", "of prompt",
-             "refused"], rows,
-        )  # fmt: skip
+            [
+                "way",
+                "first token p50/p95/p99 ms",
+                "between tokens p95 ms",
+                "urgent p99 ms",
+                "recomputed placement/moved",
+                "of prompt",
+                "refused",
+            ],
+            rows,
+        )
     _print_marks(summaries)
     if _PLOT.value:
         _draw(summaries, _PLOT.value)
@@ -102,12 +109,16 @@
     gaps = [gap for outcome in result.outcomes for gap in outcome.gaps_s]
     percentile = figures.compute_percentile
     return Summary(
-        percentile(waiting, 50), percentile(waiting, 95),
-        percentile(waiting, 99), percentile(gaps, 95), percentile(urgent, 99),
-        dict(result.tally.recomputed), result.tally.prompt_tokens,
+        percentile(waiting, 50),
+        percentile(waiting, 95),
+        percentile(waiting, 99),
+        percentile(gaps, 95),
+        percentile(urgent, 99),
+        dict(result.tally.recomputed),
+        result.tally.prompt_tokens,
         sum(outcome.refused for outcome in result.outcomes),
         len(result.outcomes),
-    )  # fmt: skip
+    )
 
 
 def _render(policy: str, found: Summary) -> list[str]:
@@ -138,16 +149,24 @@
         best = min(found.first_p95 for found in others.values())
         rows.append(
             [
-                case.name, f"{tokens:.2f}", "yes" if tokens <= 0.5 else "no",
+                case.name,
+                f"{tokens:.2f}",
+                "yes" if tokens <= 0.5 else "no",
                 f"{own.first_p95 / best:.2f}",
                 "yes" if own.first_p95 <= best else "no",
             ]
-        )  # fmt: skip
+        )
     print("\n### marks\n")
     figures.print_table(
-        ["case", "recomputed, of least loaded", "at most half",
-         "first token p95, of the best baseline", "no worse"], rows,
-    )  # fmt: skip
+        [
+            "case",
+            "recomputed, of least loaded",
+            "at most half",
+            "first token p95, of the best baseline",
+            "no worse",
+        ],
+        rows,
+    )
 
 
 def _draw(summaries: dict[tuple[str, str], Summary], path: str) -> None:
@@ -164,13 +183,17 @@
         found = [summaries[(name, policy)] for name in names]
         places = [place + number * width for place in range(len(names))]
         axes[0].bar(
-            places, [item.first_p95 * 1000 for item in found], width,
+            places,
+            [item.first_p95 * 1000 for item in found],
+            width,
             label=policy,
-        )  # fmt: skip
+        )
         axes[1].bar(
-            places, [sum(item.recomputed.values()) / 1000 for item in found],
-            width, label=policy,
-        )  # fmt: skip
+            places,
+            [sum(item.recomputed.values()) / 1000 for item in found],
+            width,
+            label=policy,
+        )
     axes[0].axhline(_TARGET_S * 1000, linestyle="--", color="grey")
     axes[0].set_ylabel("time to first token, p95, ms")
     axes[1].set_ylabel("tokens computed again, thousands")
--- a/bench/routing/fairness.py
+++ b/bench/routing/fairness.py
@@ -53,10 +53,14 @@
     for (name, _), result in zip(jobs, found, strict=True):
         outcomes[name] += result
     figures.print_table(
-        ["case", "Bureau done/asked", "first token p50/p95/p99 ms",
-         "urgent p99 ms"],
+        [
+            "case",
+            "Bureau done/asked",
+            "first token p50/p95/p99 ms",
+            "urgent p99 ms",
+        ],
         [_render(name, rows) for name, rows in outcomes.items()],
-    )  # fmt: skip
+    )
     _print_marks(outcomes)
     return 0
 
@@ -66,9 +70,13 @@
     mix = None
     if plan.flood:
         mix = dataclasses.replace(
-            workloads.BUREAU, rate=plan.flood, deferrable_share=1.0,
-            urgent_share=0.0, history_tokens=(200, 400), subjects=20,
-        )  # fmt: skip
+            workloads.BUREAU,
+            rate=plan.flood,
+            deferrable_share=1.0,
+            urgent_share=0.0,
+            history_tokens=(200, 400),
+            subjects=20,
+        )
     result = cases.run_case(
         "martenquay", plan.case, seconds=_SECONDS.value, seed=seed, flood=mix
     )
@@ -97,8 +105,11 @@
         for p in (50, 95, 99)
     )
     return [
-        name, f"{done}/{len(rows)}", spread, f"{_urgent_p99(rows) * 1000:.0f}"
-    ]  # fmt: skip
+        name,
+        f"{done}/{len(rows)}",
+        spread,
+        f"{_urgent_p99(rows) * 1000:.0f}",
+    ]
 
 
 def _print_marks(outcomes: dict[str, list[sites.Outcome]]) -> None:
@@ -112,13 +123,20 @@
     figures.print_table(
         ["mark", "found", "wanted", "met"],
         [
-            ["urgent p99 under a deferrable flood, of quiet", f"{urgent:.2f}",
-             f"{_URGENT_MARK}", "yes" if urgent <= _URGENT_MARK else "no"],
-            ["Bureau's answers on time lost to the other's flood",
-             f"{100 * loss:.1f}%", f"{100 * _LOSS_MARK:.0f}%",
-             "yes" if loss <= _LOSS_MARK else "no"],
+            [
+                "urgent p99 under a deferrable flood, of quiet",
+                f"{urgent:.2f}",
+                f"{_URGENT_MARK}",
+                "yes" if urgent <= _URGENT_MARK else "no",
+            ],
+            [
+                "Bureau's answers on time lost to the other's flood",
+                f"{100 * loss:.1f}%",
+                f"{100 * _LOSS_MARK:.0f}%",
+                "yes" if loss <= _LOSS_MARK else "no",
+            ],
         ],
-    )  # fmt: skip
+    )
 
 
 def _count_on_time(rows: list[sites.Outcome]) -> float:
--- a/bench/routing/policies.py
+++ b/bench/routing/policies.py
@@ -18,8 +18,12 @@
 __all__ = ["POLICIES", "BaselinePlacer"]
 
 POLICIES = (
-    "martenquay", "random", "round robin", "least loaded", "longest prefix",
-)  # fmt: skip
+    "martenquay",
+    "random",
+    "round robin",
+    "least loaded",
+    "longest prefix",
+)
 
 
 class BaselinePlacer:
@@ -52,9 +56,11 @@
         held = self._index.measure_held(ask.chain)
         runner = self._choose(usable, held)
         candidate = placement.Candidate(
-            runner.name, self._loads.count_ahead(runner.name),
-            held.get(runner.name, 0) * blocks.BLOCK_TOKENS, 0.0,
-        )  # fmt: skip
+            runner.name,
+            self._loads.count_ahead(runner.name),
+            held.get(runner.name, 0) * blocks.BLOCK_TOKENS,
+            0.0,
+        )
         return placement.Placement(runner, candidate, [candidate])
 
     def _choose(
--- a/bench/routing/sites.py
+++ b/bench/routing/sites.py
@@ -79,9 +79,11 @@
         seed: str,
     ) -> None:
         me = messages.MemberUpdate(
-            member=f"{partner}.{zone}.{seed}", partner=partner, zone=zone,
+            member=f"{partner}.{zone}.{seed}",
+            partner=partner,
+            zone=zone,
             address=seed,
-        )  # fmt: skip
+        )
         rng = random.Random(seed)
         self.partner = partner
         self.members = table.MemberTable(me, 5)
@@ -100,10 +102,15 @@
                 policy, self.runners, self.loads, self.index, rng
             )
         self.dispatcher = model.ModelDispatcher(
-            client, placer, self.loads, self.index, ejector,
-            retries.RetryBudget(0.1), book.RequestBook(),
+            client,
+            placer,
+            self.loads,
+            self.index,
+            ejector,
+            retries.RetryBudget(0.1),
+            book.RequestBook(),
             metrics.create_metrics(),
-        )  # fmt: skip
+        )
         self.runners.listen_for_leaving(self.dispatcher.move_streams)
         self.feeds = feeds.RunnerFeeds(
             client, self.runners, config, self.loads, self.index, _LOAD_POLL_S
@@ -126,9 +133,14 @@
             )
         sink = _TimingSink()
         request = model.ModelRequest(
-            name, self.partner, POOL, arrival.urgency, arrival.prompt,
-            arrival.max_tokens, at + DEADLINE_S,
-        )  # fmt: skip
+            name,
+            self.partner,
+            POOL,
+            arrival.urgency,
+            arrival.prompt,
+            arrival.max_tokens,
+            at + DEADLINE_S,
+        )
         try:
             answered = await self.dispatcher.answer(request, sink)
         finally:
@@ -137,12 +149,14 @@
         gaps_s = [after - before for before, after in itertools.pairwise(times)]
         [after - before for before, after in itertools.pairwise(times)]
         return Outcome(
-            self.partner, arrival.urgency, at,
+            self.partner,
+            arrival.urgency,
+            at,
             times[0] - at if times else None,
             gaps_s,
             answered.is_error(),
             trio.current_time() if answered.is_ok() else None,
-        )  # fmt: skip
+        )
 
 
 class Fleet:
@@ -176,7 +190,7 @@
                     policy,
                     client,
                     f"{partner}-{number}",
-                )  # fmt: skip
+                )
                 for number in range(_DAEMONS)
             ]
             for partner in PARTNERS
@@ -194,10 +208,14 @@
         name = f"{partner}-model-{number}"
         self.engines[name] = engines.FakeEngine(self._model, self.tally)
         self._runners[name] = instances.Instance(
-            name=name, kind=instances.InstanceKind.RUNNER, partner=partner,
-            zone=f"{partner}-{'abc'[number % 3]}", address=name, pool=POOL,
+            name=name,
+            kind=instances.InstanceKind.RUNNER,
+            partner=partner,
+            zone=f"{partner}-{'abc'[number % 3]}",
+            address=name,
+            pool=POOL,
             slots=self._model.slots,
-        )  # fmt: skip
+        )
         self._publish()
 
     def give_notice(self, name: str) -> None:
@@ -237,9 +255,15 @@
         for kind, name, fields in _list_objects(partner, share):
             offset = config.applied.value + 1
             change = records.Change(
-                partner, "bench", f"{kind}-{name}", partner, kind, name, 0,
+                partner,
+                "bench",
+                f"{kind}-{name}",
+                partner,
+                kind,
+                name,
+                0,
                 fields,
-            )  # fmt: skip
+            )
             config.apply(offset, records.encode_change(change, signer))
     return config
 
@@ -254,18 +278,19 @@
     for number in range(5):
         fields = {
             "credential": "sha256:" + f"{number}" * 64,
-            "concurrency": 5000, "token_rate": 1e7,
-        }  # fmt: skip
+            "concurrency": 5000,
+            "token_rate": 1e7,
+        }
         found.append((kind.TEAM, f"team-{number}", fields))
     for urgency in objects.Urgency:
         fields = {
-            "pool": POOL, "urgency": urgency.value, "deadline_s": DEADLINE_S
-        }  # fmt: skip
+            "pool": POOL,
+            "urgency": urgency.value,
+            "deadline_s": DEADLINE_S,
+        }
         found.append((kind.ROUTE, urgency.value, fields))
     if share:
         other = PARTNERS[1 - PARTNERS.index(partner)]
-        fields = {
-            "pool": POOL, "to": other, "serves": POOL, "fraction": share
-        }  # fmt: skip
+        fields = {"pool": POOL, "to": other, "serves": POOL, "fraction": share}
         found.append((kind.SHARE, "lend", fields))
     return found
--- a/bench/routing/workloads.py
+++ b/bench/routing/workloads.py
@@ -93,7 +93,7 @@
                 _choose_urgency(rng, mix),
                 histories[subject],
                 rng.randint(*mix.answer_tokens),
-            )  # fmt: skip
+            )
         )
 
 
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -32,18 +32,29 @@
         whole = sum(reply.is_whole for reply in told.chats)
         rows.append(
             [
-                str(seed), str(len(report.faults)),
+                str(seed),
+                str(len(report.faults)),
                 f"{len({r.key for r in told.bookings})}/{len(told.bookings)}",
                 f"{whole}/{len(told.chats)}",
                 str(len(told.accepted)),
                 str(sum(change.version > 0 for change in told.changes)),
-                str(len(told.observations)), str(len(report.breaches)),
+                str(len(told.observations)),
+                str(len(report.breaches)),
             ]
-        )  # fmt: skip
+        )
     figures.print_table(
-        ["seed", "faults", "keys/tries", "chats whole/all", "tickets",
-         "changes accepted", "readings", "breaches"], rows,
-    )  # fmt: skip
+        [
+            "seed",
+            "faults",
+            "keys/tries",
+            "chats whole/all",
+            "tickets",
+            "changes accepted",
+            "readings",
+            "breaches",
+        ],
+        rows,
+    )
     print("bookings by result:", dict(sorted(codes.items())))
     return 1 if broken else 0
 
--- a/packages/client/src/martenquay_client/shell.py
+++ b/packages/client/src/martenquay_client/shell.py
@@ -18,9 +18,18 @@
 __all__ = ["run_shell"]
 
 _WORDS = [
-    "show", "why", "create", "set", "drop", "where", "and", "if", "version",
-    *parser.NOUNS, *[kind.value for kind in objects.Kind],
-]  # fmt: skip
+    "show",
+    "why",
+    "create",
+    "set",
+    "drop",
+    "where",
+    "and",
+    "if",
+    "version",
+    *parser.NOUNS,
+    *[kind.value for kind in objects.Kind],
+]
 _LEAVE = {"exit", "quit"}
 
 
--- a/packages/core/src/martenquay_core/language/parser.py
+++ b/packages/core/src/martenquay_core/language/parser.py
@@ -17,9 +17,18 @@
 
 KINDS = tuple(kind.value for kind in objects.Kind)
 NOUNS = (
-    "teams", "pools", "routes", "rules", "limits", "shares",
-    "runners", "daemons", "requests", "config", "tickets",
-)  # fmt: skip
+    "teams",
+    "pools",
+    "routes",
+    "rules",
+    "limits",
+    "shares",
+    "runners",
+    "daemons",
+    "requests",
+    "config",
+    "tickets",
+)
 _BOOLEANS = {"true": True, "false": False}
 
 
@@ -145,11 +154,16 @@
 
 def _name_terminal(name: str) -> str:
     friendly = {
-        "NAME": "a name", "$END": "the end", "INT": "a whole number",
-        "FLOAT": "a number", "ESCAPED_STRING": 'a "text"',
-        "DIGEST": "a digest", "SLASH": "'/'", "EQUAL": "'='",
+        "NAME": "a name",
+        "$END": "the end",
+        "INT": "a whole number",
+        "FLOAT": "a number",
+        "ESCAPED_STRING": 'a "text"',
+        "DIGEST": "a digest",
+        "SLASH": "'/'",
+        "EQUAL": "'='",
         "IDENTIFIER": "a request id",
-    }  # fmt: skip
+    }
     return friendly.get(name, name.lower())
 
 
--- a/packages/core/src/martenquay_core/peers/messages.py
+++ b/packages/core/src/martenquay_core/peers/messages.py
@@ -85,11 +85,14 @@
         member: The sender.
         applied: The offset of the configuration in force there.
         updates: What the receiver may not know yet.
+        is_new: The sender does not know the receiver yet, so the reply
+            should tell what the receiver knows.
     """
 
     member: str
     applied: int
     updates: list[Update]
+    is_new: bool = False
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True, array_like=True, tag="hbr"):
@@ -98,7 +101,8 @@
     Attributes:
         member: Who answers.
         applied: The offset of the configuration in force there.
-        updates: What the asker has to refute about itself.
+        updates: What the asker has to refute about itself, or all that is
+            known here if the asker is new.
     """
 
     member: str
--- a/packages/daemon/src/martenquay_daemon/claims/table.py
+++ b/packages/daemon/src/martenquay_daemon/claims/table.py
@@ -12,12 +12,18 @@
 
 import dataclasses
 from collections import OrderedDict
+from typing import TYPE_CHECKING, TypeVar
 
 from martenquay_daemon.claims import records
 from martenquay_daemon.journal import archive
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 __all__ = ["ClaimTable", "Entry"]
 
+Kept = TypeVar("Kept")
+
 
 @dataclasses.dataclass
 class Entry:
@@ -110,7 +116,11 @@
                 self._archive.add(key, offset, archive.Place(offset, 1))
 
 
-def _drop_oldest(entries, offset, offset_of) -> None:
+def _drop_oldest(
+    entries: OrderedDict[str, Kept],
+    offset: int,
+    offset_of: Callable[[Kept], int],
+) -> None:
     while entries:
         oldest = next(iter(entries))
         if offset_of(entries[oldest]) >= offset:
--- a/packages/daemon/src/martenquay_daemon/dispatch/model.py
+++ b/packages/daemon/src/martenquay_daemon/dispatch/model.py
@@ -23,7 +23,7 @@
 from martenquay_daemon.routing import placement
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Iterator
 
     from martenquay_core.platform import instances
     from martenquay_daemon.dispatch import book
@@ -382,7 +382,7 @@
             usage.recomputed += computed
 
     @contextlib.contextmanager
-    def _register(self, runner: str, live: _LiveStream):
+    def _register(self, runner: str, live: _LiveStream) -> Iterator[None]:
         self._live[runner].add(live)
         try:
             yield
--- a/packages/daemon/src/martenquay_daemon/membership/links.py
+++ b/packages/daemon/src/martenquay_daemon/membership/links.py
@@ -115,6 +115,9 @@
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
                 nursery.start_soon(self._count_time)
+                # Until the instance list is read these are all that is known.
+                for address in self._settings.seeds:
+                    self._open(address)
                 task_status.started(router.address)
                 await self._serve(router, nursery)
         finally:
@@ -182,10 +185,11 @@
         for update in message.updates:
             self._members.merge(update)
         self._members.note_applied(message.member, message.applied)
+        told = self._members.judge_sender(message.member)
+        if message.is_new:
+            told, _ = self._members.changes_since(0, _MAX_UPDATES)
         return messages.HeartbeatReply(
-            self._members.me.member,
-            self._members.applied,
-            self._members.judge_sender(message.member),
+            self._members.me.member, self._members.applied, told
         )
 
     def _open(self, address: str) -> _Link:
@@ -238,7 +242,10 @@
             link.sent_version, _MAX_UPDATES
         )
         message = messages.Heartbeat(
-            self._members.me.member, self._members.applied, updates
+            self._members.me.member,
+            self._members.applied,
+            updates,
+            self._members.find(link.member) is None,
         )
         reply = await self._ask(link, message, timeout_s)
         match reply:
--- a/packages/daemon/src/martenquay_daemon/operators/rows.py
+++ b/packages/daemon/src/martenquay_daemon/operators/rows.py
@@ -171,9 +171,14 @@
 
 
 Row = (
-    RunnerRow | DaemonRow | RequestRow | TicketRow | DecisionRow | ObjectRow
+    RunnerRow
+    | DaemonRow
+    | RequestRow
+    | TicketRow
+    | DecisionRow
+    | ObjectRow
     | ConfigRow
-)  # fmt: skip
+)
 
 
 def render_rows(rows: list[Row]) -> list[dict[str, Any]]:
--- a/packages/daemon/src/martenquay_daemon/parts.py
+++ b/packages/daemon/src/martenquay_daemon/parts.py
@@ -26,6 +26,8 @@
 from martenquay_daemon.util import metrics
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     import trio
 
     from martenquay_core.settings import models
@@ -92,7 +94,7 @@
             )
         )
 
-    def list_tasks(self) -> list:
+    def list_tasks(self) -> list[Callable[[], Awaitable[None]]]:
         """Return the tasks that run for as long as the daemon does."""
         return [
             self.config_follower.run,
--- a/packages/standins/src/martenquay_standins/chaos/run.py
+++ b/packages/standins/src/martenquay_standins/chaos/run.py
@@ -179,9 +179,11 @@
         while True:
             prompt = f"{self._next_name('order')} with a long history " * 10
             answer = await self._post(
-                partner, "/v1/chat/completions",
-                _build_chat("chat", prompt, stream=True), "",
-            )  # fmt: skip
+                partner,
+                "/v1/chat/completions",
+                _build_chat("chat", prompt, stream=True),
+                "",
+            )
             self._history.chats.append(_judge_chat(prompt, answer))
             await trio.sleep(0.02)
 
@@ -190,9 +192,11 @@
             prompt = f"{self._next_name('review')} of a part " * 5
             key = self._next_name("night")
             answer = await self._post(
-                partner, "/v1/chat/completions",
-                _build_chat("review", prompt, stream=False), key,
-            )  # fmt: skip
+                partner,
+                "/v1/chat/completions",
+                _build_chat("review", prompt, stream=False),
+                key,
+            )
             if answer is not None and _read_code(answer) == _ACCEPTED:
                 ticket = json.loads(answer.body)["ticket"]
                 self._history.accepted.add(ticket)
@@ -239,7 +243,7 @@
                     row["version"],
                     row.get("weight", 1.0),
                     is_final,
-                )  # fmt: skip
+                )
             )
 
     async def _settle(self) -> None:
@@ -293,7 +297,7 @@
                     self._expected[ticket],
                     text,
                     answer.body,
-                )  # fmt: skip
+                )
             )
 
     async def _post(
@@ -316,9 +320,12 @@
         if key:
             headers.append((b"idempotency-key", key.encode()))
         answer = await self._client.call(
-            method, f"http://{daemon.addresses.callers}{path}",
-            headers=headers, body=body, timeout_s=20.0,
-        )  # fmt: skip
+            method,
+            f"http://{daemon.addresses.callers}{path}",
+            headers=headers,
+            body=body,
+            timeout_s=20.0,
+        )
         return answer.default_value(None)
 
     async def _ask(
@@ -331,10 +338,11 @@
         daemon = daemon or self._choose(partner)
         credential = f"Bearer {partner.operator_credential}".encode()
         answer = await self._client.call(
-            "POST", f"http://{daemon.addresses.operators}/v1/{kind}",
+            "POST",
+            f"http://{daemon.addresses.operators}/v1/{kind}",
             headers=[(b"authorization", credential)],
             body=json.dumps({"text": text}).encode(),
-        )  # fmt: skip
+        )
         return answer.default_value(None)
 
 
--- a/packages/standins/src/martenquay_standins/demo.py
+++ b/packages/standins/src/martenquay_standins/demo.py
@@ -38,8 +38,10 @@
         daemons = await _start_fleet(place)
         for process in daemons.values():
             await _wait_ready(client, process.addresses.callers)
-        print(f"{len(daemons)} daemons are ready; they learned their routes "
-              "from the log.\n")  # fmt: skip
+        print(
+            f"{len(daemons)} daemons are ready; they learned their routes "
+            "from the log.\n"
+        )
         good = True
         for plan in place.plans:
             address = daemons[plan.zones[0]].addresses.callers
@@ -66,8 +68,10 @@
             daemons[zone] = await place.start_process(
                 plan, zone, f"entry-{zone}", log_file=log_file
             )
-            print(f"started entry-{zone}: callers at "
-                  f"{daemons[zone].addresses.callers}")  # fmt: skip
+            print(
+                f"started entry-{zone}: callers at "
+                f"{daemons[zone].addresses.callers}"
+            )
     return daemons
 
 
@@ -88,12 +92,24 @@
     good = await _show(client, "chat, whole", address, headers, chat)
     streamed = chat | {"stream": True}
     good &= await _show(client, "chat, streamed", address, headers, streamed)
-    good &= await _show(client, "order status", address, headers, None,
-                        "/services/status/orders/7")  # fmt: skip
+    good &= await _show(
+        client,
+        "order status",
+        address,
+        headers,
+        None,
+        "/services/status/orders/7",
+    )
     keyed = [*headers, (b"idempotency-key", b"slot-9-harvest")]
     for again in ("", ", sent again"):
-        good &= await _show(client, f"slot booking{again}", address, keyed,
-                            {"slot": 9}, "/services/booking/slots")  # fmt: skip
+        good &= await _show(
+            client,
+            f"slot booking{again}",
+            address,
+            keyed,
+            {"slot": 9},
+            "/services/booking/slots",
+        )
     return good & await _defer(client, address, headers, brief)
 
 
@@ -112,9 +128,11 @@
 ) -> bool:
     body = json.dumps(content).encode() if content else b""
     answer = await client.call(
-        "POST" if content else "GET", f"http://{address}{path}",
-        headers=headers, body=body,
-    )  # fmt: skip
+        "POST" if content else "GET",
+        f"http://{address}{path}",
+        headers=headers,
+        body=body,
+    )
     if answer.is_error():
         print(f"{title}: {answer.error.message}")
         return False
@@ -133,9 +151,11 @@
     content: dict[str, Any],
 ) -> bool:
     accepted = await client.call(
-        "POST", f"http://{address}/v1/chat/completions", headers=headers,
+        "POST",
+        f"http://{address}/v1/chat/completions",
+        headers=headers,
         body=json.dumps(content).encode(),
-    )  # fmt: skip
+    )
     ticket = json.loads(accepted.ok.body)["ticket"]
     print(f"review, deferrable: accepted as {ticket}")
     while True:
@@ -153,8 +173,10 @@
 ) -> None:
     for plan in place.plans:
         address = daemons[plan.zones[0]].addresses.operators
-        print(f"MARTENQUAY_CREDENTIAL={plan.operator_credential} "
-              f"martenquay --daemon={address} show runners")  # fmt: skip
+        print(
+            f"MARTENQUAY_CREDENTIAL={plan.operator_credential} "
+            f"martenquay --daemon={address} show runners"
+        )
     print("Ctrl-C ends the fleet.", flush=True)
 
 
--- a/packages/standins/src/martenquay_standins/engine.py
+++ b/packages/standins/src/martenquay_standins/engine.py
@@ -21,9 +21,23 @@
 __all__ = ["EngineShape", "EngineStandIn", "make_token"]
 
 _VOCABULARY = (
-    "rose", "wall", "resin", "van", "order", "lily", "thread", "quay",
-    "print", "card", "brief", "gear", "tulip", "slot", "note", "draft",
-)  # fmt: skip
+    "rose",
+    "wall",
+    "resin",
+    "van",
+    "order",
+    "lily",
+    "thread",
+    "quay",
+    "print",
+    "card",
+    "brief",
+    "gear",
+    "tulip",
+    "slot",
+    "note",
+    "draft",
+)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/standins/src/martenquay_standins/main.py
+++ b/packages/standins/src/martenquay_standins/main.py
@@ -40,8 +40,10 @@
             )
             trio.run(_serve, engine.EngineStandIn(shape))
         case _:
-            print("usage: KIND is log, instances, service or engine",
-                  file=sys.stderr)  # fmt: skip
+            print(
+                "usage: KIND is log, instances, service or engine",
+                file=sys.stderr,
+            )
             return _EXIT_USAGE
     return 0
 
--- a/packages/standins/src/martenquay_standins/world.py
+++ b/packages/standins/src/martenquay_standins/world.py
@@ -54,19 +54,31 @@
 
 
 SERRANA = PartnerPlan(
-    "serrana", ("serra-a", "serra-b", "serra-c"), "reviews", "counter",
+    "serrana",
+    ("serra-a", "serra-b", "serra-c"),
+    "reviews",
+    "counter",
     "serrana-operator",
-)  # fmt: skip
+)
 LINDQVIST = PartnerPlan(
-    "lindqvist", ("lakes-a", "lakes-b", "lakes-c"), "arrangements",
-    "dispatch", "lindqvist-operator",
-)  # fmt: skip
+    "lindqvist",
+    ("lakes-a", "lakes-b", "lakes-c"),
+    "arrangements",
+    "dispatch",
+    "lindqvist-operator",
+)
 
 _FAST = {
-    "heartbeat_s": 0.1, "suspect_after_s": 0.4, "dead_after_s": 0.6,
-    "list_poll_s": 0.1, "load_poll_s": 0.1, "commit_s": 0.002,
-    "log_timeout_s": 1.0, "drain_notice_s": 0.1, "drain_limit_s": 30.0,
-}  # fmt: skip
+    "heartbeat_s": 0.1,
+    "suspect_after_s": 0.4,
+    "dead_after_s": 0.6,
+    "list_poll_s": 0.1,
+    "load_poll_s": 0.1,
+    "commit_s": 0.002,
+    "log_timeout_s": 1.0,
+    "drain_notice_s": 0.1,
+    "drain_limit_s": 30.0,
+}
 
 
 @dataclasses.dataclass
@@ -109,9 +121,11 @@
     """The instance list as one zone reaches it, through the network."""
 
     def __init__(
-        self, app: instance_list.InstanceListStandIn, net: network.Network,
+        self,
+        app: instance_list.InstanceListStandIn,
+        net: network.Network,
         zone: str,
-    ) -> None:  # fmt: skip
+    ) -> None:
         self._app = app
         self._network = net
         self._zone = zone
@@ -210,9 +224,15 @@
         """Write an object straight into the log, as its first version."""
         self._change_count += 1
         change = records.Change(
-            partner, "setup", f"setup-{self._change_count}", partner,
-            records.objects.Kind(kind), name, 0, fields,
-        )  # fmt: skip
+            partner,
+            "setup",
+            f"setup-{self._change_count}",
+            partner,
+            records.objects.Kind(kind),
+            name,
+            0,
+            fields,
+        )
         payload = records.encode_change(change, self.signer(partner))
         return self.log.add("config", [payload])
 
@@ -221,29 +241,45 @@
         for plan in self.plans:
             for team in ("counter", "workshops"):
                 self.put_object(
-                    plan.name, "team", team,
+                    plan.name,
+                    "team",
+                    team,
                     credential=credentials.digest_credential(
                         f"{plan.name}-{team}"
                     ),
-                    concurrency=1000, token_rate=10_000_000.0,
-                )  # fmt: skip
+                    concurrency=1000,
+                    token_rate=10_000_000.0,
+                )
             self.put_object(plan.name, "pool", plan.model_pool, kind="model")
             self.put_object(
                 plan.name, "pool", plan.service_pool, kind="service"
             )
             self.put_object(plan.name, "route", "chat", pool=plan.model_pool)
             self.put_object(
-                plan.name, "route", "review", pool=plan.model_pool,
-                urgency="deferrable", deadline_s=600.0,
-            )  # fmt: skip
+                plan.name,
+                "route",
+                "review",
+                pool=plan.model_pool,
+                urgency="deferrable",
+                deadline_s=600.0,
+            )
             self.put_object(
-                plan.name, "route", "status", pool=plan.service_pool,
-                urgency="urgent", deadline_s=5.0,
-            )  # fmt: skip
+                plan.name,
+                "route",
+                "status",
+                pool=plan.service_pool,
+                urgency="urgent",
+                deadline_s=5.0,
+            )
             self.put_object(
-                plan.name, "route", "booking", pool=plan.service_pool,
-                urgency="urgent", repeatable=False, deadline_s=5.0,
-            )  # fmt: skip
+                plan.name,
+                "route",
+                "booking",
+                pool=plan.service_pool,
+                urgency="urgent",
+                repeatable=False,
+                deadline_s=5.0,
+            )
 
     async def add_engine(
         self,
@@ -345,12 +381,14 @@
             file.flush()
             process = await trio.lowlevel.open_process(
                 [
-                    sys.executable, "-m", "martenquay_daemon",
+                    sys.executable,
+                    "-m",
+                    "martenquay_daemon",
                     f"--settings={file.name}",
                 ],
                 stdout=-1,
                 stderr=log_file or -3,
-            )  # fmt: skip
+            )
             self._processes.append(process)
             line = await _read_line(process)
         fields = json.loads(line)
@@ -376,7 +414,7 @@
                 partner=plan.name,
                 zone=zone,
                 address=address,
-            )  # fmt: skip
+            )
         )
 
     async def _add_runner(
@@ -399,7 +437,7 @@
                 address=running.address,
                 pool=pool,
                 **fields,
-            )  # fmt: skip
+            )
         )
 
     async def _route_through_network(
--- a/proofs/claims.py
+++ b/proofs/claims.py
@@ -148,19 +148,21 @@
             z3.And(
                 before[at] == State.WON,
                 _keep(
-                    before, after,
+                    before,
+                    after,
                     {at: State.CALLED, "calls": before["calls"] + 1},
                 ),
             ),
             z3.And(
                 z3.Or(before[at] == State.SENT, before[at] == State.WON),
                 _keep(
-                    before, after,
+                    before,
+                    after,
                     {at: State.GIVEN_UP, said: True, releasing: True},
                 ),
             ),
             self._append(before, after, releasing, _RELEASES[daemon]),
-        ]  # fmt: skip
+        ]
         return actions + self._list_broken(before, after, daemon)
 
     def _list_broken(
@@ -183,9 +185,12 @@
                 return []
 
     def _append(
-        self, before: dict[str, Any], after: dict[str, Any], flag: str,
+        self,
+        before: dict[str, Any],
+        after: dict[str, Any],
+        flag: str,
         record: int,
-    ) -> Any:  # fmt: skip
+    ) -> Any:
         """Return: a record on its way is put into the log's next place."""
         ways = []
         for place in range(PLACES):
--- a/proofs/configuration.py
+++ b/proofs/configuration.py
@@ -114,9 +114,10 @@
         newer = before["snap_offset"] > before[applied]
         take = z3.And(newer, _keep(before, after, taken))
         publish = _keep(
-            before, after,
+            before,
+            after,
             {"snap_offset": before[applied], "snap_value": before[value]},
-        )  # fmt: skip
+        )
         # A process that starts anew has had nothing in force.
         restart = _keep(before, after, {applied: 0, value: 0, highest: 0})
         broken = self._list_broken(before, after, reader, taken)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -49,9 +49,10 @@
         for name, signer in signers.items()
     }
     return Partners(
-        signers["serrana"], signers["lindqvist"],
+        signers["serrana"],
+        signers["lindqvist"],
         records.create_verifier(publics),
-    )  # fmt: skip
+    )
 
 
 def build_change(**changes: Any) -> records.Change:
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -122,9 +122,12 @@
         if key:
             headers.append((b"idempotency-key", key.encode()))
         answer = await self._client.call(
-            method, f"http://{daemon.addresses.callers}{path}",
-            headers=headers, body=body, timeout_s=60.0,
-        )  # fmt: skip
+            method,
+            f"http://{daemon.addresses.callers}{path}",
+            headers=headers,
+            body=body,
+            timeout_s=60.0,
+        )
         if answer.is_error():
             return CallerReply(0, {}, answer.error.message.encode())
         found = answer.ok
@@ -195,9 +198,12 @@
             await trio.sleep(_POLL_S)
 
     async def ask(
-        self, daemon: Any, text: str, operator: str = "serrana-operator",
+        self,
+        daemon: Any,
+        text: str,
+        operator: str = "serrana-operator",
         **fields: Any,
-    ) -> CallerReply:  # fmt: skip
+    ) -> CallerReply:
         """Send an operator's statement."""
         kind = (
             "query"
@@ -205,11 +211,12 @@
             else "command"
         )
         answer = await self.client.call(
-            "POST", f"http://{daemon.addresses.operators}/v1/{kind}",
+            "POST",
+            f"http://{daemon.addresses.operators}/v1/{kind}",
             headers=[(b"authorization", f"Bearer {operator}".encode())],
             body=json.dumps({"text": text} | fields).encode(),
             timeout_s=60.0,
-        )  # fmt: skip
+        )
         found = answer.ok
         return CallerReply(found.status, dict(found.headers), found.body)
 
--- a/tests/test_core/test_fold.py
+++ b/tests/test_core/test_fold.py
@@ -40,9 +40,11 @@
 
     def test_a_repeated_change_id_gets_the_first_verdict_again(self):
         first = self._fold(builders.build_change())
-        self._fold(builders.build_change(
-            change_id="change-2", base_version=1, fields=None
-        ))  # fmt: skip
+        self._fold(
+            builders.build_change(
+                change_id="change-2", base_version=1, fields=None
+            )
+        )
         again = self._fold(builders.build_change())
         self.assertEqual(first, again)
         self.assertIsNone(self.state.find(builders.build_change().key))
@@ -81,7 +83,7 @@
                 change_id="late", base_version=1, fields=None
             ),
             self.partners.serrana,
-        )  # fmt: skip
+        )
         verifier = self.partners.verifier
         self.assertIsNone(fold.apply_record(self.state, 1, raw, verifier))
         self.assertIsNotNone(self.state.find(builders.build_change().key))
@@ -107,9 +109,11 @@
 
     def test_a_large_snapshot_is_whole_only_with_its_last_chunk(self):
         for number in range(1500):
-            self._fold(builders.build_change(
-                name=f"pool-{number}", change_id=f"change-{number}"
-            ))  # fmt: skip
+            self._fold(
+                builders.build_change(
+                    name=f"pool-{number}", change_id=f"change-{number}"
+                )
+            )
         partner = self.state.partners["serrana"]
         chunks = snapshot.encode_snapshot(partner, self.partners.serrana)
         self.assertGreater(len(chunks), 1)
@@ -169,10 +173,13 @@
     signer = getattr(partners, signer_name)
     return records.encode_change(
         builders.build_change(
-            partner=signer_name, key_partner=owner, name=name,
-            kind=objects.Kind.POOL, base_version=base,
+            partner=signer_name,
+            key_partner=owner,
+            name=name,
+            kind=objects.Kind.POOL,
+            base_version=base,
             change_id=f"change-{change}",
             fields=None if drops else {"kind": "model"},
         ),
         signer,
-    )  # fmt: skip
+    )
--- a/tests/test_core/test_language.py
+++ b/tests/test_core/test_language.py
@@ -34,9 +34,7 @@
         )
 
     def test_values_are_words_texts_numbers_or_booleans(self):
-        create = self._parse(
-            'create pool a kind="model" checks_orders=true'
-        )  # fmt: skip
+        create = self._parse('create pool a kind="model" checks_orders=true')
         self.assertEqual(
             (
                 statements.Assignment("kind", "model"),
--- a/tests/test_core/test_results.py
+++ b/tests/test_core/test_results.py
@@ -21,8 +21,13 @@
         expected = []
         for code in results.ResultCode:
             info = results.describe_result(code)
-            expected.append([
-                str(code.value), code.name, str(info.http_status),
-                str(info.exit_code), info.meaning,
-            ])  # fmt: skip
+            expected.append(
+                [
+                    str(code.value),
+                    code.name,
+                    str(info.http_status),
+                    str(info.exit_code),
+                    info.meaning,
+                ]
+            )
         self.assertEqual(expected, rows)
--- a/tests/test_daemon/test_admission.py
+++ b/tests/test_daemon/test_admission.py
@@ -17,10 +17,15 @@
 
 def _ask(**changes: Any) -> admission.Ask:
     fields: dict[str, Any] = {
-        "team": "counter", "weight": 1.0, "concurrency": 100,
-        "token_rate": 1e6, "pool": "model", "urgency": _Urgency.INTERACTIVE,
-        "cost": 100.0, "deadline": trio.current_time() + 1000,
-    }  # fmt: skip
+        "team": "counter",
+        "weight": 1.0,
+        "concurrency": 100,
+        "token_rate": 1e6,
+        "pool": "model",
+        "urgency": _Urgency.INTERACTIVE,
+        "cost": 100.0,
+        "deadline": trio.current_time() + 1000,
+    }
     return admission.Ask(**(fields | changes))
 
 
--- a/tests/test_daemon/test_placement.py
+++ b/tests/test_daemon/test_placement.py
@@ -35,11 +35,17 @@
             ["serrana", "lindqvist"], partners.verifier
         )
         share = builders.build_change(
-            partner="lindqvist", key_partner="lindqvist", name="lend",
+            partner="lindqvist",
+            key_partner="lindqvist",
+            name="lend",
             kind=objects.Kind.SHARE,
-            fields={"pool": "model", "to": "serrana", "serves": "reviews",
-                    "fraction": 0.25},
-        )  # fmt: skip
+            fields={
+                "pool": "model",
+                "to": "serrana",
+                "serves": "reviews",
+                "fraction": 0.25,
+            },
+        )
         self.config.apply(1, records.encode_change(share, partners.lindqvist))
         self.members = table.MemberTable(builders.build_member(), 5)
         self.runners = directory.RunnerDirectory(self.config, self.members)
@@ -53,7 +59,7 @@
                 partner="lindqvist",
                 pool="model",
                 zone="lakes-a",
-            )  # fmt: skip
+            )
             for n in range(4)
         ]
         self.runners.replace_all([*own, *lent])
@@ -61,15 +67,21 @@
         self.index = prefixes.PrefixIndex()
         self.ejector = ejection.Ejector()
         self.placer = placement.Placer(
-            "serra-a", self.runners, self.loads, self.index, self.ejector,
+            "serra-a",
+            self.runners,
+            self.loads,
+            self.index,
+            self.ejector,
             random.Random(1),
-        )  # fmt: skip
+        )
 
     def _place(self, **changes):
         fields = {
-            "partner": "serrana", "pool": "reviews",
-            "chain": blocks.chain_blocks(_PROMPT), "prompt_tokens": 640,
-        }  # fmt: skip
+            "partner": "serrana",
+            "pool": "reviews",
+            "chain": blocks.chain_blocks(_PROMPT),
+            "prompt_tokens": 640,
+        }
         return self.placer.place(placement.ModelAsk(**(fields | changes)))
 
     def test_a_runner_that_holds_the_prefix_is_chosen(self):
@@ -94,9 +106,13 @@
             homes = set()
             for seed in range(20):
                 other = placement.Placer(
-                    "serra-a", self.runners, loads.LoadBook(),
-                    prefixes.PrefixIndex(), self.ejector, random.Random(seed),
-                )  # fmt: skip
+                    "serra-a",
+                    self.runners,
+                    loads.LoadBook(),
+                    prefixes.PrefixIndex(),
+                    self.ejector,
+                    random.Random(seed),
+                )
                 ask = placement.ModelAsk(
                     "serrana", "reviews", blocks.chain_blocks(_PROMPT), 640
                 )
--- a/tests/test_daemon/test_work_table.py
+++ b/tests/test_daemon/test_work_table.py
@@ -11,10 +11,16 @@
 def _accept(offset: int, *, is_carried: bool = False) -> bytes:
     return records.encode(
         records.Accepted(
-            ticket="team.1", team="team", route="review", written_at=offset,
-            config_offset=1, offset=offset, count=1, is_carried=is_carried,
+            ticket="team.1",
+            team="team",
+            route="review",
+            written_at=offset,
+            config_offset=1,
+            offset=offset,
+            count=1,
+            is_carried=is_carried,
         )
-    )  # fmt: skip
+    )
 
 
 def _complete(offset: int) -> bytes:
--- a/tests/test_promises/test_configuration.py
+++ b/tests/test_promises/test_configuration.py
@@ -14,8 +14,9 @@
 
 _Code = results.ResultCode
 _OPERATORS = {
-    "serrana": "serrana-operator", "lindqvist": "lindqvist-operator",
-}  # fmt: skip
+    "serrana": "serrana-operator",
+    "lindqvist": "lindqvist-operator",
+}
 
 
 async def _read_weight(
@@ -60,9 +61,10 @@
                 partner = daemon.process.settings.partner
                 for step in range(4):
                     await scene.ask(
-                        daemon, f"set team counter weight={number + step + 1}",
+                        daemon,
+                        f"set team counter weight={number + step + 1}",
                         _OPERATORS[partner],
-                    )  # fmt: skip
+                    )
 
             async with trio.open_nursery() as nursery:
                 for number, daemon in enumerate(daemons):
@@ -113,7 +115,7 @@
                     "counter",
                     1,
                     None,
-                )  # fmt: skip
+                )
                 for partner in ("lindqvist", "serrana")
             ]
             for change in forged:
@@ -226,6 +228,22 @@
 
         self.run_scene(scenario)
 
+    def test_a_fresh_daemon_without_list_and_log_starts_from_its_seeds(self):
+        async def scenario(scene: scenarios.Scene) -> None:
+            older = await self._publish_and_truncate(scene)
+            scene.world.log.set_faults({"down": True})
+            scene.world.instances.set_faults({"down": True})
+            fresh = await scene.world.start_daemon(
+                world.SERRANA,
+                "serra-c",
+                "entry-fresh",
+                seeds=[older.addresses.peers],
+            )
+            await scene.wait_ready([fresh])
+            self.assertEqual(5, await _read_weight(scene, fresh))
+
+        self.run_scene(scenario)
+
     async def _publish_and_truncate(
         self, scene: scenarios.Scene
     ) -> world.LocalDaemon:
--- a/tests/test_promises/test_whole_answers.py
+++ b/tests/test_promises/test_whole_answers.py
@@ -48,9 +48,11 @@
             async def ask(number: int) -> None:
                 prompt = f"order {number} of the harvest"
                 reply = await scene.caller.chat(
-                    daemons[number % 2], prompt=prompt, max_tokens=15,
+                    daemons[number % 2],
+                    prompt=prompt,
+                    max_tokens=15,
                     stream=number % 3 == 0,
-                )  # fmt: skip
+                )
                 replies[prompt] = reply.read_text()
 
             async with trio.open_nursery() as nursery:
@@ -155,7 +157,7 @@
                     prompt="long brief " * 200,
                     max_tokens=60,
                     stream=True,
-                )  # fmt: skip
+                )
             )
 
         async with trio.open_nursery() as nursery:
