--- a/bench/idle_cost.py
+++ b/bench/idle_cost.py
@@ -14,9 +14,8 @@
 
 _SIZES = flags.DEFINE_list("sizes", ["2", "4", "8", "16", "32"], "Daemons.")
 _SECONDS = flags.DEFINE_float("seconds", 12.0, "Seconds a measurement.")
+_HEARTBEAT_S = flags.DEFINE_float("heartbeat_s", 1.0, "Heartbeat interval.")
 _TIMING = {
-    "heartbeat_s": 1.0,
-    "suspect_after_s": 3.0,
     "dead_after_s": 5.0,
     "list_poll_s": 1.0,
     "load_poll_s": 0.5,
@@ -47,7 +46,14 @@
             zone = plan.zones[number // 2 % len(plan.zones)]
             daemons.append(
                 await place.start_process(
-                    plan, zone, f"entry-{number}", timing=_TIMING
+                    plan,
+                    zone,
+                    f"entry-{number}",
+                    timing=_TIMING
+                    | {
+                        "heartbeat_s": _HEARTBEAT_S.value,
+                        "suspect_after_s": 3 * _HEARTBEAT_S.value,
+                    },
                 )
             )
         await trio.sleep(5.0)
--- a/bench/routing/sites.py
+++ b/bench/routing/sites.py
@@ -113,7 +113,13 @@
         )
         self.runners.listen_for_leaving(self.dispatcher.move_streams)
         self.feeds = feeds.RunnerFeeds(
-            client, self.runners, config, self.loads, self.index, _LOAD_POLL_S
+            client,
+            self.runners,
+            config,
+            self.loads,
+            self.index,
+            me.member,
+            _LOAD_POLL_S,
         )
 
     async def serve(self, name: str, arrival: workloads.Arrival) -> Outcome:
--- a/packages/daemon/src/martenquay_daemon/dispatch/model.py
+++ b/packages/daemon/src/martenquay_daemon/dispatch/model.py
@@ -95,6 +95,31 @@
     zone: str = ""
 
 
+@dataclasses.dataclass
+class _Journey:
+    """One request on its way over one or more runners.
+
+    Attributes:
+        request: The request.
+        sink: Where its tokens go.
+        usage: What it has taken so far.
+        chain: Hashes of the prompt's blocks.
+        cause: Why it left its last runner; empty on the first one.
+        left: The reclaimed runner whose cache may be brought along.
+        excluded: Runners that it has left.
+        back_off_s: How long to wait for a runner next time.
+    """
+
+    request: ModelRequest
+    sink: TokenSink
+    usage: Usage
+    chain: list[int]
+    cause: str = ""
+    left: instances.Instance | None = None
+    excluded: set[str] = dataclasses.field(default_factory=set)
+    back_off_s: float = _BACK_OFF_S
+
+
 @dataclasses.dataclass(frozen=True)
 class _Finished:
     """The answer is whole."""
@@ -176,56 +201,56 @@
         self._budget.note_call()
         failure: results.Failure | None = None
         with trio.move_on_at(request.deadline) as limit:
-            failure = await self._try_runners(request, sink, usage)
+            chain = blocks.chain_blocks(request.prompt)
+            journey = _Journey(request, sink, usage, chain)
+            failure = await self._try_runners(journey)
         if limit.cancelled_caught:
             failure = _explain_deadline(usage)
         return Error(failure) if failure else Ok(usage)
 
-    async def _try_runners(
-        self, request: ModelRequest, sink: TokenSink, usage: Usage
-    ) -> results.Failure | None:
-        chain = blocks.chain_blocks(request.prompt)
-        excluded: set[str] = set()
-        left: instances.Instance | None = None
-        cause = ""
-        back_off_s = _BACK_OFF_S
+    async def _try_runners(self, journey: _Journey) -> results.Failure | None:
         while True:
-            ask = placement.ModelAsk(
-                request.partner,
-                request.pool,
-                chain,
-                usage.prompt_tokens + len(usage.generated),
-                frozenset(excluded),
-                request.urgency is objects.Urgency.DEFERRABLE,
-            )
-            chosen = self._placer.place(ask)
+            chosen = self._place(journey)
             if chosen is None:
-                if usage.attempts == 0:
-                    return _explain_no_runner(request)
-                # The stream has begun: wait for a runner, try all again.
-                excluded.clear()
-                await trio.sleep(back_off_s)
-                back_off_s = min(back_off_s * 2, _LONGEST_BACK_OFF_S)
+                if journey.usage.attempts == 0:
+                    return _explain_no_runner(journey.request)
+                await _wait_for_runner(journey)
                 continue
-            self._note_placement(request, chosen, cause)
-            if left is not None:
-                await self._bring_cache(request, usage, left, chosen.runner)
-            end = await self._attempt(request, sink, usage, chosen, cause)
-            left = None
+            self._note_placement(journey, chosen)
+            if journey.left is not None:
+                await self._bring_cache(journey, journey.left, chosen.runner)
+            end = await self._attempt(journey, chosen)
+            journey.left = None
+            journey.excluded.add(chosen.runner.name)
             match end:
                 case _Finished():
                     return None
                 case _Reclaimed():
-                    left = chosen.runner
-                    cause = "reclaimed"
+                    journey.left = chosen.runner
+                    journey.cause = "reclaimed"
                 case _Lost(reason=reason):
-                    cause = "lost"
-                    await self._note_loss(request, chosen.runner, reason)
-            excluded.add(chosen.runner.name)
+                    journey.cause = "lost"
+                    await self._note_loss(
+                        journey.request, chosen.runner, reason
+                    )
+
+    def _place(self, journey: _Journey) -> placement.Placement | None:
+        request, usage = journey.request, journey.usage
+        return self._placer.place(
+            placement.ModelAsk(
+                request.partner,
+                request.pool,
+                journey.chain,
+                usage.prompt_tokens + len(usage.generated),
+                frozenset(journey.excluded),
+                request.urgency is objects.Urgency.DEFERRABLE,
+            )
+        )
 
     def _note_placement(
-        self, request: ModelRequest, chosen: placement.Placement, cause: str
+        self, journey: _Journey, chosen: placement.Placement
     ) -> None:
+        request, cause = journey.request, journey.cause
         reason = chosen.explain()
         runner = chosen.runner
         after = f" after its runner was {cause}" if cause else ""
@@ -259,13 +284,9 @@
             await trio.sleep(_BACK_OFF_S)
 
     async def _attempt(
-        self,
-        request: ModelRequest,
-        sink: TokenSink,
-        usage: Usage,
-        chosen: placement.Placement,
-        cause: str,
+        self, journey: _Journey, chosen: placement.Placement
     ) -> _End:
+        request, usage = journey.request, journey.usage
         runner = chosen.runner
         usage.attempts += 1
         usage.runner, usage.zone = runner.name, runner.zone
@@ -281,7 +302,7 @@
         service_s: float | None = None
         end: _End = _Lost("given up")
         try:
-            end = await self._stream(request, sink, usage, chosen, order, cause)
+            end = await self._stream(journey, chosen, order)
         except engine.StreamLostError as error:
             end = _Lost(str(error))
         finally:
@@ -295,12 +316,9 @@
 
     async def _stream(
         self,
-        request: ModelRequest,
-        sink: TokenSink,
-        usage: Usage,
+        journey: _Journey,
         chosen: placement.Placement,
         order: orders.GenerateOrder,
-        cause: str,
     ) -> _End:
         runner = chosen.runner
         sequence = relay.TokenOrder(
@@ -323,31 +341,19 @@
                         case _ if not sequence.is_own(event):
                             continue
                         case orders.StreamStarted():
-                            self._note_started(
-                                event, chosen, usage, cause, opened
-                            )
-                            self._index.note_held(
-                                runner.name,
-                                blocks.chain_blocks(request.prompt),
-                            )
+                            self._note_started(journey, chosen, event, opened)
                         case orders.TokenEvent():
                             for text in sequence.take(event):
-                                await self._pass_on(
-                                    request, sink, usage, text, opened
-                                )
+                                await self._pass_on(journey, text, opened)
                         case orders.StreamFinished(count=count):
                             if sequence.is_whole(count):
                                 return _Finished()
                             return _Lost("tokens are missing")
 
     async def _pass_on(
-        self,
-        request: ModelRequest,
-        sink: TokenSink,
-        usage: Usage,
-        text: str,
-        opened: float,
+        self, journey: _Journey, text: str, opened: float
     ) -> None:
+        request, usage = journey.request, journey.usage
         if not usage.generated:
             waited_s = trio.current_time() - opened
             self._metrics.first_token_s.observe(
@@ -355,16 +361,17 @@
             )
         usage.generated.append(text)
         self._requests.count_tokens(request.request_id, len(usage.generated))
-        await sink.take(text)
+        await journey.sink.take(text)
 
     def _note_started(
         self,
-        event: orders.StreamStarted,
+        journey: _Journey,
         chosen: placement.Placement,
-        usage: Usage,
-        cause: str,
+        event: orders.StreamStarted,
         opened: float,
     ) -> None:
+        usage, cause = journey.usage, journey.cause
+        self._index.note_held(chosen.runner.name, journey.chain)
         computed = event.prompt_tokens - event.cached_tokens
         usage.started_at = trio.current_time()
         seconds = usage.started_at - opened
@@ -393,13 +400,13 @@
 
     async def _bring_cache(
         self,
-        request: ModelRequest,
-        usage: Usage,
+        journey: _Journey,
         source: instances.Instance,
         target: instances.Instance,
     ) -> None:
         """Move the KV cache if both runners answer in time."""
-        text = request.prompt + " " + "".join(usage.generated)
+        request = journey.request
+        text = request.prompt + " " + "".join(journey.usage.generated)
         with trio.move_on_after(_MOVE_S):
             exported = await self._client.export_cache(source.address, text)
             if exported.is_ok():
@@ -425,6 +432,13 @@
     return request.urgency.rank + borrowed
 
 
+async def _wait_for_runner(journey: _Journey) -> None:
+    """Wait, then try all runners again: the stream has begun."""
+    journey.excluded.clear()
+    await trio.sleep(journey.back_off_s)
+    journey.back_off_s = min(journey.back_off_s * 2, _LONGEST_BACK_OFF_S)
+
+
 def _explain_deadline(usage: Usage) -> results.Failure:
     if usage.attempts == 0:
         return results.Failure(
--- a/packages/daemon/src/martenquay_daemon/parts.py
+++ b/packages/daemon/src/martenquay_daemon/parts.py
@@ -181,6 +181,7 @@
             self.config,
             self.loads,
             self._index,
+            self.members.me.member,
             settings.timing.load_poll_s,
         )
 
--- a/packages/daemon/src/martenquay_daemon/routing/feeds.py
+++ b/packages/daemon/src/martenquay_daemon/routing/feeds.py
@@ -9,6 +9,7 @@
 
 from martenquay_core import logs
 from martenquay_core.config import objects
+from martenquay_core.util import rendezvous
 
 if TYPE_CHECKING:
     from martenquay_core.platform import instances
@@ -17,7 +18,7 @@
     from martenquay_daemon.membership import directory
     from martenquay_daemon.routing import loads, prefixes
 
-__all__ = ["RunnerFeeds"]
+__all__ = ["RunnerFeeds", "choose_watched"]
 
 _LOG = logs.create_log("routing")
 _REVIEW_S = 0.5
@@ -38,9 +39,11 @@
         config: store.ConfigStore,
         load_book: loads.LoadBook,
         index: prefixes.PrefixIndex,
+        member: str,
         poll_s: float,
     ) -> None:
         self._client = client
+        self._member = member
         self._runners = runners
         self._config = config
         self._loads = load_book
@@ -57,7 +60,8 @@
 
     def _review(self, nursery: trio.Nursery) -> None:
         models = [r for r in self._runners.list_all() if self._is_model(r)]
-        wanted = {runner.name: runner for runner in models[:MAX_WATCHED]}
+        chosen = choose_watched(self._member, [r.name for r in models])
+        wanted = {r.name: r for r in models if r.name in chosen}
         for name in set(self._scopes) - set(wanted):
             self._scopes.pop(name).cancel()
             self._index.forget_runner(name)
@@ -123,3 +127,10 @@
         )
         self._index.replace_runner(runner.name, listed.ok.blocks)
         return listed.ok.number
+
+
+def choose_watched(member: str, runners: list[str]) -> set[str]:
+    """Return the runners that a daemon watches, others at other daemons."""
+    if len(runners) <= MAX_WATCHED:
+        return set(runners)
+    return set(rendezvous.rank_candidates(member, runners)[:MAX_WATCHED])
--- a/packages/standins/src/martenquay_standins/engine.py
+++ b/packages/standins/src/martenquay_standins/engine.py
@@ -67,6 +67,7 @@
         swap_tokens: Send each pair of token events in the wrong order.
         foreign_tokens: Mix in events of another request.
         event_gap: Leave out every n-th cache event; 0 for none.
+        event_lag_s: Seconds by which cache events are behind.
         load_lag_s: Seconds by which the load report is behind.
     """
 
@@ -75,6 +76,7 @@
     swap_tokens: bool = False
     foreign_tokens: bool = False
     event_gap: int = 0
+    event_lag_s: float = 0.0
     load_lag_s: float = 0.0
 
 
@@ -303,6 +305,7 @@
         wait_s = int(request.query.get("wait_ms", "0")) / 1000
         with trio.move_on_after(wait_s):
             await self._event_end.wait_beyond(start)
+        await trio.sleep(self.faults.event_lag_s)
         gap = self.faults.event_gap
         shown = [
             event
