--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -110,7 +110,7 @@
     ),
     Mutation(
         "streams stay on a leaving runner",
-        f"{_DAEMON}/daemon.py",
+        f"{_DAEMON}/parts.py",
         "        self.runners.listen_for_leaving(self._models.move_streams)\n",
         "",
         f"{_PROMISES}.test_whole_answers.StreamTest",
--- a/packages/standins/src/martenquay_standins/demo.py
+++ b/packages/standins/src/martenquay_standins/demo.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 import os
 import sys
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import trio
 from absl import app, flags
@@ -17,6 +18,9 @@
 from martenquay_core.util import http
 from martenquay_standins import world
 
+if TYPE_CHECKING:
+    from martenquay_daemon import daemon
+
 _HOLD = flags.DEFINE_bool(
     "hold", False, "Keep the fleet up until Ctrl-C, for use with the client."
 )
@@ -24,6 +28,19 @@
 _STATUS_OK = 200
 
 
+@dataclasses.dataclass(frozen=True)
+class _Desk:
+    """A daemon as callers and operators turn to it.
+
+    Attributes:
+        addresses: Where it listens.
+        operator: The credential of an operator.
+    """
+
+    addresses: daemon.Addresses
+    operator: str
+
+
 def main(argv: list[str]) -> int:
     """Start the fleet, send one request of each kind, and stop it."""
     del argv
@@ -44,8 +61,9 @@
         )
         good = True
         for plan in place.plans:
-            address = daemons[plan.zones[0]].addresses.callers
-            good &= await _send_requests(client, plan, address)
+            addresses = daemons[plan.zones[0]].addresses
+            desk = _Desk(addresses, plan.operator_credential)
+            good &= await _send_requests(client, plan, desk)
         if _HOLD.value:
             _explain_client(place, daemons)
             await trio.sleep_forever()
@@ -84,18 +102,18 @@
 
 
 async def _send_requests(
-    client: http.HttpClient, plan: world.PartnerPlan, address: str
+    client: http.HttpClient, plan: world.PartnerPlan, daemon: _Desk
 ) -> bool:
     headers = [(b"authorization", f"Bearer {plan.name}-counter".encode())]
     chat = _build_chat("chat", "Is the bracket in part 7 printable? " * 20)
     brief = _build_chat("review", "Review this order history. " * 200)
-    good = await _show(client, "chat, whole", address, headers, chat)
+    good = await _show(client, "chat, whole", daemon, headers, chat)
     streamed = chat | {"stream": True}
-    good &= await _show(client, "chat, streamed", address, headers, streamed)
+    good &= await _show(client, "chat, streamed", daemon, headers, streamed)
     good &= await _show(
         client,
         "order status",
-        address,
+        daemon,
         headers,
         None,
         "/services/status/orders/7",
@@ -105,12 +123,12 @@
         good &= await _show(
             client,
             f"slot booking{again}",
-            address,
+            daemon,
             keyed,
             {"slot": 9},
             "/services/booking/slots",
         )
-    return good & await _defer(client, address, headers, brief)
+    return good & await _defer(client, daemon.addresses.callers, headers, brief)
 
 
 def _build_chat(route: str, content: str) -> dict[str, Any]:
@@ -121,7 +139,7 @@
 async def _show(
     client: http.HttpClient,
     title: str,
-    address: str,
+    daemon: _Desk,
     headers: http.Headers,
     content: dict[str, Any] | None,
     path: str = "/v1/chat/completions",
@@ -129,21 +147,37 @@
     body = json.dumps(content).encode() if content else b""
     answer = await client.call(
         "POST" if content else "GET",
-        f"http://{address}{path}",
+        f"http://{daemon.addresses.callers}{path}",
         headers=headers,
         body=body,
     )
     if answer.is_error():
         print(f"{title}: {answer.error.message}")
         return False
-    fields = dict(answer.ok.headers)
-    place = fields.get(b"x-martenquay-runner", b"(see its log)").decode()
-    zone = fields.get(b"x-martenquay-zone", b"-").decode()
-    print(f"{title}: {answer.ok.status}, ran on {place} in {zone}")
+    request_id = dict(answer.ok.headers)[b"x-request-id"].decode()
+    print(f"{title}: {answer.ok.status}")
     print(f"    {answer.ok.body.decode()[:150]!r}")
+    for line in await _ask_why(client, daemon, request_id):
+        print(f"    {line}")
     return answer.ok.status < 300
 
 
+async def _ask_why(
+    client: http.HttpClient, daemon: _Desk, request_id: str
+) -> list[str]:
+    """Return where a request ran and why, as operators are told."""
+    answer = await client.call(
+        "POST",
+        f"http://{daemon.addresses.operators}/v1/query",
+        headers=[(b"authorization", f"Bearer {daemon.operator}".encode())],
+        body=json.dumps({"text": f"why {request_id}"}).encode(),
+    )
+    if answer.is_error() or answer.ok.status != _STATUS_OK:
+        return ["not run again: this is the kept answer"]
+    rows = json.loads(answer.ok.body)["rows"]
+    return [f"ran on {row['runner']}: {row['reason']}" for row in rows]
+
+
 async def _defer(
     client: http.HttpClient,
     address: str,
