Count runners that boot when ordering; keep zones that lost all theirs

Change: an order that was accepted and is not met counts as booting until it is overdue. Nothing dearer is bought for what boots, nothing is given up before it serves; reclaimable orders go out before on-demand ones are decided. Zones in which a service ever had a runner stay in the plan.

Ruled out: dropping the sum over all zones but one; it stays, now over what serves and boots.

--- a/packages/daemon/src/martenquay_daemon/discovery/runner_directory.py
+++ b/packages/daemon/src/martenquay_daemon/discovery/runner_directory.py
@@ -52,6 +52,7 @@
         self._lapsing: dict[str, float] = {}
         self._gone: dict[str, float] = {}
         self._left: dict[str, float] = {}
+        self._zones: dict[str, set[str]] = {}
 
     def replace_all(self, snapshot: ports.Snapshot) -> None:
         """Take the newest entries; runners without one are gone."""
@@ -107,6 +108,10 @@
             if not runner.is_leaving and runner.id not in self._gone
         ]
 
+    def list_zones(self, service: str) -> set[str]:
+        """Return the zones in which a service has ever had a runner."""
+        return set(self._zones.get(service, ()))
+
     def note_gone(self, runner_id: str) -> None:
         """Note that another runner answered at this one's address."""
         if runner_id in self._runners and runner_id not in self._gone:
@@ -124,6 +129,7 @@
         previous = self._runners.get(runner.id)
         self._runners[runner.id] = runner
         self._copies[runner.id] = copy
+        self._zones.setdefault(runner.service, set()).add(runner.zone)
         self._lapsing.pop(runner.id, None)
         if previous is None:
             self._note_new(runner)
--- a/packages/daemon/src/martenquay_daemon/duties/capacity_keeper.py
+++ b/packages/daemon/src/martenquay_daemon/duties/capacity_keeper.py
@@ -14,7 +14,7 @@
 from martenquay_daemon.duties import capacity_plan
 
 if TYPE_CHECKING:
-    from martenquay_core.serving import catalog
+    from martenquay_core.serving import catalog, runners
     from martenquay_daemon.discovery import catalog_store, runner_directory
     from martenquay_daemon.duties import lease
     from martenquay_daemon.engines import demand, loads
@@ -75,6 +75,38 @@
     wanted: int = -1
     sent_at: float = -math.inf
     status: int = 0
+    serving: int = 0
+    is_met: bool = False
+
+    def note_sent(self, wanted: int) -> None:
+        """Note an order before its answer is known."""
+        self.wanted = wanted
+        self.sent_at = trio.current_time()
+        self.status = 0
+        self.is_met = self.serving >= wanted
+
+    def note_serving(self, serving: int) -> None:
+        """Note how many serve now."""
+        self.serving = serving
+        self.is_met = self.is_met or serving >= self.wanted
+
+    def count_booting(self, now: float, boot_s: float) -> int:
+        """Return how many of this order are still to come."""
+        is_late = now - self.sent_at > boot_s + _OVERDUE_S
+        if self.status != _OK or self.is_met or is_late:
+            return 0
+        return self.wanted - self.serving
+
+    def is_due(self, now: float, wanted: int, boot_s: float) -> bool:
+        """Tell whether an order for so many has to be sent now."""
+        age_s = now - self.sent_at
+        if self.status != _OK:
+            return wanted != self.serving and age_s > _REFUSED_S
+        if self.wanted != wanted:
+            return True
+        # Those that came and went were taken back.
+        longest_s = _REFUSED_S if self.is_met else boot_s + _OVERDUE_S
+        return self.serving < wanted and age_s > longest_s
 
 
 @dataclasses.dataclass
@@ -119,17 +151,54 @@
     async def _keep(
         self, service: catalog.Service, limits: catalog.ScalingLimits
     ) -> None:
-        serving = self._parts.directory.list_usable(service.name)
-        zones = set(limits.zone_prices) or {r.zone for r in serving}
-        used = {r.zone for r in self._parts.directory.list_all(service.name)}
-        state = capacity_plan.ServiceState(
-            limits, tuple(sorted(zones & used or zones)), tuple(serving)
-        )
+        state = self._find_state(service.name, limits)
         needed = self._find_needed(service, state)
         for order in capacity_plan.plan_service(state, needed):
             await self._order(service, state, order, is_reclaimable=True)
+        # What the platform has just promised need not be bought dearer.
+        state = self._find_state(service.name, limits)
+        for order in capacity_plan.plan_service(state, needed):
             await self._order(service, state, order, is_reclaimable=False)
 
+    def _find_state(
+        self, service: str, limits: catalog.ScalingLimits
+    ) -> capacity_plan.ServiceState:
+        serving = tuple(self._parts.directory.list_usable(service))
+        # A zone whose runners were all taken back stays one to order in.
+        used = self._parts.directory.list_zones(service)
+        zones = set(limits.zone_prices) or used
+        return capacity_plan.ServiceState(
+            limits,
+            tuple(sorted(zones & used or zones)),
+            serving,
+            self._list_booting(service, limits, serving),
+        )
+
+    def _list_booting(
+        self,
+        service: str,
+        limits: catalog.ScalingLimits,
+        serving: tuple[runners.Runner, ...],
+    ) -> tuple[capacity_plan.BootingRunners, ...]:
+        """Return what was promised lately and does not serve yet."""
+        now = trio.current_time()
+        found = []
+        for (name, zone, is_reclaimable), line in self._lines.items():
+            if name != service:
+                continue
+            line.note_serving(
+                sum(
+                    one.zone == zone and one.is_reclaimable == is_reclaimable
+                    for one in serving
+                )
+            )
+            missing = line.count_booting(now, limits.boot_s)
+            if missing > 0:
+                found.append(
+                    capacity_plan.BootingRunners(zone, is_reclaimable, missing)
+                )
+        return tuple(found)
+
     def _find_needed(
         self, service: catalog.Service, state: capacity_plan.ServiceState
     ) -> int:
@@ -188,12 +257,12 @@
             (service.name, order.zone, is_reclaimable), _Line()
         )
         serving = state.count(order.zone, is_reclaimable=is_reclaimable)
-        if not self._is_due(line, wanted, serving, state.limits.boot_s):
+        line.note_serving(serving)
+        if not line.is_due(trio.current_time(), wanted, state.limits.boot_s):
             return
         if not self._parts.lease.is_held(_CALL_S):
             return
-        line.wanted = wanted
-        line.sent_at = trio.current_time()
+        line.note_sent(wanted)
         answer = await self._parts.cloud.order_runners(
             ports.RunnerOrderLine(
                 service.name, order.zone, is_reclaimable, wanted
@@ -215,13 +284,3 @@
             error=None if answer.is_ok() else answer.error.message,
             fence=self._fence,
         )
-
-    def _is_due(
-        self, line: _Line, wanted: int, serving: int, boot_s: float
-    ) -> bool:
-        age_s = trio.current_time() - line.sent_at
-        if line.status != _OK:
-            return wanted != serving and age_s > _REFUSED_S
-        if line.wanted != wanted:
-            return True
-        return serving < wanted and age_s > boot_s + _OVERDUE_S
--- a/packages/daemon/src/martenquay_daemon/duties/capacity_plan.py
+++ b/packages/daemon/src/martenquay_daemon/duties/capacity_plan.py
@@ -16,7 +16,13 @@
 if TYPE_CHECKING:
     from martenquay_core.serving import catalog, runners
 
-__all__ = ["CapacityNeed", "ServiceState", "ZoneOrder", "plan_service"]
+__all__ = [
+    "BootingRunners",
+    "CapacityNeed",
+    "ServiceState",
+    "ZoneOrder",
+    "plan_service",
+]
 
 # What one engine reads in a second; the sites' engines read 32,400 alone.
 _READ_TOKENS_PER_S = 30_000.0
@@ -46,6 +52,21 @@
         return max(1, math.ceil(max(for_reading, for_slots)))
 
 
+@dataclasses.dataclass(frozen=True)
+class BootingRunners:
+    """Runners that the platform has promised and that do not serve yet.
+
+    Attributes:
+        zone: Their availability zone.
+        is_reclaimable: Of which kind they are.
+        count: How many.
+    """
+
+    zone: str
+    is_reclaimable: bool
+    count: int
+
+
 @dataclasses.dataclass(frozen=True)
 class ServiceState:
     """The runners of a service as they are.
@@ -54,19 +75,39 @@
         limits: What may be ordered.
         zones: Availability zones in which it may run.
         runners: Runners that are not leaving.
+        booting: Runners that were ordered and are still to come.
     """
 
     limits: catalog.ScalingLimits
     zones: tuple[str, ...]
     runners: tuple[runners.Runner, ...]
+    booting: tuple[BootingRunners, ...] = ()
 
     def count(self, zone: str, *, is_reclaimable: bool) -> int:
-        """Return the runners of one kind in a zone."""
+        """Return the runners of one kind that serve in a zone."""
         return sum(
             runner.zone == zone and runner.is_reclaimable == is_reclaimable
             for runner in self.runners
         )
 
+    def count_coming(self, zone: str, *, is_reclaimable: bool) -> int:
+        """Return the runners of one kind that serve in a zone or boot there."""
+        return self.count(zone, is_reclaimable=is_reclaimable) + sum(
+            one.count
+            for one in self.booting
+            if one.zone == zone and one.is_reclaimable == is_reclaimable
+        )
+
+    def count_certain(self, *, is_coming: bool) -> int:
+        """Return the reclaimable runners left when a zone's are taken back.
+
+        Args:
+            is_coming: Count those that boot as well.
+        """
+        count = self.count_coming if is_coming else self.count
+        zones = [count(zone, is_reclaimable=True) for zone in self.zones]
+        return sum(zones) - max(zones, default=0)
+
 
 @dataclasses.dataclass(frozen=True)
 class ZoneOrder:
@@ -97,9 +138,7 @@
     others = max(1, len(state.zones) - 1)
     a_zone = math.ceil(needed / others)
     a_zone = max(limits.least, min(limits.most, a_zone))
-    serving = [state.count(zone, is_reclaimable=True) for zone in state.zones]
-    certain = sum(serving) - max(serving, default=0)
-    on_demand = _choose_on_demand(state, max(0, needed - certain))
+    on_demand = _choose_on_demand(state, _count_on_demand(state, needed))
     return [
         ZoneOrder(
             zone,
@@ -110,8 +149,22 @@
     ]
 
 
+def _count_on_demand(state: ServiceState, needed: int) -> int:
+    """Return how many on-demand runners to have.
+
+    None is bought for what boots already, for it would come no sooner. None
+    is given up before what boots serves.
+    """
+    least = max(0, needed - state.count_certain(is_coming=True))
+    most = max(0, needed - state.count_certain(is_coming=False))
+    held = sum(
+        state.count_coming(zone, is_reclaimable=False) for zone in state.zones
+    )
+    return min(most, max(least, held))
+
+
 def _choose_on_demand(state: ServiceState, missing: int) -> dict[str, int]:
-    """Spread on-demand runners: where some serve already, then by price.
+    """Spread on-demand runners: where they serve or boot, then by price.
 
     None takes the place of a reclaimable runner that serves.
     """
@@ -122,7 +175,7 @@
 
     def rank(zone: str) -> tuple[bool, float]:
         already = chosen.get(zone, 0)
-        is_new = state.count(zone, is_reclaimable=False) <= already
+        is_new = state.count_coming(zone, is_reclaimable=False) <= already
         price = state.limits.zone_prices.get(zone, 1.0)
         return is_new, price * (1 + already)
 
