Follow a holder that cannot renew at once; reckon with waves of reclaims

A candidate read the lease's topic only when it no longer heard of a holder, and waited the lease out from that reading.

Change: the holder tells in its digests where the topic ends and how long it may still act; a candidate waits for that time and writes its record at that end, so a record it does not know of refuses it. Targets are followed without the lease too. While the platform refuses reclaimable runners, none that serve count as certain. What is needed falls after 12 s in place of 20, and a backlog asks for cheap runners only. lease.py is split: the topic has a module of its own.

--- a/packages/daemon/src/martenquay_daemon/duties/capacity_keeper.py
+++ b/packages/daemon/src/martenquay_daemon/duties/capacity_keeper.py
@@ -28,17 +28,23 @@
 _CALL_S = 0.5
 # A refused order is tried again after this, not in a tight loop.
 _REFUSED_S = 1.5
+# A refusal tells of the platform for so long: until after the next try.
+_DRY_S = 2.5
 # An order whose runners have not come is sent again so long after they
 # should serve: its answer may have been lost, or they were reclaimed.
 _OVERDUE_S = 2.5
 # Less is ordered only when less has been needed for so long: waves of a day
 # come back, and a runner takes seconds to boot.
-_LOWER_AFTER_S = 20.0
+_LOWER_AFTER_S = 12.0
 # Before so many seconds of traffic have been seen, this part of the runners
 # that there were at first is needed. Operators provide for peaks; the part is
-# what a peak takes of the sites' pools when read load is as planned.
+# what a peak takes of the sites' pools when read load is as planned. All of
+# them are comfortable: engines that start have nothing cached.
 _LEARN_S = 15.0
 _START_PART = 0.6
+# A reclaimable runner costs a fifth of another one, and prompts that are
+# cached elsewhere make engines read four tenths more than is expected.
+_COMFORT = 1.0
 _OK = 200
 _REFUSED = 409
 
@@ -110,13 +116,28 @@
 
 
 @dataclasses.dataclass
-class _Need:
-    """How many runners a service needs, slow to fall."""
+class _SlowFall:
+    """A number that rises at once and falls only after a while."""
 
     count: int = 0
     lower_since: float | None = None
     lower: int = 0
 
+    def follow(self, now: float, count: int) -> int:
+        """Take the newest figure; return the one to go by."""
+        if count >= self.count:
+            self.count = count
+            self.lower_since = None
+            return self.count
+        if self.lower_since is None:
+            self.lower_since = now
+            self.lower = count
+        self.lower = max(self.lower, count)
+        if now - self.lower_since > _LOWER_AFTER_S:
+            self.count = self.lower
+            self.lower_since = None
+        return self.count
+
 
 class CapacityKeeper:
     """Keep as many runners as the load takes, as cheap as can be."""
@@ -124,7 +145,8 @@
     def __init__(self, parts: CapacityParts) -> None:
         self._parts = parts
         self._lines: dict[tuple[str, str, bool], _Line] = {}
-        self._needs: dict[str, _Need] = {}
+        self._needs: dict[str, _SlowFall] = {}
+        self._comforts: dict[str, _SlowFall] = {}
         self._first_counts: dict[str, int] = {}
         self._fence = 0
         self._busy_since: float | None = None
@@ -136,13 +158,6 @@
         await trio.sleep(_SETTLE_S)
         while True:
             await trio.sleep(_POLL_S)
-            if not self._parts.lease.is_held(_CALL_S):
-                continue
-            if self._fence != self._parts.lease.fence:
-                self._fence = self._parts.lease.fence
-                # A former holder's orders are not known.
-                self._lines.clear()
-                self._first_counts.clear()
             services = self._parts.store.table.catalog.services
             for service in list(services.values()):
                 if service.scaling is not None and service.engine is not None:
@@ -152,13 +167,20 @@
         self, service: catalog.Service, limits: catalog.ScalingLimits
     ) -> None:
         state = self._find_state(service.name, limits)
-        needed = self._find_needed(service, state)
-        for order in capacity_plan.plan_service(state, needed):
-            await self._order(service, state, order, is_reclaimable=True)
+        # Followed without the lease as well: a successor knows what is needed.
+        target = self._find_target(service, state)
+        if not self._parts.lease.is_held(_CALL_S):
+            return
+        if self._fence != self._parts.lease.fence:
+            self._fence = self._parts.lease.fence
+            # A former holder's orders are not known.
+            self._lines.clear()
+        for order in capacity_plan.plan_reclaimable(state, target):
+            await self._order(service.name, state, order)
         # What the platform has just promised need not be bought dearer.
         state = self._find_state(service.name, limits)
-        for order in capacity_plan.plan_service(state, needed):
-            await self._order(service, state, order, is_reclaimable=False)
+        for order in capacity_plan.plan_on_demand(state, target):
+            await self._order(service.name, state, order)
 
     def _find_state(
         self, service: str, limits: catalog.ScalingLimits
@@ -172,6 +194,18 @@
             tuple(sorted(zones & used or zones)),
             serving,
             self._list_booting(service, limits, serving),
+            self._is_dry(service),
+        )
+
+    def _is_dry(self, service: str) -> bool:
+        """Tell whether reclaimable runners were refused just now."""
+        oldest = trio.current_time() - _DRY_S
+        return any(
+            name == service
+            and is_reclaimable
+            and line.status == _REFUSED
+            and line.sent_at > oldest
+            for (name, _, is_reclaimable), line in self._lines.items()
         )
 
     def _list_booting(
@@ -199,37 +233,29 @@
                 )
         return tuple(found)
 
-    def _find_needed(
+    def _find_target(
         self, service: catalog.Service, state: capacity_plan.ServiceState
-    ) -> int:
-        """Return the runners needed; falls only after a while."""
+    ) -> capacity_plan.CapacityTarget:
+        """Return the runners to aim for; they fall only after a while."""
         now = trio.current_time()
         slots = service.engine.slots if service.engine else 1
         measured = self._measure(service.name)
-        count = measured.count_runners(slots)
+        count = measured.count_needed(slots)
+        busy = measured.count_busy(slots)
+        comfortable = max(busy, math.ceil(_COMFORT * count))
         if measured.tokens_per_s > 0 and self._busy_since is None:
             self._busy_since = now
         if self._busy_since is None or now - self._busy_since < _LEARN_S:
-            count = max(count, self._find_start(service.name, state))
-        need = self._needs.setdefault(service.name, _Need())
-        if count >= need.count:
-            need.count = count
-            need.lower_since = None
-            return need.count
-        if need.lower_since is None:
-            need.lower_since = now
-            need.lower = count
-        need.lower = max(need.lower, count)
-        if now - need.lower_since > _LOWER_AFTER_S:
-            need.count = need.lower
-            need.lower_since = None
-        return need.count
-
-    def _find_start(
-        self, service: str, state: capacity_plan.ServiceState
-    ) -> int:
-        first = self._first_counts.setdefault(service, len(state.runners))
-        return math.ceil(_START_PART * first)
+            first = self._first_counts.setdefault(
+                service.name, len(state.runners)
+            )
+            count = max(count, math.ceil(_START_PART * first))
+            comfortable = max(comfortable, first)
+        needed = self._needs.setdefault(service.name, _SlowFall())
+        spare = self._comforts.setdefault(service.name, _SlowFall())
+        return capacity_plan.CapacityTarget(
+            needed.follow(now, count), spare.follow(now, comfortable)
+        )
 
     def _measure(self, service: str) -> capacity_plan.CapacityNeed:
         parts = self._parts
@@ -238,25 +264,26 @@
             known.digest.demand.get(service, 0.0)
             for known in parts.fleet.list_fresh()
         )
-        requests = sum(
-            parts.ledger.find(runner.id).requests
+        found = [
+            parts.ledger.find(runner.id)
             for runner in parts.directory.list_all(service)
+        ]
+        return capacity_plan.CapacityNeed(
+            rate,
+            sum(load.requests for load in found),
+            sum(load.unread_tokens for load in found),
         )
-        return capacity_plan.CapacityNeed(rate, requests)
 
     async def _order(
         self,
-        service: catalog.Service,
+        service: str,
         state: capacity_plan.ServiceState,
         order: capacity_plan.ZoneOrder,
-        *,
-        is_reclaimable: bool,
     ) -> None:
-        wanted = order.reclaimable if is_reclaimable else order.on_demand
-        line = self._lines.setdefault(
-            (service.name, order.zone, is_reclaimable), _Line()
-        )
-        serving = state.count(order.zone, is_reclaimable=is_reclaimable)
+        wanted = order.wanted
+        key = (service, order.zone, order.is_reclaimable)
+        line = self._lines.setdefault(key, _Line())
+        serving = state.count(order.zone, is_reclaimable=order.is_reclaimable)
         line.note_serving(serving)
         if not line.is_due(trio.current_time(), wanted, state.limits.boot_s):
             return
@@ -265,7 +292,7 @@
         line.note_sent(wanted)
         answer = await self._parts.cloud.order_runners(
             ports.RunnerOrderLine(
-                service.name, order.zone, is_reclaimable, wanted
+                service, order.zone, order.is_reclaimable, wanted
             ),
             self._parts.holder,
             self._parts.lease.fence,
@@ -277,9 +304,9 @@
                 line.status = 0
         _LOG.write(
             f"Ordered {wanted} in {order.zone}, {serving} serve.",
-            service=service.name,
+            service=service,
             zone=order.zone,
-            reclaimable=is_reclaimable,
+            reclaimable=order.is_reclaimable,
             status=line.status,
             error=None if answer.is_ok() else answer.error.message,
             fence=self._fence,
--- a/packages/daemon/src/martenquay_daemon/duties/capacity_plan.py
+++ b/packages/daemon/src/martenquay_daemon/duties/capacity_plan.py
@@ -19,9 +19,11 @@
 __all__ = [
     "BootingRunners",
     "CapacityNeed",
+    "CapacityTarget",
     "ServiceState",
     "ZoneOrder",
-    "plan_service",
+    "plan_on_demand",
+    "plan_reclaimable",
 ]
 
 # What one engine reads in a second; the sites' engines read 32,400 alone.
@@ -31,6 +33,9 @@
 _READ_LOAD = 0.5
 # The part of an engine's slots that may be in use on average.
 _SLOT_LOAD = 0.5
+# A backlog of prompts should be read within this time beside what comes in;
+# as long as a runner takes to boot, so that one more is there when it pays.
+_BACKLOG_S = 4.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -40,18 +45,43 @@
     Attributes:
         tokens_per_s: Prompt tokens that engines have to read.
         requests: Requests running or waiting at engines.
+        unread_tokens: Prompt tokens that wait at engines.
     """
 
     tokens_per_s: float
     requests: int
+    unread_tokens: int = 0
 
-    def count_runners(self, slots: int) -> int:
-        """Return how many engines that takes."""
-        for_reading = self.tokens_per_s / (_READ_TOKENS_PER_S * _READ_LOAD)
+    def count_needed(self, slots: int) -> int:
+        """Return the engines that take what comes in."""
+        return self._count(slots, self.tokens_per_s)
+
+    def count_busy(self, slots: int) -> int:
+        """Return the engines that take the backlog as well."""
+        backlog_per_s = self.unread_tokens / _BACKLOG_S
+        return self._count(slots, self.tokens_per_s + backlog_per_s)
+
+    def _count(self, slots: int, tokens_per_s: float) -> int:
+        for_reading = tokens_per_s / (_READ_TOKENS_PER_S * _READ_LOAD)
         for_slots = self.requests / (max(1, slots) * _SLOT_LOAD)
         return max(1, math.ceil(max(for_reading, for_slots)))
 
 
+@dataclasses.dataclass(frozen=True)
+class CapacityTarget:
+    """How many runners to aim for.
+
+    Attributes:
+        needed: Without these, first tokens are late; on-demand runners make
+            up for what is missing.
+        comfortable: What is worth having of the cheap kind, which takes up
+            clumps of arrivals and what a wave of reclaims leaves.
+    """
+
+    needed: int
+    comfortable: int
+
+
 @dataclasses.dataclass(frozen=True)
 class BootingRunners:
     """Runners that the platform has promised and that do not serve yet.
@@ -76,12 +106,14 @@
         zones: Availability zones in which it may run.
         runners: Runners that are not leaving.
         booting: Runners that were ordered and are still to come.
+        is_dry: The platform has just refused reclaimable runners.
     """
 
     limits: catalog.ScalingLimits
     zones: tuple[str, ...]
     runners: tuple[runners.Runner, ...]
     booting: tuple[BootingRunners, ...] = ()
+    is_dry: bool = False
 
     def count(self, zone: str, *, is_reclaimable: bool) -> int:
         """Return the runners of one kind that serve in a zone."""
@@ -101,9 +133,14 @@
     def count_certain(self, *, is_coming: bool) -> int:
         """Return the reclaimable runners left when a zone's are taken back.
 
+        While the platform has none to give, it takes back those of the other
+        zones as well, at times within a second: then none is certain.
+
         Args:
             is_coming: Count those that boot as well.
         """
+        if self.is_dry:
+            return 0
         count = self.count_coming if is_coming else self.count
         zones = [count(zone, is_reclaimable=True) for zone in self.zones]
         return sum(zones) - max(zones, default=0)
@@ -115,38 +152,51 @@
 
     Attributes:
         zone: The availability zone.
-        reclaimable: Wanted reclaimable runners.
-        on_demand: Wanted on-demand runners.
+        is_reclaimable: Of the cheap kind that may be taken back.
+        wanted: How many.
     """
 
     zone: str
-    reclaimable: int
-    on_demand: int
+    is_reclaimable: bool
+    wanted: int
 
 
-def plan_service(state: ServiceState, needed: int) -> list[ZoneOrder]:
-    """Return what is wanted in each zone so that `needed` runners serve.
+def plan_reclaimable(
+    state: ServiceState, target: CapacityTarget
+) -> list[ZoneOrder]:
+    """Return the reclaimable runners wanted in each zone to meet the target.
 
-    They should also serve when the zone with the most reclaimable runners
-    loses them, for reclaims come in waves and a runner takes long to boot.
+    It should also be met when the zone with the most of them loses them, for
+    reclaims come in waves and a runner takes long to boot.
 
     Args:
         state: The runners as they are.
-        needed: Engines that the callers' load takes.
+        target: Engines that the callers' load takes.
     """
     limits = state.limits
     others = max(1, len(state.zones) - 1)
-    a_zone = math.ceil(needed / others)
-    a_zone = max(limits.least, min(limits.most, a_zone))
-    on_demand = _choose_on_demand(state, _count_on_demand(state, needed))
-    return [
-        ZoneOrder(
-            zone,
-            min(a_zone, limits.most - on_demand.get(zone, 0)),
-            on_demand.get(zone, 0),
-        )
-        for zone in state.zones
-    ]
+    a_zone = math.ceil(max(target.needed, target.comfortable) / others)
+    a_zone = max(limits.least, a_zone)
+    orders = []
+    for zone in state.zones:
+        dear = state.count_coming(zone, is_reclaimable=False)
+        room = max(0, limits.most - dear)
+        orders.append(ZoneOrder(zone, True, min(a_zone, room)))
+    return orders
+
+
+def plan_on_demand(
+    state: ServiceState, target: CapacityTarget
+) -> list[ZoneOrder]:
+    """Return the on-demand runners wanted in each zone for what is missing.
+
+    Args:
+        state: The runners as they are, and those that the platform has
+            promised.
+        target: Engines that the callers' load takes.
+    """
+    chosen = _choose_on_demand(state, _count_on_demand(state, target.needed))
+    return [ZoneOrder(zone, False, chosen.get(zone, 0)) for zone in state.zones]
 
 
 def _count_on_demand(state: ServiceState, needed: int) -> int:
@@ -166,12 +216,12 @@
 def _choose_on_demand(state: ServiceState, missing: int) -> dict[str, int]:
     """Spread on-demand runners: where they serve or boot, then by price.
 
-    None takes the place of a reclaimable runner that serves.
+    None takes the place of a reclaimable runner that serves or boots.
     """
 
     def has_room(zone: str) -> bool:
-        taken = state.count(zone, is_reclaimable=True) + chosen.get(zone, 0)
-        return taken < state.limits.most
+        cheap = state.count_coming(zone, is_reclaimable=True)
+        return cheap + chosen.get(zone, 0) < state.limits.most
 
     def rank(zone: str) -> tuple[bool, float]:
         already = chosen.get(zone, 0)
--- a/packages/daemon/src/martenquay_daemon/duties/lease.py
+++ b/packages/daemon/src/martenquay_daemon/duties/lease.py
@@ -1,26 +1,25 @@
 """Hold the lease under which one daemon acts for all.
 
 The lease is a topic of the platform's log. Each record is appended on the
-condition that the topic still ends where the writer has read it, so of two
-daemons that want the lease only one gets it. The fence is the place of the
-record by which it was taken, so it rises with each change of holder. The
+condition that the topic still ends where the writer knows it to end, so of
+two daemons that want the lease only one gets it. The fence is the place of
+the record by which it was taken, so it rises with each change of holder. The
 holder counts its time from before it sent the record, everybody else from
-when they read it.
+when they read it, or from when the holder told them what is left of it.
 """
 
 from __future__ import annotations
 
 import dataclasses
-import enum
 import math
 from typing import TYPE_CHECKING
 
-import msgspec
 import trio
-from expression import Result
 
 from martenquay_core import logs
 from martenquay_core.util import rendezvous
+from martenquay_daemon.duties import lease_topic
+from martenquay_daemon.fleet import messages
 
 if TYPE_CHECKING:
     from martenquay_core.serving import ports
@@ -38,23 +37,8 @@
 _START_SPREAD_S = 1.0
 _STEPS = 1000
 _WATCH_S = 0.5
-# A record that was done late is at most a few calls old.
-_REMEMBERED = 50
-
-
-class _Kind(enum.IntEnum):
-    TAKEN = 0
-    RENEWED = 1
-    RELEASED = 2
-
-
-class _Record(msgspec.Struct, frozen=True, array_like=True):
-    kind: _Kind
-    member: str
-    instance: str
-    fence: int
-    # Counts the member's records: a late one must not count as a new one.
-    number: int
+_MS = 1000
+_Kind = lease_topic.RecordKind
 
 
 @dataclasses.dataclass(frozen=True)
@@ -73,16 +57,6 @@
     margin_s: float
 
 
-@dataclasses.dataclass
-class _Topic:
-    """What has been read of the topic."""
-
-    end: int = 0
-    last: _Record | None = None
-    fence: int = 0
-    changed_at: float = -math.inf
-
-
 class Lease:
     """One daemon's side of the lease.
 
@@ -100,16 +74,17 @@
         fleet: view.FleetView,
     ) -> None:
         self.fence = 0
-        self._log = log
         self._name = topic
         self._member = member
         self._instance = instance
         self._terms = terms
         self._view = fleet
-        self._topic = _Topic()
+        self._topic = lease_topic.LeaseTopic(log, topic, member, instance)
         self._valid_until = -math.inf
-        self._sent_at: dict[int, float] = {}
-        self._number = 0
+        # The topic's end that belongs to that time.
+        self._valid_end = 0
+        self._told_by = ""
+        self._told_free_at = -math.inf
         self._started_at = trio.current_time()
         self._is_stopping = False
 
@@ -118,6 +93,34 @@
         now = trio.current_time()
         return self.fence > 0 and now + needed_s < self._valid_until
 
+    def create_news(self) -> messages.LeaseNews | None:
+        """Return what to tell candidates; None if it is not held here."""
+        if not self.is_held():
+            return None
+        left_s = self._valid_until - trio.current_time()
+        return messages.LeaseNews(
+            self.fence, self._valid_end, int(left_s * _MS)
+        )
+
+    def hear(
+        self, member: str, news: messages.LeaseNews | None, *, is_leaving: bool
+    ) -> None:
+        """Take what another daemon tells of the lease."""
+        if news is None:
+            if member == self._told_by and is_leaving:
+                # It has released the lease, or is about to.
+                self._told_free_at = -math.inf
+                self._topic.is_told = False
+            return
+        if self.fence or news.end < self._topic.end:
+            return
+        if news.end > self._topic.end or self._topic.is_told:
+            self._topic.skip_to(news.end, news.fence)
+        # A slow way of the news only makes this later than it need be.
+        left_s = news.left_ms / _MS + 2 * self._terms.margin_s
+        self._told_by = member
+        self._told_free_at = trio.current_time() + left_s
+
     async def run(self) -> None:
         """Take, keep and lose the lease until cancelled."""
         # Daemons that start together do not know of each other yet.
@@ -136,8 +139,7 @@
             return
         fence = self.fence
         self._lose("given up for a planned stop")
-        record = self._create_record(_Kind.RELEASED, fence)
-        await self._append(record)
+        await self._topic.append(_Kind.RELEASED, fence)
 
     async def _keep(self) -> None:
         """Renew once and wait until it is time for the next."""
@@ -145,9 +147,8 @@
         if started >= self._valid_until:
             self._lose("it ran out before it could be renewed")
             return
-        record = self._create_record(_Kind.RENEWED, self.fence)
-        if not await self._append(record):
-            await self._read()
+        if not await self._topic.append(_Kind.RENEWED, self.fence):
+            await self._topic.read()
             last = self._topic.last
             if last is not None and last.member != self._member:
                 self._lose(f"{last.member} has it")
@@ -159,14 +160,17 @@
         if self._is_stopping:
             await trio.sleep(_WATCH_S)
             return
-        if self._is_holder_heard():
-            await trio.sleep(_WATCH_S)
+        told_left_s = self._told_free_at - trio.current_time()
+        if told_left_s > 0:
+            await trio.sleep(min(told_left_s, _WATCH_S))
             return
         # Most daemons hear of the new holder before their turn to look.
         await trio.sleep(min(self._find_rank(), _MOST_TURNS) * _LOOK_S)
-        if self._is_holder_heard():
+        if self._told_free_at > trio.current_time():
             return
-        if not await self._read():
+        # What a holder has told is as good as reading it: if the topic has
+        # grown since, the record that takes the lease is not written.
+        if not self._topic.is_told and not await self._topic.read():
             await trio.sleep(_WATCH_S)
             return
         now = trio.current_time()
@@ -175,12 +179,13 @@
             await trio.sleep(min(free_at - now, _WATCH_S))
             return
         await trio.sleep(self._find_rank() * _TURN_S)
-        await self._take()
+        if self._told_free_at <= trio.current_time():
+            await self._take()
 
     async def _take(self) -> None:
-        previous = self._topic.last
-        if not await self._append(self._create_record(_Kind.TAKEN, 0)):
-            await self._read()
+        told_by = self._told_by
+        if not await self._topic.append(_Kind.TAKEN, 0):
+            await self._topic.read()
         last = self._topic.last
         if (
             last is None
@@ -193,7 +198,7 @@
         _LOG.write(
             f"Taken with fence {self.fence}.",
             fence=self.fence,
-            previous=previous and previous.member,
+            told_by=told_by,
         )
 
     def _extend(self) -> None:
@@ -204,10 +209,11 @@
         """
         last = self._topic.last
         if self.fence and last is not None and last.member == self._member:
-            sent_at = self._sent_at.get(last.number, -math.inf)
+            sent_at = self._topic.find_sent(last.number)
             self._valid_until = (
                 sent_at + self._terms.length_s - self._terms.margin_s
             )
+            self._valid_end = self._topic.end
 
     def _lose(self, reason: str) -> None:
         _LOG.write(f"Fence {self.fence} ends: {reason}.", fence=self.fence)
@@ -216,76 +222,25 @@
 
     def _find_free(self) -> float:
         """Return when the lease can be taken, in trio's time."""
-        last = self._topic.last
+        topic = self._topic
         wait_s = self._terms.length_s + self._terms.margin_s
-        if self._topic.end == 0:
+        if topic.end == 0:
             return -math.inf
         # This instance may have held it just before it started anew.
         own_free = self._started_at + wait_s
-        if last is not None and last.kind is _Kind.RELEASED:
+        if topic.is_told:
+            return max(own_free, self._told_free_at)
+        if topic.last is not None and topic.last.kind is _Kind.RELEASED:
             return own_free
-        return max(own_free, self._topic.changed_at + wait_s)
+        return max(own_free, topic.changed_at + wait_s)
 
     def _find_rank(self) -> int:
         """Return this daemon's place among those that may want the lease."""
-        fresh = [known.digest.instance for known in self._view.list_fresh()]
         key = f"{self._name} {self._topic.end}"
-        ranked = rendezvous.rank_candidates(key, [*fresh, self._instance])
-        return ranked.index(self._instance)
-
-    def _is_holder_heard(self) -> bool:
-        return any(known.digest.fence > 0 for known in self._view.list_fresh())
-
-    def _create_record(self, kind: _Kind, fence: int) -> _Record:
-        self._number += 1
-        self._sent_at[self._number] = trio.current_time()
-        self._sent_at.pop(self._number - _REMEMBERED, None)
-        return _Record(kind, self._member, self._instance, fence, self._number)
-
-    async def _append(self, record: _Record) -> bool:
-        written = await self._log.append(
-            self._name,
-            [msgspec.msgpack.encode(record)],
-            expected_end=self._topic.end,
+        ranked = rendezvous.rank_candidates(
+            key, [*self._view.list_candidates(), self._instance]
         )
-        match written:
-            case Result(tag="ok", ok=done) if done.offset is not None:
-                self._note(record, done.offset)
-                return True
-            case Result(tag="ok"):
-                return False
-            case _:
-                message = written.error.message
-                _LOG.write(f"A record may not be written: {message}.")
-                return False
-
-    async def _read(self) -> bool:
-        """Read to the topic's end; tell whether the log answered."""
-        while True:
-            page = await self._log.read(self._name, self._topic.end)
-            match page:
-                case Result(tag="ok", ok=found):
-                    pass
-                case _:
-                    return False
-            if found.is_lost:
-                self._topic.end = found.start
-                continue
-            for offset, payload in enumerate(found.records, found.start):
-                self._note(
-                    msgspec.msgpack.decode(payload, type=_Record), offset
-                )
-            if self._topic.end < found.end and not found.records:
-                self._topic.end = found.end
-            if self._topic.end >= found.end:
-                return True
-
-    def _note(self, record: _Record, offset: int) -> None:
-        topic = self._topic
-        topic.end = offset + 1
-        topic.last = record
-        topic.changed_at = trio.current_time()
-        topic.fence = offset + 1 if record.kind is _Kind.TAKEN else record.fence
+        return ranked.index(self._instance)
 
 
 def create_lease(
--- a/packages/daemon/src/martenquay_daemon/fleet/messages.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/messages.py
@@ -11,6 +11,7 @@
     "Digest",
     "DigestBundle",
     "FleetMessage",
+    "LeaseNews",
     "LoadLine",
     "StateCopy",
     "WantState",
@@ -31,6 +32,20 @@
     unread_tokens: int
 
 
+class LeaseNews(msgspec.Struct, frozen=True, array_like=True):
+    """What the holder of the duties' lease tells candidates.
+
+    Attributes:
+        fence: Its fence.
+        end: Where the lease's topic ends after its last record.
+        left_ms: How much longer it may act because of that record.
+    """
+
+    fence: int
+    end: int
+    left_ms: int
+
+
 class Digest(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """What one daemon says of itself; a later one replaces it.
 
@@ -44,7 +59,7 @@
         runners_end: How far it has read the runners' entries.
         log_age_ms: Since the log last answered it.
         is_leaving: It is stopping.
-        fence: Its fence if it holds the duties' lease, else 0.
+        lease: What it tells if it holds the duties' lease.
         window: The usage window that is now, by its clock.
         spending: Units spent since it started, by team.
         used: Units spent by all daemons in the allowances' window, by team.
@@ -62,7 +77,7 @@
     runners_end: int
     log_age_ms: int
     is_leaving: bool
-    fence: int
+    lease: LeaseNews | None
     window: int
     spending: dict[str, float]
     used: dict[str, float]
--- a/packages/daemon/src/martenquay_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/shared_state.py
@@ -99,7 +99,7 @@
             runners_end=sources.runner_follower.end,
             log_age_ms=int(log_age_s * 1000),
             is_leaving=self.is_leaving,
-            fence=sources.lease.fence if sources.lease.is_held() else 0,
+            lease=sources.lease.create_news(),
             window=sources.usage.find_window(),
             spending=sources.allowances.list_own(),
             used=sources.allowances.list_used() if is_mesh else {},
@@ -114,6 +114,9 @@
     def take_digest(self, digest: messages.Digest) -> None:
         """Spread what another daemon tells."""
         allowances = self._sources.allowances
+        self._sources.lease.hear(
+            digest.member, digest.lease, is_leaving=digest.is_leaving
+        )
         allowances.note_used(digest.used)
         allowances.note_spending(digest.member, digest.spending)
         lines = {
--- a/packages/daemon/src/martenquay_daemon/fleet/view.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/view.py
@@ -115,6 +115,10 @@
         oldest = trio.current_time() - self.silent_s
         return [m for m in self.list_current() if m.heard_at >= oldest]
 
+    def list_candidates(self) -> list[str]:
+        """Return the other instances that may take the duties' lease."""
+        return [known.digest.instance for known in self.list_fresh()]
+
     def is_zone_silent(self, zone: str) -> bool:
         """Tell whether daemons of a zone were heard before and none is now."""
         found = [m for m in self.list_current() if m.digest.zone == zone]
