--- a/packages/core/src/martenquay_core/settings/gateway.py
+++ b/packages/core/src/martenquay_core/settings/gateway.py
@@ -101,6 +101,8 @@
         platform: Where the platform is.
         bounds: What its operators bound.
         seeds: Addresses of other daemons' instances, possibly stale.
+        link_mbps: Of the instance's link; in a large fleet the daemons with
+            the best ones report to the others. 0 if not known.
     """
 
     instance: Text
@@ -109,3 +111,4 @@
     platform: GatewayPlatform
     bounds: BoundSettings = BoundSettings()
     seeds: list[str] = []
+    link_mbps: NotNegative = 0.0
--- a/packages/daemon/src/martenquay_daemon/allowances/ledger.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/ledger.py
@@ -98,9 +98,10 @@
 
 @dataclasses.dataclass
 class _Spending:
-    """What one daemon has spent for one team."""
+    """What one daemon, or those of a zone, have spent for one team."""
 
     total: float = 0.0
+    daemons: int = 1
     assumed: float = 0.0
     rate: float = 0.0
     heard_at: float = 0.0
@@ -123,6 +124,7 @@
     used: window.SlidingWindow
     started_at: float
     filled_at: float
+    size: float
     level: float = 0.0
     is_guessed: bool = True
     others: dict[str, _Spending] = dataclasses.field(default_factory=dict)
@@ -233,22 +235,37 @@
             if account.is_guessed and team in self._past.sums:
                 self._fill_from_past(account, team)
 
-    def note_spending(self, member: str, totals: Mapping[str, float]) -> None:
-        """Take what another daemon says it has spent since it started."""
+    def note_spending(
+        self, source: str, totals: Mapping[str, float], daemons: int = 1
+    ) -> None:
+        """Take what others have spent.
+
+        Args:
+            source: Who tells it: a daemon, or a zone's hub.
+            totals: Units by team, since the source began to count.
+            daemons: How many have spent that.
+        """
         now = trio.current_time()
         for team, account in self._accounts.items():
             total = totals.get(team, 0.0)
-            known = account.others.get(member)
+            known = account.others.get(source)
             if known is None:
                 # What was spent before this daemon knew of it is over.
-                account.others[member] = _Spending(total, heard_at=now)
+                known = _Spending(total, heard_at=now)
+                account.others[source] = known
             else:
                 _settle(account, known, total, now)
+            known.daemons = daemons
+
+    def forget_source(self, source: str) -> None:
+        """Drop a source that is gone for good."""
+        for account in self._accounts.values():
+            account.others.pop(source, None)
 
-    def forget_member(self, member: str) -> None:
-        """Drop a daemon that is gone for good."""
+    def forget_sources(self) -> None:
+        """Drop all sources; those who come next are new."""
         for account in self._accounts.values():
-            account.others.pop(member, None)
+            account.others.clear()
 
     def _refill(self, team: catalog.Team) -> _Account:
         now = trio.current_time()
@@ -258,14 +275,17 @@
         elapsed_s = now - account.filled_at
         account.filled_at = now
         account.used.slide(now)
-        size = _BUCKET_BURST * team.burst
+        account.size = _BUCKET_BURST * team.burst
         level = account.level + _BUCKET_RATE * team.rate * elapsed_s
-        account.level = max(-size, min(size, level))
+        account.level = max(-account.size, min(account.size, level))
         if now - account.started_at > _GUESS_S:
             account.is_guessed = False
         unheard = self._assume(team, account, now, elapsed_s)
         if unheard:
-            account.charge(now, unheard)
+            # Only the window keeps the bound. A bucket that was charged for
+            # daemons that have not spent anything would refuse everybody
+            # while a large fleet starts.
+            account.used.add(now, unheard)
         return account
 
     def _open(self, team: catalog.Team, now: float) -> _Account:
@@ -278,7 +298,13 @@
         used = window.SlidingWindow(self.bounds.window_s)
         limit = self.bounds.find_limit(team)
         used.fill_evenly(now, limit)
-        account = _Account(limit, used, started_at=now, filled_at=now)
+        account = _Account(
+            limit,
+            used,
+            started_at=now,
+            filled_at=now,
+            size=_BUCKET_BURST * team.burst,
+        )
         self._accounts[team.name] = account
         if team.name in self._past.sums:
             self._fill_from_past(account, team.name)
@@ -293,6 +319,9 @@
         account.used.fill_evenly(past.written_at, past.sums[team])
         account.used.add(past.written_at + unwritten_s, most * unwritten_s)
         account.used.slide(now)
+        # Most teams' buckets are full; the window bounds those that asked
+        # for more.
+        account.level = account.size
         account.is_guessed = False
 
     def _assume(
@@ -309,12 +338,14 @@
         most = self.bounds.find_limit(team) / self.bounds.window_s
         even = most / daemons
         # Daemons that were announced and never heard may be across a cut.
-        unheard = max(0, daemons - 1 - len(account.others))
+        heard = sum(known.daemons for known in account.others.values())
+        unheard = max(0, daemons - 1 - heard)
         units = unheard * even * elapsed_s
         for known in account.others.values():
             silent_s = now - known.heard_at
             if silent_s > _SILENT_PART * self._fleet.find_silence():
-                likely = min(most, max(known.rate, even)) * silent_s
+                least = even * known.daemons
+                likely = min(most, max(known.rate, least)) * silent_s
                 units += max(0.0, likely - known.assumed)
                 known.assumed = max(known.assumed, likely)
         return units
--- a/packages/daemon/src/martenquay_daemon/discovery/contact.py
+++ b/packages/daemon/src/martenquay_daemon/discovery/contact.py
@@ -47,6 +47,12 @@
         self.is_lost = False
         self.last_answer_at = now
 
+    def note_relayed(self, age_s: float) -> None:
+        """Note that a daemon that reads for this one had an answer lately."""
+        self.is_lost = False
+        answered_at = trio.current_time() - age_s
+        self.last_answer_at = max(self.last_answer_at, answered_at)
+
     def note_failure(self, message: str) -> None:
         """Note a call without an answer."""
         if not self.is_lost:
--- a/packages/daemon/src/martenquay_daemon/discovery/keyed_follower.py
+++ b/packages/daemon/src/martenquay_daemon/discovery/keyed_follower.py
@@ -20,6 +20,9 @@
 # date when an outage ends.
 _FIRST_RETRY_S = 0.2
 _LONGEST_RETRY_S = 1.0
+# While others read the topic for this daemon, it looks this often whether
+# they still do.
+_IDLE_S = 0.1
 
 
 class RecordSink(Protocol):
@@ -64,9 +67,11 @@
         sink: RecordSink,
         pace: FollowPace,
         is_crowded: Callable[[], bool] = lambda: False,
+        is_needed: Callable[[], bool] = lambda: True,
     ) -> None:
         self.end = -1
         self._is_crowded = is_crowded
+        self._is_needed = is_needed
         self._log = log
         self._contact = contact
         self._topic = topic
@@ -77,7 +82,9 @@
         """Follow until cancelled."""
         retry_s = _FIRST_RETRY_S
         while True:
-            if await self._read_once():
+            if self.end >= 0 and not self._is_needed():
+                await trio.sleep(_IDLE_S)
+            elif await self._read_once():
                 retry_s = _FIRST_RETRY_S
                 await self._rest()
             else:
--- a/packages/daemon/src/martenquay_daemon/discovery/runner_directory.py
+++ b/packages/daemon/src/martenquay_daemon/discovery/runner_directory.py
@@ -40,11 +40,17 @@
 
 
 class RunnerDirectory:
-    """Entries of runners by id."""
+    """Entries of runners by id.
+
+    Attributes:
+        changed_end: The end of the entries up to the last one that said
+            something new; heartbeats do not count.
+    """
 
     def __init__(
         self, codec: ports.PlatformCodec, log_contact: contact.LogContact
     ) -> None:
+        self.changed_end = 0
         self._codec = codec
         self._contact = log_contact
         self._runners: dict[str, runners.Runner] = {}
@@ -61,11 +67,13 @@
             self.take(record)
         for key in set(self._runners) - kept:
             self._drop(key)
+            self._note_change(snapshot.end - 1)
 
     def take(self, record: ports.KeyedRecord) -> None:
         """Take one entry, or the end of one."""
         if record.value is None:
             self._drop(record.key)
+            self._note_change(record.offset)
             return
         try:
             runner = self._codec.decode_runner(record.key, record.value)
@@ -75,15 +83,21 @@
         copy = RunnerCopy(record.key, record.offset, record.value)
         self._store(runner, copy)
 
-    def take_copies(self, copies: list[RunnerCopy]) -> None:
-        """Take entries from a peer that has read further in the log."""
-        kept = {copy.key for copy in copies}
+    def take_copies(
+        self, copies: list[RunnerCopy], runner_ids: set[str]
+    ) -> None:
+        """Take entries from a peer that has read further in the log.
+
+        Args:
+            copies: Those that this daemon may lack.
+            runner_ids: All that there are.
+        """
         for copy in copies:
             known = self._copies.get(copy.key)
             if known is None or known.offset < copy.offset:
                 runner = self._codec.decode_runner(copy.key, copy.value)
                 self._store(runner, copy)
-        for key in set(self._runners) - kept:
+        for key in set(self._runners) - runner_ids:
             self._drop(key)
 
     def list_copies(self) -> list[RunnerCopy]:
@@ -130,12 +144,17 @@
         self._runners[runner.id] = runner
         self._copies[runner.id] = copy
         self._zones.setdefault(runner.service, set()).add(runner.zone)
+        if runner != previous:
+            self._note_change(copy.offset)
         self._lapsing.pop(runner.id, None)
         if previous is None:
             self._note_new(runner)
         elif runner.is_leaving and not previous.is_leaving:
             self._note_leaving(runner)
 
+    def _note_change(self, offset: int) -> None:
+        self.changed_end = max(self.changed_end, offset + 1)
+
     def _note_new(self, runner: runners.Runner) -> None:
         for other in list(self._runners.values()):
             if other.address == runner.address and other.id != runner.id:
--- a/packages/daemon/src/martenquay_daemon/duties/capacity_keeper.py
+++ b/packages/daemon/src/martenquay_daemon/duties/capacity_keeper.py
@@ -42,9 +42,6 @@
 # them are comfortable: engines that start have nothing cached.
 _LEARN_S = 15.0
 _START_PART = 0.6
-# A reclaimable runner costs a fifth of another one, and prompts that are
-# cached elsewhere make engines read four tenths more than is expected.
-_COMFORT = 1.0
 _OK = 200
 _REFUSED = 409
 
@@ -241,8 +238,7 @@
         slots = service.engine.slots if service.engine else 1
         measured = self._measure(service.name)
         count = measured.count_needed(slots)
-        busy = measured.count_busy(slots)
-        comfortable = max(busy, math.ceil(_COMFORT * count))
+        comfortable = measured.count_busy(slots)
         if measured.tokens_per_s > 0 and self._busy_since is None:
             self._busy_since = now
         if self._busy_since is None or now - self._busy_since < _LEARN_S:
@@ -260,10 +256,7 @@
     def _measure(self, service: str) -> capacity_plan.CapacityNeed:
         parts = self._parts
         rate = parts.meter.list_rates().get(service, 0.0)
-        rate += sum(
-            known.digest.demand.get(service, 0.0)
-            for known in parts.fleet.list_fresh()
-        )
+        rate += parts.fleet.sum_demand(service)
         found = [
             parts.ledger.find(runner.id)
             for runner in parts.directory.list_all(service)
--- a/packages/daemon/src/martenquay_daemon/duties/lease.py
+++ b/packages/daemon/src/martenquay_daemon/duties/lease.py
@@ -236,6 +236,8 @@
 
     def _find_rank(self) -> int:
         """Return this daemon's place among those that may want the lease."""
+        if not self._view.is_candidate:
+            return _MOST_TURNS
         key = f"{self._name} {self._topic.end}"
         ranked = rendezvous.rank_candidates(
             key, [*self._view.list_candidates(), self._instance]
--- a/packages/daemon/src/martenquay_daemon/engines/loads.py
+++ b/packages/daemon/src/martenquay_daemon/engines/loads.py
@@ -74,9 +74,13 @@
         """Return this daemon's own loads by runner id."""
         return self._own
 
-    def replace_member(self, member: str, loads: dict[str, RunnerLoad]) -> None:
-        """Replace what another daemon has told; empty if it is gone."""
+    def replace_source(self, source: str, loads: dict[str, RunnerLoad]) -> None:
+        """Replace what one source has told of others; empty if it is gone."""
         if loads:
-            self._others[member] = loads
+            self._others[source] = loads
         else:
-            self._others.pop(member, None)
+            self._others.pop(source, None)
+
+    def forget_sources(self) -> None:
+        """Forget all that was told of others."""
+        self._others.clear()
--- a/packages/daemon/src/martenquay_daemon/fleet/announcements.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/announcements.py
@@ -8,11 +8,11 @@
 import trio
 
 from martenquay_core import logs
-from martenquay_daemon.fleet import links
+from martenquay_daemon.fleet import topology
 
 if TYPE_CHECKING:
     from martenquay_core.serving import ports
-    from martenquay_daemon.fleet import view
+    from martenquay_daemon.fleet import links, view
 
 __all__ = ["Announcer", "MemberSink"]
 
@@ -24,6 +24,7 @@
 class _Announcement(msgspec.Struct, frozen=True):
     address: str
     zone: str
+    capacity: float = 0.0
 
 
 class MemberSink:
@@ -50,23 +51,31 @@
             _LOG.write(f"Announcement of {record.key} is malformed: {error}.")
             return
         self._view.note_listed({record.key})
-        self._links.add_peer(links.PeerAddress(found.address, found.zone))
+        self._links.add_peer(
+            topology.PeerAddress(found.address, found.zone, found.capacity)
+        )
 
 
 class Announcer:
     """Write this daemon's announcement once."""
 
     def __init__(
-        self, log: ports.LogPort, topic: str, instance: str, zone: str
+        self,
+        log: ports.LogPort,
+        topic: str,
+        instance: str,
+        place: topology.PeerAddress,
     ) -> None:
         self._log = log
         self._topic = topic
         self._instance = instance
-        self._zone = zone
+        self._place = place
 
     async def announce(self, address: str) -> None:
         """Write it, however long that takes."""
-        value = msgspec.json.encode(_Announcement(address, self._zone))
+        value = msgspec.json.encode(
+            _Announcement(address, self._place.zone, self._place.capacity)
+        )
         payload = self._log.join_keyed(self._instance, value)
         retry_s = _FIRST_RETRY_S
         while True:
--- /dev/null
+++ b/packages/daemon/src/martenquay_daemon/fleet/hub.py
@@ -0,0 +1,157 @@
+"""Report, as a hub, to the daemons of its zone and to the other zones' hubs."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from martenquay_daemon.fleet import messages, zone_sum
+
+if TYPE_CHECKING:
+    from martenquay_daemon.fleet import zones
+
+__all__ = ["HubFacts", "ZoneHub"]
+
+# A daemon that has not told anything for so long is not reported to.
+_SUBSCRIBED_S = 3.0
+
+
+@dataclasses.dataclass(frozen=True)
+class HubFacts:
+    """What a hub says of itself in each summary.
+
+    Attributes:
+        catalog_version: The version in force here.
+        runners_changed: Up to where the runners' entries are known here.
+        log_age_ms: Since the log last answered.
+    """
+
+    catalog_version: int
+    runners_changed: int
+    log_age_ms: int
+
+
+@dataclasses.dataclass
+class _Subscriber:
+    digest: messages.Digest
+    heard_at: float
+
+
+class ZoneHub:
+    """What this daemon knows and tells if it is a hub."""
+
+    def __init__(self, table: zones.ZoneTable) -> None:
+        self._table = table
+        self._sum = zone_sum.ZoneSum()
+        self._subscribers: dict[str, _Subscriber] = {}
+        self._own: messages.Digest | None = None
+        self._number = 0
+
+    def take(self, digest: messages.Digest, now: float) -> bool:
+        """Take a digest of a daemon of this zone; tell whether it is news."""
+        if not self._sum.take(digest, now):
+            return False
+        self._subscribers[digest.address] = _Subscriber(digest, now)
+        return True
+
+    def take_own(self, digest: messages.Digest, now: float) -> None:
+        """Take this daemon's own digest."""
+        self._own = digest
+        self._sum.take(digest, now)
+
+    def list_subscribers(self, now: float) -> dict[str, messages.Digest]:
+        """Return the newest digests of those to report to, by address."""
+        oldest = now - _SUBSCRIBED_S
+        return {
+            address: one.digest
+            for address, one in self._subscribers.items()
+            if one.heard_at >= oldest
+        }
+
+    def forget_old(self, now: float) -> None:
+        """Drop daemons that are long gone."""
+        self._sum.forget_old(now)
+        kept = self.list_subscribers(now)
+        for address in set(self._subscribers) - set(kept):
+            del self._subscribers[address]
+
+    def create_exchange(
+        self, facts: HubFacts, now: float, silent_s: float
+    ) -> messages.ZoneExchange:
+        """Return what to tell the hubs of other zones."""
+        part = self._sum.add_up(now, silent_s)
+        return messages.ZoneExchange(self._summarize(part, facts), part.loads)
+
+    def create_reports(
+        self, facts: HubFacts, now: float, silent_s: float
+    ) -> dict[str, messages.FleetReport]:
+        """Return what to tell each subscriber, by address, and itself."""
+        assert self._own is not None, "its own digest comes first"
+        total = self._sum.add_up(now, silent_s)
+        others = [
+            known
+            for known in self._table.list_active()
+            if known.summary.zone != self._own.zone
+        ]
+        receivers = self.list_subscribers(now)
+        receivers[self._own.address] = self._own
+        self._number += 1
+        reports = {}
+        for address, digest in receivers.items():
+            part = self._sum.leave_out(total, digest.member, now, silent_s)
+            # Duties are candidates' work, and those are hubs.
+            is_full = digest.lease is not None or digest is self._own
+            reports[address] = self._create_report(
+                part, others, facts, is_full=is_full
+            )
+        return reports
+
+    def _create_report(
+        self,
+        part: zone_sum.ZonePart,
+        others: list[zones.KnownSummary],
+        facts: HubFacts,
+        *,
+        is_full: bool,
+    ) -> messages.FleetReport:
+        assert self._own is not None, "its own digest comes first"
+        summaries = [self._summarize(part, facts)]
+        summaries += [known.summary for known in others]
+        loads = dict(part.loads)
+        for known in others:
+            zone_sum.add_loads(loads, known.loads, 1)
+        if not is_full:
+            summaries = [_shorten(summary) for summary in summaries]
+        return messages.FleetReport(self._own.member, summaries, loads)
+
+    def _summarize(
+        self, part: zone_sum.ZonePart, facts: HubFacts
+    ) -> messages.ZoneSummary:
+        own = self._own
+        assert own is not None, "its own digest comes first"
+        self._number += 1
+        return messages.ZoneSummary(
+            zone=own.zone,
+            hub=own.member,
+            instance=own.instance,
+            address=own.address,
+            number=self._number,
+            daemons=part.daemons,
+            catalog_version=facts.catalog_version,
+            runners_changed=facts.runners_changed,
+            log_age_ms=facts.log_age_ms,
+            lease=part.lease,
+            lease_member=part.lease_member,
+            leaving=part.leaving,
+            window=own.window if part.window is None else part.window,
+            spending=part.spending,
+            begun=part.begun,
+            demand=part.demand,
+        )
+
+
+def _shorten(summary: messages.ZoneSummary) -> messages.ZoneSummary:
+    """Return a summary without what only holders of duties need."""
+    return msgspec.structs.replace(summary, begun={}, demand={})
--- /dev/null
+++ b/packages/daemon/src/martenquay_daemon/fleet/members.py
@@ -0,0 +1,118 @@
+"""Hold the newest digest of each daemon that tells this one of itself."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+import trio
+
+from martenquay_core import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from martenquay_daemon.fleet import messages
+
+__all__ = ["KnownMember", "MemberTable"]
+
+_LOG = logs.create_log("fleet")
+# Usage counts of a daemon that ended are kept until they are reported.
+_KEEP_COUNTS_S = 40.0
+
+
+@dataclasses.dataclass
+class KnownMember:
+    """A daemon and when it was last heard.
+
+    Attributes:
+        digest: Its newest digest.
+        heard_at: When that came, in trio's time.
+        is_replaced: Its instance has a newer process.
+    """
+
+    digest: messages.Digest
+    heard_at: float
+    is_replaced: bool = False
+
+
+class MemberTable:
+    """Daemons by member id."""
+
+    def __init__(self, instance: str) -> None:
+        self._instance = instance
+        self._members: dict[str, KnownMember] = {}
+        self._silent: set[str] = set()
+        self._end_listeners: list[Callable[[str], None]] = []
+
+    def listen_for_ends(self, listener: Callable[[str], None]) -> None:
+        """Have a function called with each member that is gone for good."""
+        self._end_listeners.append(listener)
+
+    def take(self, digest: messages.Digest) -> bool:
+        """Take a digest; tell whether it is news."""
+        if digest.instance == self._instance:
+            return False
+        known = self._members.get(digest.member)
+        if known is not None and digest.number <= known.digest.number:
+            return False
+        if known is None:
+            self._note_new(digest)
+        elif digest.member in self._silent:
+            self._silent.discard(digest.member)
+            away_s = trio.current_time() - known.heard_at
+            _LOG.write(
+                f"Daemon {digest.member} is heard again.",
+                away_s=round(away_s, 3),
+            )
+        self._members[digest.member] = KnownMember(digest, trio.current_time())
+        return True
+
+    def check_silence(self, silent_s: float) -> set[str]:
+        """Log who has fallen silent; return the instances long gone."""
+        now = trio.current_time()
+        forgotten = set()
+        for member, known in list(self._members.items()):
+            quiet_s = now - known.heard_at
+            if quiet_s > silent_s and member not in self._silent:
+                self._silent.add(member)
+                if not known.is_replaced:
+                    _LOG.write(f"Daemon {member} is silent.", member=member)
+            if quiet_s > _KEEP_COUNTS_S:
+                self._forget(member)
+                forgotten.add(known.digest.instance)
+        return forgotten
+
+    def list_all(self) -> list[KnownMember]:
+        """Return all processes, those too whose instance has a newer one."""
+        return list(self._members.values())
+
+    def list_current(self) -> list[KnownMember]:
+        """Return the newest process of each other instance, heard or not."""
+        return [m for m in self._members.values() if not m.is_replaced]
+
+    def list_fresh(self, silent_s: float) -> list[KnownMember]:
+        """Return the daemons that were heard within some seconds."""
+        oldest = trio.current_time() - silent_s
+        return [m for m in self.list_current() if m.heard_at >= oldest]
+
+    def _note_new(self, digest: messages.Digest) -> None:
+        for other in self._members.values():
+            if other.digest.instance == digest.instance:
+                other.is_replaced = True
+                self._end(other.digest.member)
+        _LOG.write(
+            f"Daemon {digest.member} is heard.",
+            zone=digest.zone,
+            address=digest.address,
+        )
+
+    def _forget(self, member: str) -> None:
+        known = self._members.pop(member)
+        self._silent.discard(member)
+        if not known.is_replaced:
+            self._end(member)
+
+    def _end(self, member: str) -> None:
+        for listener in self._end_listeners:
+            listener(member)
--- a/packages/daemon/src/martenquay_daemon/fleet/messages.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/messages.py
@@ -9,12 +9,16 @@
 
 __all__ = [
     "Digest",
-    "DigestBundle",
+    "DigestNote",
     "FleetMessage",
+    "FleetReport",
     "LeaseNews",
     "LoadLine",
+    "PeerLine",
     "StateCopy",
     "WantState",
+    "ZoneExchange",
+    "ZoneSummary",
     "decode_message",
     "encode_message",
 ]
@@ -56,8 +60,10 @@
         address: Where its fleet link listens.
         number: Counts its digests.
         catalog_version: The version in force there.
-        runners_end: How far it has read the runners' entries.
+        runners_changed: Up to where the runners' entries are known to it;
+            entries that say nothing new do not count.
         log_age_ms: Since the log last answered it.
+        capacity: Of its instance's link, in Mbit/s; the best ones are hubs.
         is_leaving: It is stopping.
         lease: What it tells if it holds the duties' lease.
         window: The usage window that is now, by its clock.
@@ -74,8 +80,9 @@
     address: str
     number: int
     catalog_version: int
-    runners_end: int
+    runners_changed: int
     log_age_ms: int
+    capacity: float
     is_leaving: bool
     lease: LeaseNews | None
     window: int
@@ -86,14 +93,97 @@
     demand: dict[str, float]
 
 
-class DigestBundle(msgspec.Struct, frozen=True, array_like=True, tag="d"):
-    """Digests that are news to the receiver.
+class ZoneSummary(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """What the daemons of a zone say together; a later one replaces it.
+
+    Attributes:
+        zone: The availability zone.
+        hub: The daemon that added it up.
+        instance: That daemon's instance.
+        address: Where that daemon's fleet link listens.
+        number: Counts the hub's summaries.
+        daemons: How many it heard and added up.
+        catalog_version: The version in force at the hub.
+        runners_changed: As in the hub's digest.
+        log_age_ms: Since the log last answered the hub.
+        lease: What the lease's holder tells, if it is one of them.
+        lease_member: That holder.
+        leaving: Members that are stopping.
+        window: The earliest usage window that is now for one of them.
+        spending: Units spent since the hub first heard of each, by team.
+        begun: Requests begun, by window and team; empty for daemons that
+            cannot need it.
+        demand: Prompt tokens a second for engines to read, by service; empty
+            for daemons that cannot need it.
+    """
+
+    zone: str
+    hub: str
+    instance: str
+    address: str
+    number: int
+    daemons: int
+    catalog_version: int
+    runners_changed: int
+    log_age_ms: int
+    lease: LeaseNews | None
+    lease_member: str
+    leaving: list[str]
+    window: int
+    spending: dict[str, float]
+    begun: dict[int, dict[str, int]]
+    demand: dict[str, float]
+
+
+class DigestNote(msgspec.Struct, frozen=True, array_like=True, tag="d"):
+    """What a daemon tells of itself.
+
+    Attributes:
+        digest: Its newest digest.
+    """
+
+    digest: Digest
+
+
+class ZoneExchange(msgspec.Struct, frozen=True, array_like=True, tag="x"):
+    """What a hub tells the hubs of other zones.
+
+    Attributes:
+        summary: Of its own zone.
+        loads: What its zone's daemons have at runners, by runner id.
+    """
+
+    summary: ZoneSummary
+    loads: dict[str, LoadLine]
+
+
+class FleetReport(msgspec.Struct, frozen=True, array_like=True, tag="r"):
+    """What a hub tells a daemon of its zone.
+
+    Attributes:
+        hub: The daemon that tells it.
+        zones: Summaries of all zones; that of their own does not count the
+            receiver in.
+        loads: What all other daemons have at runners, by runner id.
+    """
+
+    hub: str
+    zones: list[ZoneSummary]
+    loads: dict[str, LoadLine]
+
+
+class PeerLine(msgspec.Struct, frozen=True, array_like=True):
+    """Where a daemon is.
 
     Attributes:
-        digests: The sender's own first.
+        address: Its fleet link.
+        zone: Its availability zone; empty if not known.
+        capacity: As in its digest.
     """
 
-    digests: list[Digest]
+    address: str
+    zone: str
+    capacity: float
 
 
 class WantState(msgspec.Struct, frozen=True, array_like=True, tag="w"):
@@ -101,7 +191,7 @@
 
     Attributes:
         catalog_version: The version that the sender has.
-        runners_end: How far it has read the runners' entries.
+        runners_end: How far it knows the runners' entries.
     """
 
     catalog_version: int
@@ -109,22 +199,25 @@
 
 
 class StateCopy(msgspec.Struct, frozen=True, array_like=True, tag="s"):
-    """Answer `WantState`.
+    """Answer `WantState` with what the asker lacks.
 
     Attributes:
-        catalog: The record of the version in force.
-        runners_end: How far the sender has read the runners' entries.
-        runners: All entries.
-        addresses: Fleet links of other daemons.
+        catalog: The record of the version in force; empty if the asker's is
+            as new.
+        runners_end: How far the sender knows the runners' entries.
+        runners: The entries that have changed since.
+        runner_ids: The ids of all runners that there are.
+        peers: Other daemons.
     """
 
     catalog: bytes
     runners_end: int
     runners: list[runner_directory.RunnerCopy]
-    addresses: list[str]
+    runner_ids: list[str]
+    peers: list[PeerLine]
 
 
-FleetMessage = DigestBundle | WantState | StateCopy
+FleetMessage = DigestNote | ZoneExchange | FleetReport | WantState | StateCopy
 
 _DECODER = msgspec.msgpack.Decoder(FleetMessage)
 _ENCODER = msgspec.msgpack.Encoder()
--- a/packages/daemon/src/martenquay_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/shared_state.py
@@ -13,14 +13,16 @@
     from martenquay_daemon.discovery import (
         catalog_store,
         contact,
-        keyed_follower,
+        runner_directory,
     )
     from martenquay_daemon.duties import lease, usage_counts
     from martenquay_daemon.engines import demand
-    from martenquay_daemon.fleet import links
+    from martenquay_daemon.fleet import links, view
 
 __all__ = ["Identity", "SharedState", "StateSources"]
 
+# The source of loads that a hub has added up over all daemons.
+_FLEET = "fleet"
 # What a log that has never answered counts as.
 _LONGEST_AGE_S = 3600.0
 
@@ -33,11 +35,13 @@
         member: Its id; a restarted process has a new one.
         instance: Its instance.
         zone: Its availability zone.
+        capacity: Of its instance's link, in Mbit/s.
     """
 
     member: str
     instance: str
     zone: str
+    capacity: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -46,7 +50,7 @@
 
     Attributes:
         store: The catalog in force.
-        runner_follower: How far runners' entries have been read.
+        directory: The runners.
         contact: How fresh that is.
         allowances: What teams have spent.
         loads: What runs at runners.
@@ -54,10 +58,11 @@
         meter: Tokens that engines have to read.
         lease: The right to the duties.
         links: Where daemons are linked to.
+        fleet: What others tell.
     """
 
     store: catalog_store.CatalogStore
-    runner_follower: keyed_follower.KeyedFollower
+    directory: runner_directory.RunnerDirectory
     contact: contact.LogContact
     allowances: ledger.AllowanceLedger
     loads: loads.LoadLedger
@@ -65,6 +70,7 @@
     meter: demand.DemandMeter
     lease: lease.Lease
     links: links.FleetLinks
+    fleet: view.FleetView
 
 
 class SharedState:
@@ -96,8 +102,9 @@
             address=sources.links.address,
             number=self._number,
             catalog_version=sources.store.version,
-            runners_end=sources.runner_follower.end,
+            runners_changed=sources.directory.changed_end,
             log_age_ms=int(log_age_s * 1000),
+            capacity=self._identity.capacity,
             is_leaving=self.is_leaving,
             lease=sources.lease.create_news(),
             window=sources.usage.find_window(),
@@ -112,20 +119,49 @@
         )
 
     def take_digest(self, digest: messages.Digest) -> None:
-        """Spread what another daemon tells."""
-        allowances = self._sources.allowances
-        self._sources.lease.hear(
+        """Spread what another daemon of a small fleet tells."""
+        sources = self._sources
+        sources.lease.hear(
             digest.member, digest.lease, is_leaving=digest.is_leaving
         )
-        allowances.note_used(digest.used)
-        allowances.note_spending(digest.member, digest.spending)
-        lines = {
-            runner_id: loads.RunnerLoad(line.requests, line.unread_tokens)
-            for runner_id, line in digest.loads.items()
-        }
-        self._sources.loads.replace_member(digest.member, lines)
+        sources.allowances.note_used(digest.used)
+        sources.allowances.note_spending(digest.member, digest.spending)
+        sources.loads.replace_source(digest.member, _list_loads(digest.loads))
+
+    def take_report(self, report: messages.FleetReport) -> None:
+        """Spread what a hub of a large fleet tells."""
+        sources = self._sources
+        for summary in report.zones:
+            self._hear_lease(summary)
+            sources.allowances.note_spending(
+                summary.zone,
+                sources.fleet.zones.find_spending(summary.zone),
+                summary.daemons,
+            )
+        sources.loads.replace_source(_FLEET, _list_loads(report.loads))
+
+    def change_mode(self) -> None:
+        """Drop what was told in the other way."""
+        self._sources.allowances.forget_sources()
+        self._sources.loads.forget_sources()
 
     def end_member(self, member: str) -> None:
         """Drop what a daemon told that is gone for good."""
-        self._sources.allowances.forget_member(member)
-        self._sources.loads.replace_member(member, {})
+        self._sources.allowances.forget_source(member)
+        self._sources.loads.replace_source(member, {})
+
+    def _hear_lease(self, summary: messages.ZoneSummary) -> None:
+        hear = self._sources.lease.hear
+        if summary.lease is not None:
+            hear(summary.lease_member, summary.lease, is_leaving=False)
+        for member in summary.leaving:
+            hear(member, None, is_leaving=True)
+
+
+def _list_loads(
+    lines: dict[str, messages.LoadLine],
+) -> dict[str, loads.RunnerLoad]:
+    return {
+        runner_id: loads.RunnerLoad(line.requests, line.unread_tokens)
+        for runner_id, line in lines.items()
+    }
--- /dev/null
+++ b/packages/daemon/src/martenquay_daemon/fleet/state_copies.py
@@ -0,0 +1,127 @@
+"""Hand on what the log has told to daemons that do not read it themselves."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from martenquay_daemon.fleet import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from martenquay_daemon.discovery import (
+        catalog_store,
+        contact,
+        keyed_follower,
+        runner_directory,
+    )
+
+__all__ = ["FleetState", "PeerState", "StateCopies"]
+
+# A log that has been silent this long is asked of peers instead.
+_STALE_LOG_S = 0.9
+_MS = 1000
+
+
+@dataclasses.dataclass(frozen=True)
+class FleetState:
+    """What is handed on.
+
+    Attributes:
+        store: The catalog.
+        directory: The runners.
+        runner_follower: How far their entries have been read.
+        contact: How fresh that is.
+    """
+
+    store: catalog_store.CatalogStore
+    directory: runner_directory.RunnerDirectory
+    runner_follower: keyed_follower.KeyedFollower
+    contact: contact.LogContact
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerState:
+    """What a peer says it has.
+
+    Attributes:
+        address: Its fleet link.
+        catalog_version: The version in force there.
+        runners_changed: Up to where it knows the runners' entries.
+        log_age_ms: Since the log answered it.
+    """
+
+    address: str
+    catalog_version: int
+    runners_changed: int
+    log_age_ms: int
+
+
+class StateCopies:
+    """Make copies, ask for them and take them."""
+
+    def __init__(self, state: FleetState) -> None:
+        self._state = state
+
+    def create_copy(
+        self, want: messages.WantState, peers: list[messages.PeerLine]
+    ) -> messages.StateCopy:
+        """Return what the asker lacks."""
+        state = self._state
+        has_newer = state.store.version > want.catalog_version
+        return messages.StateCopy(
+            state.store.raw if has_newer else b"",
+            state.runner_follower.end,
+            [
+                copy
+                for copy in state.directory.list_copies()
+                if copy.offset >= want.runners_end
+            ],
+            [copy.key for copy in state.directory.list_copies()],
+            peers,
+        )
+
+    def create_want(self) -> messages.WantState:
+        """Return a question for all that is new."""
+        state = self._state
+        return messages.WantState(
+            state.store.version, state.runner_follower.end
+        )
+
+    def take(self, copy: messages.StateCopy) -> None:
+        """Take what a peer has read further in the log."""
+        state = self._state
+        if copy.catalog:
+            state.store.offer(copy.catalog, "a peer")
+        if copy.runners_end > state.runner_follower.end:
+            state.directory.take_copies(copy.runners, set(copy.runner_ids))
+            state.runner_follower.skip_to(copy.runners_end)
+
+    def choose_source(
+        self, peers: Iterable[PeerState], *, reads_log: bool
+    ) -> PeerState | None:
+        """Return the peer to ask, if one is ahead.
+
+        Args:
+            peers: Those that can be asked.
+            reads_log: This daemon follows the log itself; then runners'
+                entries are asked for only if it does not answer.
+        """
+        known = list(peers)
+        version = self._state.store.version
+        ahead = [p for p in known if p.catalog_version > version]
+        is_stale = self._state.contact.age_s > _STALE_LOG_S
+        if not ahead and (is_stale or not reads_log):
+            ahead = [p for p in known if self._has_newer_runners(p, reads_log)]
+        return max(
+            ahead,
+            key=lambda p: (p.catalog_version, p.runners_changed),
+            default=None,
+        )
+
+    def _has_newer_runners(self, peer: PeerState, reads_log: bool) -> bool:
+        state = self._state
+        if peer.runners_changed <= state.runner_follower.end:
+            return False
+        return not reads_log or peer.log_age_ms < state.contact.age_s * _MS
--- a/packages/daemon/src/martenquay_daemon/fleet/view.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/view.py
@@ -1,14 +1,16 @@
-"""Hold the newest digest of each daemon."""
+"""Tell what is known of the other daemons, in a small fleet or a large one.
+
+In a small fleet each daemon tells each other of itself. In a large one only
+sums are known, zone by zone.
+"""
 
 from __future__ import annotations
 
-import dataclasses
-import math
 from typing import TYPE_CHECKING
 
 import trio
 
-from martenquay_core import logs
+from martenquay_daemon.fleet import members, zones
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -16,9 +18,8 @@
     from martenquay_daemon.duties import usage_counts
     from martenquay_daemon.fleet import messages
 
-__all__ = ["FleetView", "KnownMember"]
+__all__ = ["FleetView", "merge_counts"]
 
-_LOG = logs.create_log("fleet")
 # Until the links say how often digests come.
 _FIRST_SILENT_S = 1.2
 # A cut shows in all of a zone's daemons at once, so it is believed after
@@ -26,69 +27,35 @@
 _ZONE_PART = 0.6
 # A daemon that is silent this long no longer counts for even shares.
 _GONE_S = 30.0
-# Usage counts of a daemon that ended are kept until they are reported.
-_KEEP_COUNTS_S = 40.0
-
-
-@dataclasses.dataclass
-class KnownMember:
-    """A daemon and when it was last heard.
-
-    Attributes:
-        digest: Its newest digest.
-        heard_at: When that came, in trio's time.
-        is_replaced: Its instance has a newer process.
-    """
-
-    digest: messages.Digest
-    heard_at: float
-    is_replaced: bool = False
 
 
 class FleetView:
     """What is known of the other daemons.
 
     Attributes:
-        silent_s: Without a digest for so long, a daemon counts as silent.
+        silent_s: Without news for so long, a daemon or zone is silent.
+        is_mesh: The fleet is small: daemons are known one by one.
+        is_candidate: This daemon may take the duties' lease.
+        members: The daemons that tell this one of themselves.
+        zones: The sums of each zone in a large fleet.
     """
 
     def __init__(self, instance: str) -> None:
         self.silent_s = _FIRST_SILENT_S
+        self.is_mesh = True
+        self.is_candidate = True
+        self.members = members.MemberTable(instance)
+        self.zones = zones.ZoneTable()
         self._instance = instance
-        self._members: dict[str, KnownMember] = {}
         self._listed: set[str] = set()
-        self._silent: set[str] = set()
-        self._listeners: list[Callable[[messages.Digest], None]] = []
-        self._end_listeners: list[Callable[[str], None]] = []
 
-    def listen(self, listener: Callable[[messages.Digest], None]) -> None:
-        """Have a function called with each digest that is news."""
-        self._listeners.append(listener)
+    def take(self, digest: messages.Digest) -> bool:
+        """Take a digest; tell whether it is news."""
+        return self.members.take(digest)
 
     def listen_for_ends(self, listener: Callable[[str], None]) -> None:
         """Have a function called with each member that is gone for good."""
-        self._end_listeners.append(listener)
-
-    def take(self, digest: messages.Digest) -> bool:
-        """Take a digest; tell whether it is news."""
-        if digest.instance == self._instance:
-            return False
-        known = self._members.get(digest.member)
-        if known is not None and digest.number <= known.digest.number:
-            return False
-        if known is None:
-            self._note_new(digest)
-        elif digest.member in self._silent:
-            self._silent.discard(digest.member)
-            away_s = trio.current_time() - known.heard_at
-            _LOG.write(
-                f"Daemon {digest.member} is heard again.",
-                away_s=round(away_s, 3),
-            )
-        self._members[digest.member] = KnownMember(digest, trio.current_time())
-        for listener in self._listeners:
-            listener(digest)
-        return True
+        self.members.listen_for_ends(listener)
 
     def note_listed(self, instances: set[str]) -> None:
         """Note the instances that have announced themselves in the log."""
@@ -96,88 +63,94 @@
 
     def check_silence(self) -> None:
         """Log who has fallen silent and forget who is long gone."""
-        now = trio.current_time()
-        for member, known in list(self._members.items()):
-            silent_s = now - known.heard_at
-            if silent_s > self.silent_s and member not in self._silent:
-                self._silent.add(member)
-                if not known.is_replaced:
-                    _LOG.write(f"Daemon {member} is silent.", member=member)
-            if silent_s > _KEEP_COUNTS_S:
-                self._forget(member)
-
-    def list_current(self) -> list[KnownMember]:
-        """Return the newest process of each other instance, heard or not."""
-        return [m for m in self._members.values() if not m.is_replaced]
-
-    def list_fresh(self) -> list[KnownMember]:
+        self._listed -= self.members.check_silence(self.silent_s)
+
+    def list_fresh(self) -> list[members.KnownMember]:
         """Return the daemons that are heard now."""
-        oldest = trio.current_time() - self.silent_s
-        return [m for m in self.list_current() if m.heard_at >= oldest]
+        return self.members.list_fresh(self.silent_s)
 
     def list_candidates(self) -> list[str]:
         """Return the other instances that may take the duties' lease."""
-        return [known.digest.instance for known in self.list_fresh()]
+        if self.is_mesh:
+            return [known.digest.instance for known in self.list_fresh()]
+        hubs = self.zones.list_hubs(trio.current_time())
+        return sorted({known.summary.instance for known in hubs})
 
     def is_zone_silent(self, zone: str) -> bool:
         """Tell whether daemons of a zone were heard before and none is now."""
-        found = [m for m in self.list_current() if m.digest.zone == zone]
-        oldest = trio.current_time() - _ZONE_PART * self.silent_s
-        return bool(found) and all(m.heard_at < oldest for m in found)
+        heard_at = self._find_zone_heard(zone)
+        if heard_at is None:
+            return False
+        return trio.current_time() - heard_at > _ZONE_PART * self.silent_s
 
     def count_daemons(self) -> int:
         """Return how many daemons share what is to be shared, this one too."""
-        oldest = trio.current_time() - _GONE_S
-        heard = {
-            known.digest.instance
-            for known in self.list_current()
-            if known.heard_at >= oldest
-        }
-        return 1 + max(len(heard), len(self._listed - {self._instance}))
-
-    def find_age(self, member: str) -> float:
-        """Return the seconds since a daemon was heard."""
-        known = self._members.get(member)
-        if known is None:
-            return math.inf
-        return trio.current_time() - known.heard_at
+        listed = len(self._listed - {self._instance})
+        return 1 + max(self._count_heard(), listed)
 
     def sum_begun(self, window: int) -> dict[str, int]:
         """Return the requests that others began in a window, by team."""
         total: dict[str, int] = {}
-        for known in self._members.values():
-            for team, count in known.digest.begun.get(window, {}).items():
+        for begun in self._list_begun():
+            for team, count in begun.get(window, {}).items():
                 total[team] = total.get(team, 0) + count
         return total
 
+    def sum_demand(self, service: str) -> float:
+        """Return the tokens a second that others' callers bring."""
+        if self.is_mesh:
+            found = [known.digest.demand for known in self.list_fresh()]
+        else:
+            found = [
+                known.summary.demand
+                for known in self.zones.list_active()
+                if trio.current_time() - known.heard_at <= self.silent_s
+            ]
+        return sum(demand.get(service, 0.0) for demand in found)
+
     def has_closed(self, window: int) -> bool:
         """Tell whether every daemon has told its last of a window."""
+        if self.is_mesh:
+            return all(
+                known.digest.window > window or known.digest.is_leaving
+                for known in self.members.list_current()
+            )
         return all(
-            known.digest.window > window or known.digest.is_leaving
-            for known in self.list_current()
+            known.summary.window > window for known in self.zones.list_active()
         )
 
-    def _note_new(self, digest: messages.Digest) -> None:
-        for other in self._members.values():
-            if other.digest.instance == digest.instance:
-                other.is_replaced = True
-                self._end(other.digest.member)
-        _LOG.write(
-            f"Daemon {digest.member} is heard.",
-            zone=digest.zone,
-            address=digest.address,
+    def _find_zone_heard(self, zone: str) -> float | None:
+        if not self.is_mesh:
+            active = self.zones.find_active(zone)
+            return None if active is None else active.heard_at
+        return max(
+            (
+                known.heard_at
+                for known in self.members.list_current()
+                if known.digest.zone == zone
+            ),
+            default=None,
         )
 
-    def _forget(self, member: str) -> None:
-        known = self._members.pop(member)
-        self._silent.discard(member)
-        self._listed.discard(known.digest.instance)
-        if not known.is_replaced:
-            self._end(member)
+    def _count_heard(self) -> int:
+        oldest = trio.current_time() - _GONE_S
+        if self.is_mesh:
+            heard = {
+                known.digest.instance
+                for known in self.members.list_current()
+                if known.heard_at >= oldest
+            }
+            return len(heard)
+        return sum(
+            known.summary.daemons
+            for known in self.zones.list_active()
+            if known.heard_at >= oldest
+        )
 
-    def _end(self, member: str) -> None:
-        for listener in self._end_listeners:
-            listener(member)
+    def _list_begun(self) -> list[usage_counts.WindowCounts]:
+        if self.is_mesh:
+            return [k.digest.begun for k in self.members.list_all()]
+        return [k.summary.begun for k in self.zones.list_active()]
 
 
 def merge_counts(
--- /dev/null
+++ b/packages/daemon/src/martenquay_daemon/fleet/zone_sum.py
@@ -0,0 +1,198 @@
+"""Add up, at a hub, what the daemons of its zone tell."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from martenquay_daemon.fleet import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from martenquay_daemon.duties import usage_counts
+
+__all__ = ["ZonePart", "ZoneSum", "add_loads"]
+
+# Usage counts of a daemon that ended are kept until they are reported.
+_KEEP_COUNTS_S = 40.0
+_MS = 1000
+
+
+@dataclasses.dataclass
+class ZonePart:
+    """Sums over daemons of a zone.
+
+    Attributes:
+        daemons: How many are heard.
+        window: The earliest usage window that is now for one of them.
+        leaving: Members that are stopping.
+        lease: What the lease's holder tells, if it is one of them.
+        lease_member: That holder.
+        spending: Units spent, by team.
+        loads: What they have at runners, by runner id.
+        begun: Requests begun, by window and team.
+        demand: Prompt tokens a second, by service.
+    """
+
+    daemons: int = 0
+    window: int | None = None
+    leaving: list[str] = dataclasses.field(default_factory=list)
+    lease: messages.LeaseNews | None = None
+    lease_member: str = ""
+    spending: dict[str, float] = dataclasses.field(default_factory=dict)
+    loads: dict[str, messages.LoadLine] = dataclasses.field(
+        default_factory=dict
+    )
+    begun: usage_counts.WindowCounts = dataclasses.field(default_factory=dict)
+    demand: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass
+class _Member:
+    digest: messages.Digest
+    heard_at: float
+    # What it had spent when this hub first heard of it.
+    base: dict[str, float]
+    is_replaced: bool = False
+
+    def list_spent(self) -> dict[str, float]:
+        return {
+            team: units - self.base.get(team, 0.0)
+            for team, units in self.digest.spending.items()
+        }
+
+
+class ZoneSum:
+    """The newest digests of a zone's daemons and their sums."""
+
+    def __init__(self) -> None:
+        self._members: dict[str, _Member] = {}
+        self._gone_spending: dict[str, float] = {}
+
+    def take(self, digest: messages.Digest, now: float) -> bool:
+        """Take a daemon's digest; tell whether it is news."""
+        known = self._members.get(digest.member)
+        if known is not None and digest.number <= known.digest.number:
+            return False
+        if known is None:
+            for other in self._members.values():
+                if other.digest.instance == digest.instance:
+                    other.is_replaced = True
+            # What it spent before is over, but for a daemon that has just
+            # started: that began at 0.
+            base = dict(digest.spending) if digest.number > 1 else {}
+            self._members[digest.member] = _Member(digest, now, base)
+        else:
+            known.digest = digest
+            known.heard_at = now
+        return True
+
+    def forget_old(self, now: float) -> None:
+        """Drop daemons that are long gone; what they spent stays spent."""
+        for member, known in list(self._members.items()):
+            if now - known.heard_at > _KEEP_COUNTS_S:
+                _add(self._gone_spending, known.list_spent(), 1)
+                del self._members[member]
+
+    def list_fresh(self, now: float, silent_s: float) -> list[messages.Digest]:
+        """Return the digests of the daemons that are heard."""
+        return [known.digest for known in self._list_heard(now, silent_s)]
+
+    def add_up(self, now: float, silent_s: float) -> ZonePart:
+        """Return the sums over all daemons."""
+        heard = list(self._list_heard(now, silent_s))
+        part = ZonePart(daemons=len(heard))
+        part.spending = dict(self._gone_spending)
+        for known in self._members.values():
+            _add(part.spending, known.list_spent(), 1)
+            for window, teams in known.digest.begun.items():
+                _add(part.begun.setdefault(window, {}), teams, 1)
+        for known in heard:
+            digest = known.digest
+            add_loads(part.loads, digest.loads, 1)
+            _add(part.demand, digest.demand, 1)
+            if digest.is_leaving:
+                part.leaving.append(digest.member)
+            if digest.lease is not None:
+                part.lease = _age(digest.lease, now - known.heard_at)
+                part.lease_member = digest.member
+        part.window = self._find_window("")
+        return part
+
+    def leave_out(
+        self, total: ZonePart, member: str, now: float, silent_s: float
+    ) -> ZonePart:
+        """Return sums without one daemon's part."""
+        known = self._members.get(member)
+        if known is None:
+            return total
+        is_heard = now - known.heard_at <= silent_s and not known.is_replaced
+        part = dataclasses.replace(
+            total,
+            daemons=total.daemons - is_heard,
+            window=self._find_window(member),
+            spending=dict(total.spending),
+            begun={w: dict(teams) for w, teams in total.begun.items()},
+        )
+        _add(part.spending, known.list_spent(), -1)
+        for window, teams in known.digest.begun.items():
+            _add(part.begun[window], teams, -1)
+        if is_heard:
+            part.loads = dict(total.loads)
+            part.demand = dict(total.demand)
+            add_loads(part.loads, known.digest.loads, -1)
+            _add(part.demand, known.digest.demand, -1)
+        return part
+
+    def _list_heard(self, now: float, silent_s: float) -> Iterable[_Member]:
+        return (
+            known
+            for known in self._members.values()
+            if not known.is_replaced and now - known.heard_at <= silent_s
+        )
+
+    def _find_window(self, excluded: str) -> int | None:
+        return min(
+            (
+                known.digest.window
+                for known in self._members.values()
+                if not known.is_replaced
+                and not known.digest.is_leaving
+                and known.digest.member != excluded
+            ),
+            default=None,
+        )
+
+
+def _add(
+    total: dict[str, float] | dict[str, int],
+    amounts: Mapping[str, float] | Mapping[str, int],
+    sign: int,
+) -> None:
+    for name, amount in amounts.items():
+        total[name] = total.get(name, 0) + sign * amount
+
+
+def add_loads(
+    total: dict[str, messages.LoadLine],
+    loads: Mapping[str, messages.LoadLine],
+    sign: int,
+) -> None:
+    """Add loads to a sum, or take them away with a sign of -1."""
+    for runner_id, line in loads.items():
+        known = total.get(runner_id)
+        requests = sign * line.requests + (known.requests if known else 0)
+        unread = sign * line.unread_tokens
+        unread += known.unread_tokens if known else 0
+        if requests <= 0 and unread <= 0:
+            total.pop(runner_id, None)
+        else:
+            total[runner_id] = messages.LoadLine(requests, unread)
+
+
+def _age(news: messages.LeaseNews, age_s: float) -> messages.LeaseNews | None:
+    left_ms = news.left_ms - int(age_s * _MS)
+    if left_ms <= 0:
+        return None
+    return messages.LeaseNews(news.fence, news.end, left_ms)
--- /dev/null
+++ b/packages/daemon/src/martenquay_daemon/fleet/zones.py
@@ -0,0 +1,125 @@
+"""Hold the newest summary of each zone, whichever hub it comes from."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from martenquay_core import logs
+
+if TYPE_CHECKING:
+    from martenquay_daemon.fleet import messages
+
+__all__ = ["KnownSummary", "ZoneTable"]
+
+_LOG = logs.create_log("fleet")
+# Hubs report several times a second; after this another one's summary counts.
+_TAKE_OVER_S = 1.5
+
+
+@dataclasses.dataclass
+class KnownSummary:
+    """A hub's newest summary and when it was heard.
+
+    Attributes:
+        summary: The summary.
+        loads: What the zone's daemons have at runners, if that was told.
+        heard_at: In trio's time.
+    """
+
+    summary: messages.ZoneSummary
+    loads: dict[str, messages.LoadLine]
+    heard_at: float
+
+
+@dataclasses.dataclass
+class _Zone:
+    """The hubs of a zone.
+
+    Attributes:
+        active: The hub whose sums count.
+        hubs: By member id.
+        spending: Units spent by team, on from one hub to the next.
+        marks: What each hub had told when the active one last did.
+    """
+
+    active: str
+    hubs: dict[str, KnownSummary] = dataclasses.field(default_factory=dict)
+    spending: dict[str, float] = dataclasses.field(default_factory=dict)
+    marks: dict[str, dict[str, float]] = dataclasses.field(default_factory=dict)
+
+
+class ZoneTable:
+    """Zones by name."""
+
+    def __init__(self) -> None:
+        self._zones: dict[str, _Zone] = {}
+
+    def take(
+        self,
+        summary: messages.ZoneSummary,
+        loads: dict[str, messages.LoadLine],
+        now: float,
+    ) -> bool:
+        """Take a summary; tell whether it is news and counts."""
+        zone = self._zones.setdefault(summary.zone, _Zone(summary.hub))
+        known = zone.hubs.get(summary.hub)
+        if known is not None and summary.number <= known.summary.number:
+            return False
+        zone.hubs[summary.hub] = KnownSummary(summary, loads, now)
+        if summary.hub != zone.active and not self._take_over(
+            zone, summary, now
+        ):
+            return False
+        marks = zone.marks.get(summary.hub, {})
+        for team, units in summary.spending.items():
+            spent = units - marks.get(team, 0.0)
+            zone.spending[team] = zone.spending.get(team, 0.0) + spent
+        zone.marks = {
+            hub: dict(one.summary.spending) for hub, one in zone.hubs.items()
+        }
+        return True
+
+    def find_spending(self, zone: str) -> dict[str, float]:
+        """Return what a zone has spent since it was first heard, by team."""
+        return self._zones[zone].spending
+
+    def find_active(self, zone: str) -> KnownSummary | None:
+        """Return the summary of a zone that counts."""
+        known = self._zones.get(zone)
+        return None if known is None else known.hubs[known.active]
+
+    def list_active(self) -> list[KnownSummary]:
+        """Return the summary that counts of each zone."""
+        return [zone.hubs[zone.active] for zone in self._zones.values()]
+
+    def list_hubs(self, now: float) -> list[KnownSummary]:
+        """Return the summaries of all hubs that are heard."""
+        return [
+            known
+            for zone in self._zones.values()
+            for known in zone.hubs.values()
+            if now - known.heard_at <= _TAKE_OVER_S
+        ]
+
+    def clear(self) -> None:
+        """Forget all zones."""
+        self._zones.clear()
+
+    def _take_over(
+        self, zone: _Zone, summary: messages.ZoneSummary, now: float
+    ) -> bool:
+        """Have another hub's sums count if the active one is silent."""
+        silent_s = now - zone.hubs[zone.active].heard_at
+        if silent_s < _TAKE_OVER_S:
+            return False
+        _LOG.write(
+            f"Hub {summary.hub} counts for zone {summary.zone}.",
+            previous=zone.active,
+            silent_s=round(silent_s, 3),
+        )
+        zone.hubs.pop(zone.active)
+        zone.active = summary.hub
+        # What a hub that was not heard before has added up is over.
+        zone.marks.setdefault(summary.hub, dict(summary.spending))
+        return True
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -27,6 +27,8 @@
     announcements,
     links,
     shared_state,
+    state_copies,
+    topology,
     view,
 )
 from martenquay_daemon.forwarding import (
@@ -50,11 +52,12 @@
 
 # Operators' changes are rare and wanted at once. A poll that was lost in a cut
 # is found out when its wait is over; digests tell of a newer version earlier.
-_CATALOG_PACE = keyed_follower.FollowPace(wait_s=2.0, crowded_wait_s=5.0)
+_CATALOG_PACE = keyed_follower.FollowPace(wait_s=2.0)
 # Runners write their entries all the time; a leaving one may get requests
-# for 2 s more, so reading twice a second is early enough.
+# for 2 s more, so reading twice a second is early enough. In a large fleet
+# only hubs read, and what they read has one more step to go.
 _RUNNER_PACE = keyed_follower.FollowPace(
-    wait_s=1.0, rest_s=0.5, crowded_rest_s=1.5
+    wait_s=1.0, rest_s=0.5, crowded_rest_s=0.4
 )
 # Daemons that start announce themselves to their seeds as well, and all at
 # once when all start; each record alone would wake each daemon.
@@ -155,7 +158,8 @@
             ports.topics.catalog,
             catalog_sink.CatalogSink(self._store, ports.topics.catalog_key),
             _CATALOG_PACE,
-            lambda: not self.links.is_mesh(),
+            self._is_crowded,
+            self._needs_log,
         )
         self._runner_follower = keyed_follower.KeyedFollower(
             ports.log,
@@ -163,18 +167,23 @@
             ports.topics.runners,
             self._directory,
             _RUNNER_PACE,
-            lambda: not self.links.is_mesh(),
+            self._is_crowded,
+            self._needs_log,
         )
 
     def _build_fleet(self) -> None:
         settings = self._settings
         listen = settings.listen
         self._view = view.FleetView(settings.instance)
-        self.links = links.FleetLinks(
+        place = topology.PeerAddress(
             f"{listen.ip}:{listen.peer_port}",
             settings.zone,
+            settings.link_mbps,
+        )
+        self.links = links.FleetLinks(
+            place,
             self._view,
-            links.FleetState(
+            state_copies.FleetState(
                 self._store,
                 self._directory,
                 self._runner_follower,
@@ -184,7 +193,7 @@
         )
         for seed in settings.seeds:
             host = seed.rpartition(":")[0]
-            peer = links.PeerAddress(f"{host}:{listen.peer_port}")
+            peer = topology.PeerAddress(f"{host}:{listen.peer_port}")
             self.links.add_peer(peer)
         self._member_follower = keyed_follower.KeyedFollower(
             self._ports.log,
@@ -192,15 +201,22 @@
             self._ports.topics.members,
             announcements.MemberSink(self._view, self.links),
             _MEMBER_PACE,
-            lambda: not self.links.is_mesh(),
+            self._is_crowded,
         )
         self._announcer = announcements.Announcer(
             self._ports.log,
             self._ports.topics.members,
             settings.instance,
-            settings.zone,
+            place,
         )
 
+    def _is_crowded(self) -> bool:
+        # The links are built after what they hand on.
+        return not self.links.is_mesh()
+
+    def _needs_log(self) -> bool:
+        return self.links.needs_log()
+
     def _create_digest(self) -> messages.Digest:
         # What it is made from is built after the links.
         return self._shared.create_digest()
@@ -260,11 +276,14 @@
         settings = self._settings
         self._shared = shared_state.SharedState(
             shared_state.Identity(
-                self.member, settings.instance, settings.zone
+                self.member,
+                settings.instance,
+                settings.zone,
+                settings.link_mbps,
             ),
             shared_state.StateSources(
                 store=self._store,
-                runner_follower=self._runner_follower,
+                directory=self._directory,
                 contact=self._contact,
                 allowances=self._allowances,
                 loads=self._loads,
@@ -272,9 +291,14 @@
                 meter=self._meter,
                 lease=self._lease,
                 links=self.links,
+                fleet=self._view,
             ),
         )
-        self._view.listen(self._shared.take_digest)
+        self.links.listeners = links.Listeners(
+            self._shared.take_digest,
+            self._shared.take_report,
+            self._shared.change_mode,
+        )
         self._view.listen_for_ends(self._shared.end_member)
 
     def _build_forwarding(self) -> None:
--- /dev/null
+++ b/packages/standins/src/martenquay_standins/chaos/proxy.py
@@ -0,0 +1,129 @@
+"""Stand between two programs on loopback and harm what passes."""
+
+from __future__ import annotations
+
+import dataclasses
+import socket
+import struct
+from typing import TYPE_CHECKING
+
+import trio
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+__all__ = ["FaultyProxy", "ProxyFaults"]
+
+_PIECE_BYTES = 65_536
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+@dataclasses.dataclass(frozen=True)
+class ProxyFaults:
+    """What goes wrong with what passes.
+
+    Attributes:
+        delay_s: Each piece is held back so long.
+        is_silent_to: Nothing passes towards the target.
+        is_silent_from: Nothing passes from it.
+    """
+
+    delay_s: float = 0.0
+    is_silent_to: bool = False
+    is_silent_from: bool = False
+
+
+class FaultyProxy:
+    """Forward TCP to one target.
+
+    What is held back while a direction is silent passes when it heals, as
+    after a cut, unless the connection was reset meanwhile.
+
+    Attributes:
+        address: Where it listens.
+        target: Where it forwards to.
+    """
+
+    def __init__(self, target: str) -> None:
+        self.address = ""
+        self.target = target
+        self._faults = ProxyFaults()
+        self._changed = trio.Event()
+        self._open: set[trio.CancelScope] = set()
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Forward until cancelled."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        host, port = listeners[0].socket.getsockname()[:2]
+        self.address = f"{host}:{port}"
+        task_status.started()
+        await trio.serve_listeners(self._forward, listeners)
+
+    def set_faults(self, faults: ProxyFaults) -> None:
+        """Change what goes wrong."""
+        self._faults = faults
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def reset_connections(self) -> None:
+        """Reset all open connections, on both sides."""
+        for scope in list(self._open):
+            scope.cancel()
+
+    async def _forward(self, near: trio.SocketStream) -> None:
+        host, _, port = self.target.rpartition(":")
+        try:
+            far = await trio.open_tcp_stream(host, int(port))
+        except OSError:
+            _close_hard(near)
+            return
+        with trio.CancelScope() as scope:
+            self._open.add(scope)
+            try:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._copy, near, far, True)
+                    nursery.start_soon(self._copy, far, near, False)
+            finally:
+                self._open.discard(scope)
+                _close_hard(near, far)
+
+    async def _copy(
+        self,
+        source: trio.SocketStream,
+        target: trio.SocketStream,
+        is_to_target: bool,
+    ) -> None:
+        try:
+            while piece := await source.receive_some(_PIECE_BYTES):
+                await self._hold(is_to_target)
+                await target.send_all(piece)
+            await self._hold(is_to_target)
+            await target.send_eof()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            _close_hard(source, target)
+
+    async def _hold(self, is_to_target: bool) -> None:
+        if self._faults.delay_s:
+            await trio.sleep(self._faults.delay_s)
+        while self._is_silent(is_to_target):
+            await self._changed.wait()
+
+    def _is_silent(self, is_to_target: bool) -> bool:
+        if is_to_target:
+            return self._faults.is_silent_to
+        return self._faults.is_silent_from
+
+
+def _close_hard(*streams: trio.SocketStream) -> None:
+    """Close with a reset, so that nothing held back is delivered."""
+    for stream in _iterate_open(streams):
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        stream.socket.close()
+
+
+def _iterate_open(
+    streams: tuple[trio.SocketStream, ...],
+) -> Iterator[trio.SocketStream]:
+    return (stream for stream in streams if stream.socket.fileno() >= 0)
--- a/tests/serving_builders.py
+++ b/tests/serving_builders.py
@@ -19,6 +19,7 @@
     "build_runner",
     "build_scaling",
     "build_service",
+    "build_summary",
     "build_team",
 ]
 
@@ -115,8 +116,9 @@
         "address": "127.0.0.1:7002",
         "number": 1,
         "catalog_version": 3,
-        "runners_end": 0,
+        "runners_changed": 0,
         "log_age_ms": 0,
+        "capacity": 0.0,
         "is_leaving": False,
         "lease": None,
         "window": 0,
@@ -129,6 +131,29 @@
     return messages.Digest(**(fields | changes))
 
 
+def build_summary(**changes: Any) -> messages.ZoneSummary:
+    """Return a summary of another zone."""
+    fields: dict[str, Any] = {
+        "zone": "b",
+        "hub": "entry-2.aa",
+        "instance": "entry-2",
+        "address": "127.0.0.1:7002",
+        "number": 1,
+        "daemons": 3,
+        "catalog_version": 3,
+        "runners_changed": 0,
+        "log_age_ms": 0,
+        "lease": None,
+        "lease_member": "",
+        "leaving": [],
+        "window": 0,
+        "spending": {},
+        "begun": {},
+        "demand": {},
+    }
+    return messages.ZoneSummary(**(fields | changes))
+
+
 def build_gateway_settings(**changes: Any) -> dict[str, Any]:
     """Return the content of a good settings file, with sections replaced."""
     settings: dict[str, Any] = {
--- a/tests/test_allowances/test_ledger.py
+++ b/tests/test_allowances/test_ledger.py
@@ -144,6 +144,19 @@
 
         self.run_clocked(scenario)
 
+    def test_a_large_fleet_that_starts_anew_serves_before_all_are_heard(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            one = _create(77)
+            one.refill([_TEAM])
+            one.note_past({"florists": 0.5 * _ALLOWANCE}, 1.5, 1.0)
+            for _ in range(20):
+                self.assertEqual(0.0, one.take(_TEAM, 2.0, reserve=2))
+                await trio.sleep(0.05)
+
+        self.run_clocked(scenario)
+
     def test_a_refusal_says_when_there_may_be_room(self) -> None:
         async def scenario() -> None:
             one = _Fleet(1).ledgers[0]
--- a/tests/test_discovery/test_runner_directory.py
+++ b/tests/test_discovery/test_runner_directory.py
@@ -44,6 +44,30 @@
 
         self.run_clocked(scenario)
 
+    def test_heartbeats_are_no_change(self) -> None:
+        async def scenario() -> None:
+            self._build()
+            self._put(id="r-1")
+            changed_end = self.directory.changed_end
+            self._put(id="r-1")
+            self.assertEqual(changed_end, self.directory.changed_end)
+            self._put(id="r-1", is_leaving=True)
+            self.assertEqual(self.offset + 1, self.directory.changed_end)
+            self._drop("r-1")
+            self.assertEqual(self.offset + 1, self.directory.changed_end)
+
+        self.run_clocked(scenario)
+
+    def test_copies_of_some_entries_leave_the_others(self) -> None:
+        async def scenario() -> None:
+            self._build()
+            self._put(id="r-1")
+            self._put(id="r-2", address="127.0.0.1:2")
+            self.directory.take_copies([], {"r-2"})
+            self.assertEqual(["r-2"], self._list())
+
+        self.run_clocked(scenario)
+
     def test_a_dropped_entry_ends_at_once_while_the_log_is_well(self) -> None:
         async def scenario() -> None:
             self._build()
@@ -122,7 +146,7 @@
             self._put(id="r-1")
             old = self.directory.list_copies()
             self._put(id="r-1", is_leaving=True)
-            self.directory.take_copies(old)
+            self.directory.take_copies(old, {copy.key for copy in old})
             self.assertEqual([], self._list())
 
         self.run_clocked(scenario)
--- a/tests/test_engines/test_placer.py
+++ b/tests/test_engines/test_placer.py
@@ -94,9 +94,9 @@
             chooser = self._build()
             home = self._choose(chooser, "s-1", "own")
             load = loads.RunnerLoad(requests=3, unread_tokens=60_000)
-            self.ledger.replace_member("entry-2.aa", {home: load})
+            self.ledger.replace_source("entry-2.aa", {home: load})
             self.assertNotEqual(home, self._choose(chooser, "s-1", "own"))
-            self.ledger.replace_member("entry-2.aa", {})
+            self.ledger.replace_source("entry-2.aa", {})
             self.assertEqual(home, self._choose(chooser, "s-1", "own"))
 
         self.run_clocked(scenario)
@@ -111,7 +111,7 @@
                 for number in range(29):
                     load = loads.RunnerLoad(4, 30_000)
                     member = {f"r-{number}": load}
-                    self.ledger.replace_member(f"entry-{number}.aa", member)
+                    self.ledger.replace_source(f"entry-{number}.aa", member)
                 chosen.append(self._choose(chooser, "s-1", "own"))
             self.assertLess(chosen.count("r-29"), 10)
 
--- a/tests/test_fleet/test_links.py
+++ b/tests/test_fleet/test_links.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import testtools
 import trio
 
@@ -13,23 +15,42 @@
     keyed_follower,
     runner_directory,
 )
-from martenquay_daemon.fleet import links, view
+from martenquay_daemon.fleet import (
+    links,
+    messages,
+    state_copies,
+    topology,
+    view,
+)
 from martenquay_standins.ports import log
 from tests import serving_builders as builders
 
 _HANG_S = 30.0
 _PACE = links.FleetPace(
-    own_s=0.02, hurry_s=0.005, hand_on_s=0.005, silent_s=5.0
+    own_s=0.02,
+    hurry_s=0.005,
+    step_s=0.005,
+    report_s=0.02,
+    longest_report_s=0.1,
+    silent_s=5.0,
 )
+# The first ones have the best links.
+_MBPS = 100.0
 
 
 class _Daemon:
     """One daemon's links and what they hand on."""
 
-    def __init__(self, name: str, records: builders.FakeRecords) -> None:
-        self.name = name
+    def __init__(
+        self, number: int, records: builders.FakeRecords, zone: str = "a"
+    ) -> None:
+        self.name = f"entry-{number}"
+        self.zone = zone
         self.number = 0
-        self.view = view.FleetView(name)
+        self.spent = 0.0
+        self.digests: list[messages.Digest] = []
+        self.reports: list[messages.FleetReport] = []
+        self.view = view.FleetView(self.name)
         self.contact = contact.LogContact()
         self.store = catalog_store.create_store(records)
         self.directory = runner_directory.RunnerDirectory(records, self.contact)
@@ -40,12 +61,21 @@
             self.directory,
             keyed_follower.FollowPace(wait_s=1.0),
         )
-        state = links.FleetState(
+        state = state_copies.FleetState(
             self.store, self.directory, self.follower, self.contact
         )
+        place = topology.PeerAddress("127.0.0.1:0", zone, _MBPS - number)
+        self.place = place
         self.links = links.FleetLinks(
-            "127.0.0.1:0", "a", self.view, state, self._digest, _PACE, _PACE
+            place, self.view, state, self._digest, _PACE, _PACE
         )
+        self.links.listeners = links.Listeners(
+            self.digests.append, self.reports.append, lambda: None
+        )
+
+    def find_place(self) -> topology.PeerAddress:
+        """Return where others reach it."""
+        return dataclasses.replace(self.place, address=self.links.address)
 
     def _digest(self):
         self.number += 1
@@ -53,20 +83,31 @@
         return builders.build_digest(
             member=f"{self.name}.aa",
             instance=self.name,
+            zone=self.zone,
             address=self.links.address,
             number=self.number,
             catalog_version=self.store.version,
-            runners_end=self.follower.end,
+            runners_changed=self.directory.changed_end,
             log_age_ms=int(age_s * 1000),
+            capacity=self.place.capacity,
+            spending={"florists": self.spent},
+            loads={self.name: messages.LoadLine(1, 10)},
         )
 
 
+def _introduce(daemons: list[_Daemon]) -> None:
+    """Have all know all."""
+    for one in daemons:
+        for other in daemons:
+            one.links.add_peer(other.find_place())
+
+
 class FleetLinksTest(testtools.TestCase):
-    def _run(self, scenario, count: int) -> None:
+    def _run(self, scenario, count: int, zones: int = 1) -> None:
         records = builders.FakeRecords()
         records.catalogs[b"3"] = builders.build_catalog(version=3)
         records.runners[b"r"] = builders.build_runner(id="r-1")
-        daemons = [_Daemon(f"entry-{n}", records) for n in range(count)]
+        daemons = [_Daemon(n, records, "ab"[n % zones]) for n in range(count)]
 
         async def run() -> None:
             with trio.fail_after(_HANG_S):
@@ -83,7 +124,7 @@
     ) -> None:
         async def scenario(daemons: list[_Daemon]) -> None:
             first, second = daemons
-            second.links.add_peer(links.PeerAddress(first.links.address))
+            second.links.add_peer(first.find_place())
             while not (first.view.list_fresh() and second.view.list_fresh()):
                 await trio.sleep(0.01)
 
@@ -94,7 +135,7 @@
             first, second = daemons
             sink = catalog_sink.CatalogSink(first.store, "config")
             sink.take(ports.KeyedRecord(0, "config", b"3"))
-            second.links.add_peer(links.PeerAddress(first.links.address))
+            second.links.add_peer(first.find_place())
             while second.store.version != 3:
                 await trio.sleep(0.01)
 
@@ -106,7 +147,7 @@
             first.contact.note_answer()
             first.directory.take(ports.KeyedRecord(4, "r-1", b"r"))
             first.follower.skip_to(5)
-            second.links.add_peer(links.PeerAddress(first.links.address))
+            second.links.add_peer(first.find_place())
             while not second.directory.list_usable("desk"):
                 first.contact.note_answer()
                 await trio.sleep(0.01)
@@ -116,31 +157,90 @@
 
     def test_in_a_large_fleet_the_catalog_spreads_without_the_log(self) -> None:
         async def scenario(daemons: list[_Daemon]) -> None:
-            for one in daemons:
-                for other in daemons:
-                    one.links.add_peer(
-                        links.PeerAddress(other.links.address, "a")
-                    )
-            sink = catalog_sink.CatalogSink(daemons[0].store, "config")
+            _introduce(daemons)
+            # Also from a daemon that is no hub.
+            sink = catalog_sink.CatalogSink(daemons[-1].store, "config")
             sink.take(ports.KeyedRecord(0, "config", b"3"))
             while any(one.store.version != 3 for one in daemons):
                 await trio.sleep(0.01)
 
-        self._run(scenario, 16)
+        self._run(scenario, 18, 2)
 
-    def test_in_a_large_fleet_digests_are_handed_on(self) -> None:
+    def test_in_a_large_fleet_what_hubs_read_of_runners_reaches_all(
+        self,
+    ) -> None:
+        async def scenario(daemons: list[_Daemon]) -> None:
+            _introduce(daemons)
+            hubs = daemons[:4]
+
+            async def read() -> None:
+                while True:
+                    for one in hubs:
+                        one.contact.note_answer()
+                    await trio.sleep(0.05)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(read)
+                for one in hubs:
+                    one.directory.take(ports.KeyedRecord(4, "r-1", b"r"))
+                    one.follower.skip_to(5)
+                while any(
+                    not one.directory.list_usable("desk") for one in daemons
+                ):
+                    await trio.sleep(0.01)
+                await trio.sleep(0.1)
+                self.assertTrue(all(one.links.needs_log() for one in hubs))
+                for one in daemons[4:]:
+                    self.assertFalse(one.links.needs_log())
+                for one in hubs:
+                    one.directory.take(ports.KeyedRecord(6, "r-1", None))
+                    one.follower.skip_to(7)
+                while any(one.directory.list_usable("desk") for one in daemons):
+                    await trio.sleep(0.01)
+                nursery.cancel_scope.cancel()
+
+        self._run(scenario, 18, 2)
+
+    def test_in_a_large_fleet_all_others_are_counted_once(self) -> None:
         async def scenario(daemons: list[_Daemon]) -> None:
+            _introduce(daemons)
+            while any(one.view.count_daemons() != 18 for one in daemons):
+                await trio.sleep(0.01)
+            # One's own part is not in what it is told.
+            wanted = {f"entry-{n}" for n in range(18)}
             for one in daemons:
-                for other in daemons:
-                    one.links.add_peer(
-                        links.PeerAddress(other.links.address, "a")
-                    )
-            while any(
-                len(one.view.list_current()) < len(daemons) - 1
-                for one in daemons
-            ):
+                while not one.reports or set(
+                    one.reports[-1].loads
+                ) != wanted - {one.name}:
+                    await trio.sleep(0.01)
+            most = max(one.links.count_links() for one in daemons[4:])
+            self.assertLessEqual(most, 3)
+
+        self._run(scenario, 18, 2)
+
+    def test_in_a_large_fleet_spending_is_told_to_all_zones(self) -> None:
+        async def scenario(daemons: list[_Daemon]) -> None:
+            _introduce(daemons)
+            while any(not one.reports for one in daemons):
                 await trio.sleep(0.01)
-            most = max(one.links.count_links() for one in daemons)
-            self.assertLess(most, len(daemons) - 1)
+            await trio.sleep(0.3)
 
-        self._run(scenario, 16)
+            def list_totals(one: _Daemon) -> list[float]:
+                active = one.view.zones.list_active()
+                zones = [known.summary.zone for known in active]
+                return [
+                    one.view.zones.find_spending(zone).get("florists", 0.0)
+                    for zone in zones
+                ]
+
+            before = [sum(list_totals(one)) for one in daemons]
+            for one in daemons:
+                one.spent += 5.0
+            for one, known in zip(daemons, before, strict=True):
+                while sum(list_totals(one)) < known + 17 * 5.0:
+                    await trio.sleep(0.01)
+            await trio.sleep(0.1)
+            for one, known in zip(daemons, before, strict=True):
+                self.assertEqual(known + 17 * 5.0, sum(list_totals(one)))
+
+        self._run(scenario, 18, 2)
--- a/tests/test_fleet/test_view.py
+++ b/tests/test_fleet/test_view.py
@@ -32,7 +32,7 @@
                     member="entry-2.bb", begun={7: {"florists": 1}}
                 )
             )
-            self.assertEqual(1, len(fleet.list_current()))
+            self.assertEqual(1, len(fleet.members.list_current()))
             self.assertEqual({"florists": 3}, fleet.sum_begun(7))
             self.assertEqual(["entry-2.aa"], ended)
 
@@ -74,6 +74,33 @@
 
         self.run_clocked(scenario)
 
+    def test_in_a_large_fleet_the_sums_of_zones_count(self) -> None:
+        async def scenario() -> None:
+            fleet = view.FleetView("entry-1")
+            fleet.is_mesh = False
+            now = trio.current_time()
+            for zone, hub in (("a", "entry-2"), ("b", "entry-3")):
+                summary = builders.build_summary(
+                    zone=zone,
+                    hub=f"{hub}.aa",
+                    instance=hub,
+                    window=8,
+                    begun={7: {"florists": 2}},
+                    demand={"model": 5.0},
+                )
+                fleet.zones.take(summary, {}, now)
+            self.assertEqual(7, fleet.count_daemons())
+            self.assertEqual({"florists": 4}, fleet.sum_begun(7))
+            self.assertEqual(10.0, fleet.sum_demand("model"))
+            self.assertEqual(["entry-2", "entry-3"], fleet.list_candidates())
+            self.assertTrue(fleet.has_closed(7))
+            self.assertFalse(fleet.has_closed(8))
+            self.assertFalse(fleet.is_zone_silent("a"))
+            await trio.sleep(5.0)
+            self.assertTrue(fleet.is_zone_silent("a"))
+
+        self.run_clocked(scenario)
+
     def test_a_window_has_closed_when_all_say_so(self) -> None:
         async def scenario() -> None:
             fleet = view.FleetView("entry-1")
