Share the bucket of a team among daemons that start at once

Change: a daemon begins with half of its even share, and while others are not heard only its share is filled in.

Ruled out: charging the bucket for unheard daemons as before (a large fleet then refuses everybody for 1.5 s).

--- a/packages/daemon/src/martenquay_daemon/allowances/ledger.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/ledger.py
@@ -46,6 +46,9 @@
 # The bucket: a quarter more than the rate fills the window in 6 s.
 _BUCKET_RATE = 1.25
 _BUCKET_BURST = 1.5
+# The part of its share of the bucket that a daemon begins with when all have
+# started anew; the rest makes up for what was spent and not written down.
+_START_PART = 0.5
 # The part of the window that each step of urgency leaves to the more urgent.
 _RESERVE = 0.02
 _MOST_RESERVE = 0.15
@@ -275,8 +278,14 @@
         elapsed_s = now - account.filled_at
         account.filled_at = now
         account.used.slide(now)
+        daemons = max(1, self._fleet.count_daemons())
+        absent = self._count_absent(account, now, daemons)
+        # What is absent daemons' part of the bucket is not this one's to
+        # spend; the others all reckon like this.
+        part = max(1, daemons - absent) / daemons
         account.size = _BUCKET_BURST * team.burst
-        level = account.level + _BUCKET_RATE * team.rate * elapsed_s
+        filled = _BUCKET_RATE * team.rate * elapsed_s * part
+        level = account.level + filled
         account.level = max(-account.size, min(account.size, level))
         if now - account.started_at > _GUESS_S:
             account.is_guessed = False
@@ -288,6 +297,20 @@
             account.used.add(now, unheard)
         return account
 
+    def _count_absent(self, account: _Account, now: float, daemons: int) -> int:
+        """Return how many daemons are not heard now, or were never."""
+        heard = sum(known.daemons for known in account.others.values())
+        silent = sum(
+            known.daemons
+            for known in account.others.values()
+            if self._is_silent(known, now)
+        )
+        return max(0, daemons - 1 - heard) + silent
+
+    def _is_silent(self, known: _Spending, now: float) -> bool:
+        limit_s = _SILENT_PART * self._fleet.find_silence()
+        return now - known.heard_at > limit_s
+
     def _open(self, team: catalog.Team, now: float) -> _Account:
         """Open an account whose window counts as full.
 
@@ -319,9 +342,10 @@
         account.used.fill_evenly(past.written_at, past.sums[team])
         account.used.add(past.written_at + unwritten_s, most * unwritten_s)
         account.used.slide(now)
-        # Most teams' buckets are full; the window bounds those that asked
-        # for more.
-        account.level = account.size
+        # Most teams' buckets are full; what was in this one is shared by all
+        # daemons that start now.
+        daemons = max(1, self._fleet.count_daemons())
+        account.level = _START_PART * account.size / daemons
         account.is_guessed = False
 
     def _assume(
@@ -342,8 +366,8 @@
         unheard = max(0, daemons - 1 - heard)
         units = unheard * even * elapsed_s
         for known in account.others.values():
-            silent_s = now - known.heard_at
-            if silent_s > _SILENT_PART * self._fleet.find_silence():
+            if self._is_silent(known, now):
+                silent_s = now - known.heard_at
                 least = even * known.daemons
                 likely = min(most, max(known.rate, least)) * silent_s
                 units += max(0.0, likely - known.assumed)
