Have the greedy team's test notice the fault it is there for

It passed on the code with the fault, since a team that had spent all has no room left. With four tenths spent it fails there (the window's sum over the bound) and passes now.

--- a/tests/test_allowances/test_ledger.py
+++ b/tests/test_allowances/test_ledger.py
@@ -164,13 +164,11 @@
     def test_a_greedy_team_gains_nothing_when_all_start_anew(self) -> None:
         async def scenario() -> None:
             fleet = _Fleet(6)
-            fleet.tell()
-            await fleet.run(8.0)
-            past = fleet.ledgers[0].list_used()
-            fleet.ledgers = [_create(6) for _ in range(6)]
+            past = 0.4 * _ALLOWANCE
+            fleet.spent.append((trio.current_time(), past))
             for one in fleet.ledgers:
                 one.refill([_TEAM])
-                one.note_past(past, 1.2, 1.0)
+                one.note_past({"florists": past}, 1.2, 1.0)
             # Nobody is heard for half a second.
             await fleet.run(0.5, sides=tuple(range(n, n + 1) for n in range(6)))
             await fleet.run(8.0)
