--- a/tests/test_allowances/test_ledger.py
+++ b/tests/test_allowances/test_ledger.py
@@ -165,7 +165,11 @@
         async def scenario() -> None:
             fleet = _Fleet(6)
             past = 0.4 * _ALLOWANCE
-            fleet.spent.append((trio.current_time(), past))
+            written_at = trio.current_time() - 1.2
+            fleet.spent = [
+                (written_at - step * _WINDOW_S / 32, past / 32)
+                for step in range(32)
+            ]
             for one in fleet.ledgers:
                 one.refill([_TEAM])
                 one.note_past({"florists": past}, 1.2, 1.0)
