Soak the daemon on the platform's wire

The real program as separate processes behind loopback proxies that delay, silence one way or both and reset, before stand-ins of store, cloud API and runners in processes of their own; signals that kill, stop, freeze and reload, in series and beside each other; a store that is down, hangs, loses answers, does appends late, refuses or has no reclaimable runners. Judged while it runs and at the end, by what callers and runners saw. Daemons can announce another fleet address than they listen at, so that a proxy stands between them too.

Clocks are not harmed: a process cannot be given another time of day here.

--- /dev/null
+++ b/bench/platform_soak.py
@@ -0,0 +1,63 @@
+"""Soak the daemon on the platform: many seeds of faults, each judged.
+
+python -m bench.platform_soak --first_seed=1 --seeds=5
+"""
+
+from __future__ import annotations
+
+import collections
+
+import trio
+from absl import app, flags
+
+from bench import figures
+from martenquay_platform_standins import soak
+from martenquay_platform_standins.history import CallKind
+
+_FIRST = flags.DEFINE_integer("first_seed", 1, "The first seed.")
+_SEEDS = flags.DEFINE_integer("seeds", 5, "How many seeds.")
+_FAULTS = flags.DEFINE_integer("faults", 24, "Faults a seed.")
+_DAEMONS = flags.DEFINE_integer("daemons", 6, "Daemons.")
+_RUNNERS = flags.DEFINE_integer("runners", 3, "Runners of each service.")
+
+
+def main(argv: list[str]) -> int:
+    """Run the seeds one after the other; return 1 if any breaks a promise."""
+    del argv
+    rows = []
+    broken = 0
+    for seed in range(_FIRST.value, _FIRST.value + _SEEDS.value):
+        plan = soak.SoakPlan(
+            seed, _FAULTS.value, _DAEMONS.value, _RUNNERS.value
+        )
+        report = trio.run(soak.run_soak, plan)
+        for breach in report.breaches:
+            print(f"seed {seed}: {breach}", flush=True)
+        broken += len(report.breaches)
+        rows.append(_describe(seed, report))
+    kinds = [str(kind) for kind in CallKind]
+    heads = ["seed", "faults", *kinds, "runs", "duties", "breaches"]
+    figures.print_table(heads, rows)
+    return 1 if broken else 0
+
+
+def _describe(seed: int, report: soak.SoakReport) -> list[str]:
+    seen = report.history
+    asked = collections.Counter(call.kind for call in seen.calls.values())
+    good = collections.Counter(
+        call.kind
+        for call in seen.calls.values()
+        if call.status == 200 and call.is_whole
+    )
+    return [
+        str(seed),
+        str(len(seen.disturbances)),
+        *(f"{good[kind]}/{asked[kind]}" for kind in CallKind),
+        str(len(seen.runs)),
+        str(len(seen.duties)),
+        str(len(report.breaches)),
+    ]
+
+
+if __name__ == "__main__":
+    app.run(main)
--- a/packages/core/src/martenquay_core/settings/gateway.py
+++ b/packages/core/src/martenquay_core/settings/gateway.py
@@ -36,6 +36,8 @@
         metrics_path: Answers with metrics.
         ip: The instance's own address, for links between daemons.
         peer_port: For links between daemons; alike on all instances.
+        peer_announce: Where other daemons reach that port, if something
+            stands between.
     """
 
     callers: Address
@@ -44,6 +46,7 @@
     metrics_path: Path = "/metrics"
     ip: Text
     peer_port: Port
+    peer_announce: Address | None = None
 
 
 class GatewayPlatform(_Strict):
--- a/packages/daemon/src/martenquay_daemon/fleet/links.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/links.py
@@ -135,8 +135,11 @@
         create_digest: Callable[[], messages.Digest],
         mesh_pace: FleetPace = MESH_PACE,
         zone_pace: FleetPace = ZONE_PACE,
+        *,
+        announced: str | None = None,
     ) -> None:
-        self.address = own.address
+        self.address = announced or own.address
+        self._announced = announced
         self.listeners: Listeners | None = None
         self._own_place = own
         self._view = fleet
@@ -165,14 +168,14 @@
         self, *, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Listen and keep the links until cancelled."""
-        router = sockets.bind_router(self._context, self.address)
-        self.address = router.address
-        self._board.own_address = router.address
+        router = sockets.bind_router(self._context, self._own_place.address)
+        self.address = self._announced or router.address
+        self._board.own_address = self.address
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
                 nursery.start_soon(self._tell)
-                task_status.started(router.address)
+                task_status.started(self.address)
                 await self._serve(router)
         finally:
             router.close()
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -190,6 +190,7 @@
                 self._contact,
             ),
             self._create_digest,
+            announced=listen.peer_announce,
         )
         for seed in settings.seeds:
             host = seed.rpartition(":")[0]
--- a/packages/standins/src/martenquay_standins/ports/log.py
+++ b/packages/standins/src/martenquay_standins/ports/log.py
@@ -160,14 +160,19 @@
             return ports.Appended(None, found.end)
         offset = found.end
         for payload in append.payloads:
-            self._keep_newest(found, payload)
+            self._keep_newest(append.topic, found, payload)
             found.records.append(payload)
         self._news.set()
         self._news = trio.Event()
         return ports.Appended(offset, found.end)
 
-    def _keep_newest(self, found: _Topic, payload: bytes) -> None:
-        if b"=" not in payload:
+    def is_keyed(self, topic: str, payload: bytes) -> bool:
+        """Tell whether a record has a key; here they may be mixed."""
+        del topic
+        return b"=" in payload
+
+    def _keep_newest(self, topic: str, found: _Topic, payload: bytes) -> None:
+        if not self.is_keyed(topic, payload):
             return
         record = self.split_keyed(payload, found.end)
         if record.value is None:
