--- a/bench/fleet_cost.py
+++ b/bench/fleet_cost.py
@@ -1,109 +1,169 @@
-"""Measure what digests cost a daemon in fleets of several sizes.
+"""Measure what knowing the fleet costs a daemon, in fleets of several sizes.
 
 python -m bench.fleet_cost
 """
 
 from __future__ import annotations
 
+import dataclasses
 import statistics
 import time
-import tracemalloc
 
-import trio
 from absl import app
 from tests import serving_builders as builders
 
 from bench import figures
-from martenquay_core.serving import catalog
-from martenquay_daemon.allowances import ledger
-from martenquay_daemon.fleet import links, messages, view
+from martenquay_daemon.fleet import hub, links, messages, topology, zones
 
 _SIZES = (8, 80, 400)
 _TEAMS = 16
 _ROUNDS = 5
 _ZONES = 7
-
-
-def _build_digest(number: int, member: int) -> messages.Digest:
+# Runners that the daemons of the fleet have requests at, by fleet size.
+_RUNNERS = {8: 9, 80: 45, 400: 790}
+_AT_ONCE = 6
+_SILENT_S = 2.0
+_FACTS = hub.HubFacts(3, 900, 40)
+# What a daemon may be sent of the fleet, as the links have it.
+_BYTES_PER_S = 4000.0
+
+
+@dataclasses.dataclass(frozen=True)
+class _Cost:
+    """What one size costs.
+
+    Attributes:
+        digest_bytes: A daemon's own digest.
+        report_bytes: A hub's report to one daemon.
+        exchange_bytes: A hub's news for another zone's hub.
+        round_s: Processor time of a hub for one round of reports.
+        take_s: Processor time of a daemon for taking one report.
+    """
+
+    digest_bytes: int
+    report_bytes: int
+    exchange_bytes: int
+    round_s: float
+    take_s: float
+
+
+def _build_digest(number: int, member: int, runners: int) -> messages.Digest:
     teams = [f"team{n}" for n in range(_TEAMS)]
+    first = member * _AT_ONCE
     return builders.build_digest(
         member=f"entry-{member}.aabbccdd",
         instance=f"entry-{member}",
-        zone=f"zone-{member % _ZONES}",
+        zone="zone-0",
         address=f"10.0.{member // 250}.{member % 250}:7600",
         number=number,
         spending={team: 1234567.0 + number for team in teams},
-        loads={f"i-{n:010x}": messages.LoadLine(2, 900) for n in range(6)},
+        loads={
+            f"i-{(first + n) % runners:010x}": messages.LoadLine(2, 900)
+            for n in range(_AT_ONCE)
+        },
         begun={n: dict.fromkeys(teams[:5], 3) for n in range(3)},
         demand={"service-1": 2500.0},
     )
 
 
-async def _measure(size: int) -> list[str]:
-    fleet = view.FleetView("entry-none")
-    facts = ledger.FleetFacts(lambda: size, lambda: 4.5, lambda: None)
-    accounts = ledger.create_ledger(
-        ledger.ToleranceBounds(8.0, 0.1, 72_000.0), facts
+def _fill_others(table: zones.ZoneTable, runners: int) -> None:
+    """Have the other zones' hubs tell of loads at all runners."""
+    loads = {f"i-{n:010x}": messages.LoadLine(3, 1200) for n in range(runners)}
+    for number in range(1, _ZONES):
+        summary = builders.build_summary(
+            zone=f"zone-{number}",
+            hub=f"entry-9{number}.aabbccdd",
+            spending={f"team{n}": 1234567.0 for n in range(_TEAMS)},
+        )
+        table.take(summary, loads, 0.0)
+
+
+def _measure_zone(size: int) -> _Cost:
+    """Measure a hub and a daemon of a zone in a large fleet."""
+    table = zones.ZoneTable()
+    runners = _RUNNERS[size]
+    _fill_others(table, runners)
+    one = hub.ZoneHub(table)
+    members = max(2, size // _ZONES)
+    times = []
+    takes = []
+    for number in range(1, _ROUNDS + 1):
+        for member in range(1, members):
+            one.take(_build_digest(number, member, runners), 0.0)
+        own = _build_digest(number, 0, runners)
+        one.take_own(own, 0.0)
+        started = time.process_time()
+        exchange = messages.encode_message(
+            one.create_exchange(_FACTS, 0.0, _SILENT_S)
+        )
+        raws = [
+            messages.encode_message(report)
+            for report in one.create_reports(_FACTS, 0.0, _SILENT_S).values()
+        ]
+        times.append(time.process_time() - started)
+        started = time.process_time()
+        report = messages.decode_message(raws[0])
+        assert isinstance(report, messages.FleetReport)
+        for summary in report.zones:
+            zones.ZoneTable().take(summary, {}, 0.0)
+        takes.append(time.process_time() - started)
+    return _Cost(
+        digest_bytes=len(messages.encode_message(messages.DigestNote(own))),
+        report_bytes=max(len(raw) for raw in raws),
+        exchange_bytes=len(exchange),
+        round_s=statistics.median(times),
+        take_s=statistics.median(takes),
     )
-    accounts.refill(
-        catalog.Team(f"team{n}", (), rate=50_000.0, burst=50_000.0)
-        for n in range(_TEAMS)
+
+
+def _describe(size: int) -> list[str]:
+    cost = _measure_zone(size)
+    if size <= topology.FULL_MESH + 1:
+        pace = links.MESH_PACE
+        told = cost.digest_bytes * (size - 1) / pace.own_s
+        sent = f"{told / 1000:.1f}"
+        return [str(size), str(cost.digest_bytes), "-", sent, sent, *"----"]
+    pace = links.ZONE_PACE
+    report_s = min(
+        pace.longest_report_s,
+        max(pace.report_s, cost.report_bytes / _BYTES_PER_S),
     )
-    fleet.listen(lambda d: accounts.note_spending(d.member, d.spending))
-    # Tracing memory slows everything down, so it has a round of its own.
-    tracemalloc.start()
-    before, _ = tracemalloc.get_traced_memory()
-    _take_round(fleet, size, 1)
-    after, _ = tracemalloc.get_traced_memory()
-    tracemalloc.stop()
-    times = [_take_round(fleet, size, n) for n in range(2, _ROUNDS + 2)]
-    raw = messages.encode_message(messages.DigestBundle([_build_digest(9, 9)]))
-    is_mesh = size <= 13
-    pace = links.MESH_PACE if is_mesh else links.RELAY_PACE
-    links_out = size - 1 if is_mesh else 2
-    told = 1 if is_mesh else size
-    # In a large fleet each digest comes over as many links as lead here.
-    copies = 1 if is_mesh else links_out
-    share = statistics.median(times) * copies / pace.own_s
+    members = size // _ZONES
+    hubs = 2
+    told = cost.digest_bytes * hubs / pace.own_s
+    heard = cost.report_bytes * hubs / report_s
+    hub_out = cost.report_bytes * members / report_s
+    hub_out += cost.exchange_bytes * hubs * (_ZONES - 1) / report_s
     return [
         str(size),
-        f"{statistics.median(times) / size * 1e6:.0f}",
-        str(len(raw)),
-        f"{100 * share:.2f}%",
-        f"{len(raw) * told * links_out / pace.own_s / 1000:.1f}",
-        f"{(after - before) / 1e6:.2f}",
+        str(cost.digest_bytes),
+        str(cost.report_bytes),
+        f"{told / 1000:.1f}",
+        f"{heard / 1000:.1f}",
+        f"{100 * cost.take_s * hubs / report_s:.2f}%",
+        f"{hub_out / 1000:.0f}",
+        f"{100 * cost.round_s / report_s:.1f}%",
+        f"{report_s:.2f}",
     ]
 
 
-def _take_round(fleet: view.FleetView, size: int, number: int) -> float:
-    raws = [
-        messages.encode_message(
-            messages.DigestBundle([_build_digest(number, member)])
-        )
-        for member in range(size)
-    ]
-    started = time.process_time()
-    for raw in raws:
-        bundle = messages.decode_message(raw)
-        assert isinstance(bundle, messages.DigestBundle)
-        for digest in bundle.digests:
-            fleet.take(digest)
-    return time.process_time() - started
-
-
 def main(argv: list[str]) -> None:
-    """Print a table."""
+    """Print a row a size."""
     del argv
-    rows = [trio.run(_measure, size) for size in _SIZES]
-    names = [
-        "daemons",
-        "us a digest",
-        "bytes",
-        "of a core",
-        "KB/s out",
-        "MB",
-    ]
-    figures.print_table(names, rows)
+    figures.print_table(
+        [
+            "daemons",
+            "digest, bytes",
+            "report, bytes",
+            "KB/s out",
+            "KB/s in",
+            "of a core",
+            "hub KB/s out",
+            "hub of a core",
+            "report every s",
+        ],
+        [_describe(size) for size in _SIZES],
+    )
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/test_platform/test_soak_judge.py
@@ -0,0 +1,218 @@
+"""The soak's judge lets a good history pass and rejects each bad one."""
+
+from __future__ import annotations
+
+import testtools
+
+from martenquay_platform_standins import history, judge, runner
+from martenquay_platform_standins.history import CallKind
+
+_BOUNDS = judge.Bounds(
+    lease_s=3.0,
+    leaving_s=3.0,
+    limited_team="greedy",
+    allowance=1000.0,
+    window_s=4.0,
+)
+
+
+def _build_call(call_id: str, kind: CallKind, **changes) -> history.Call:
+    """Return a call that was answered in full."""
+    fields = {
+        "id": call_id,
+        "kind": kind,
+        "path": f"/{kind}/1",
+        "team": "florists",
+        "daemon": "entry-0.1",
+        "sent_at": 10.0,
+        "ended_at": 10.1,
+        "status": 200,
+        "is_sealed": True,
+        "is_whole": True,
+        "body": runner.make_body(call_id),
+    }
+    if kind is CallKind.NOTE:
+        fields["body"] = b"".join(
+            runner.make_event(call_id, n) for n in range(1, runner.EVENTS + 1)
+        )
+    return history.Call(**(fields | changes))
+
+
+def _build_run(call_id: str, kind: CallKind, **changes) -> history.Run:
+    """Return a run of such a call."""
+    fields = {
+        "at": 10.05,
+        "runner": "runner-1",
+        "call": call_id,
+        "path": f"/{kind}/1",
+        "team": "florists",
+        "tokens": 200,
+        "resumed": False,
+    }
+    return history.Run(**(fields | changes))
+
+
+def _build_duty(at: float, holder: str, fence: int, **changes):
+    """Return a taken order."""
+    fields = {
+        "at": at,
+        "name": "scale",
+        "holder": holder,
+        "fence": fence,
+        "body": {},
+        "is_refused": False,
+    }
+    return history.DutyCall(**(fields | changes))
+
+
+class JudgeTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.seen = history.History()
+        for number, kind in enumerate((CallKind.BOOK, CallKind.NOTE), 1):
+            self._add(_build_call(f"call-{number}", kind))
+            self.seen.runs.append(_build_run(f"call-{number}", kind))
+
+    def _add(self, call: history.Call) -> None:
+        self.seen.calls[call.id] = call
+
+    def _expect(self, *breaches: str) -> None:
+        self.assertEqual(
+            list(breaches), judge.find_breaches(self.seen, _BOUNDS)
+        )
+
+    def test_a_good_history_passes(self) -> None:
+        self._add(_build_call("call-3", CallKind.BOOK, status=503, body=b""))
+        self.seen.calls["call-3"].is_sealed = False
+        self.seen.duties = [
+            _build_duty(1.0, "a", 1),
+            _build_duty(6.0, "b", 9),
+            _build_duty(11.0, "a", 17),
+        ]
+        self._expect()
+
+    def test_a_booking_that_ran_twice(self) -> None:
+        self.seen.runs.append(_build_run("call-1", CallKind.BOOK))
+        self._expect("call-1 ran 2 times")
+
+    def test_a_run_that_nobody_asked_for(self) -> None:
+        self.seen.runs.append(_build_run("call-9", CallKind.BOOK))
+        self._expect("call-9 ran and nobody asked for it")
+
+    def test_a_run_for_another_team_or_with_another_path(self) -> None:
+        self.seen.runs[0] = _build_run(
+            "call-1", CallKind.BOOK, team="greedy", path="/book/2"
+        )
+        self._expect(
+            "call-1 ran with another path", "call-1 ran for another team"
+        )
+
+    def test_a_false_not_run(self) -> None:
+        call = _build_call("call-1", CallKind.BOOK, status=503, body=b"")
+        call.is_sealed = False
+        self._add(call)
+        self._expect("call-1 was told 'not run' and ran")
+
+    def test_an_answer_without_a_run(self) -> None:
+        del self.seen.runs[0]
+        self._expect("call-1 was answered and never ran")
+
+    def test_an_answer_that_no_runner_vouches_for(self) -> None:
+        self.seen.calls["call-1"].is_sealed = False
+        self._expect("call-1 has an answer that no runner vouches for")
+
+    def test_a_cut_answer_that_seems_whole(self) -> None:
+        call = self.seen.calls["call-2"]
+        call.body = runner.make_event("call-2", 1)
+        self._expect(f"call-2 has a whole answer of {call.body!r}")
+        call.is_whole = False
+        self._expect()
+
+    def test_events_out_of_order_or_of_another_call(self) -> None:
+        call = self.seen.calls["call-2"]
+        call.is_whole = False
+        for second in (
+            runner.make_event("call-2", 3),
+            runner.make_event("call-7", 2),
+        ):
+            call.body = runner.make_event("call-2", 1) + second
+            found = judge.find_breaches(self.seen, _BOUNDS)
+            self.assertEqual(1, len(found))
+            self.assertIn("foreign content", found[0])
+
+    def test_a_daemon_that_goes_back_to_an_older_version(self) -> None:
+        for number, (status, sealed) in enumerate(((200, True), (404, False))):
+            call = _build_call(
+                f"call-{7 + number}",
+                CallKind.PROBE,
+                status=status,
+                is_sealed=sealed,
+                version=5,
+                sent_at=20.0 + number,
+                ended_at=20.5 + number,
+            )
+            call.path = "/probe/1"
+            self._add(call)
+        self.seen.runs.append(_build_run("call-7", CallKind.PROBE))
+        self._expect("entry-0.1 went back from version 5 behind 5")
+
+    def test_fences_that_fall_are_shared_or_come_by_turns(self) -> None:
+        self.seen.duties = [_build_duty(1.0, "a", 5), _build_duty(9.0, "b", 4)]
+        self._expect("fence 4 came after 5")
+        self.seen.duties = [_build_duty(1.0, "a", 5), _build_duty(9.0, "b", 5)]
+        self._expect("fence 5 has two holders")
+        self.seen.duties = [
+            _build_duty(1.0, "a", 5),
+            _build_duty(2.0, "b", 6),
+            _build_duty(3.0, "a", 7),
+        ]
+        self._expect("a acted again within the lease")
+
+    def test_a_window_that_is_reported_in_two_ways(self) -> None:
+        self.seen.duties = [
+            _build_duty(
+                at,
+                "a",
+                5,
+                name="usage",
+                body={"WindowId": 3, "Counts": {"florists": count}},
+            )
+            for at, count in ((1.0, 4), (2.0, 4), (3.0, 5))
+        ]
+        self._expect("window 3 was reported in two ways")
+
+    def test_a_team_that_gets_more_than_its_allowance(self) -> None:
+        for number in range(6):
+            call_id = f"call-{20 + number}"
+            call = _build_call(call_id, CallKind.LOOK, team="greedy")
+            self._add(call)
+            self.seen.runs.append(
+                _build_run(call_id, CallKind.LOOK, team="greedy")
+            )
+        self._expect("greedy got 1200 in a window")
+
+    def test_a_leaving_runner_that_gets_work(self) -> None:
+        self.seen.leaving["runner-1"] = 5.0
+        late = [f"runner-1 got work {10.05 - 5.0:.1f} s after"] * 2
+        self._expect(*late)
+        self.seen.disturbances.append(
+            history.Disturbance("cut platform 4", "entry-1", 4.0, 6.0)
+        )
+        self._expect()
+
+    def test_a_planned_stop_that_cuts_a_request_off(self) -> None:
+        call = self.seen.calls["call-1"]
+        call.is_whole = False
+        call.status = 0
+        self.seen.disturbances.append(
+            history.Disturbance("stop", "entry-0", 10.05, 12.0)
+        )
+        self._expect("call-1 was cut off by a planned stop")
+        self.seen.disturbances.append(
+            history.Disturbance("kill", "entry-1", 9.0, 9.5)
+        )
+        self._expect()
+
+    def test_a_process_that_ended_by_itself(self) -> None:
+        self.seen.lost.append("entry-0.1 ended 1: ...")
+        self._expect("entry-0.1 ended 1: ...")
