Try a hub that was passed over beside the others, not in their place

Found by reading: a daemon that is gone for good and had a good link was chosen again every 5 s for 2 s, and with two of them a zone had no hub in that time. Now it is told things beside two that answer. Test in test_topology; the one that expected it in the place of another keeps its meaning (it is tried again).

--- a/packages/daemon/src/martenquay_daemon/fleet/topology.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/topology.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import dataclasses
-import math
 from typing import TYPE_CHECKING
 
 from martenquay_core.util import rendezvous
@@ -58,13 +57,25 @@
     def choose(self, peers: Iterable[PeerAddress], now: float) -> list[str]:
         """Return the addresses of one zone's hubs, the first choice first.
 
+        One that was passed over is told things again after a while, beside
+        the others: it may be gone for good.
+
         Args:
             peers: The zone's daemons.
             now: In trio's time.
         """
-        ranked = sorted(peers, key=_rank)
-        answering = [p.address for p in ranked if self._is_answering(p, now)]
-        return answering[:_HUBS]
+        chosen: list[str] = []
+        trusted = 0
+        for peer in sorted(peers, key=_rank):
+            if trusted == _HUBS:
+                break
+            self._check_answer(peer.address, now)
+            if peer.address not in self._passed_over:
+                trusted += 1
+                chosen.append(peer.address)
+            elif now >= self._passed_over[peer.address]:
+                chosen.append(peer.address)
+        return chosen
 
     def note_asked(self, address: str, now: float) -> None:
         """Note that a hub was told something and should report."""
@@ -83,18 +94,14 @@
             a for a, heard_at in self._heard_at.items() if heard_at > oldest
         ]
 
-    def _is_answering(self, peer: PeerAddress, now: float) -> bool:
-        address = peer.address
-        if address == self.own_address:
-            return True
-        if now < self._passed_over.get(address, -math.inf):
-            return False
-        asked_at = self._asked_at.get(address, math.inf)
-        if now - asked_at < _PATIENCE_S or math.isinf(asked_at):
-            return True
-        self._passed_over[address] = now + _PASSED_OVER_S
-        self._asked_at.pop(address)
-        return False
+    def _check_answer(self, address: str, now: float) -> None:
+        """Pass a hub over that was told something and has not reported."""
+        asked_at = self._asked_at.get(address)
+        if address == self.own_address or asked_at is None:
+            return
+        if now - asked_at >= _PATIENCE_S:
+            self._passed_over[address] = now + _PASSED_OVER_S
+            del self._asked_at[address]
 
 
 def _rank(peer: PeerAddress) -> tuple[float, int]:
--- a/tests/test_fleet/test_topology.py
+++ b/tests/test_fleet/test_topology.py
@@ -31,7 +31,16 @@
         self.assertIn("10.0.0.1:7600", self.board.choose(_PEERS, 1.0))
         chosen = self.board.choose(_PEERS, 2.5)
         self.assertEqual(["10.0.0.2:7600", "10.0.0.3:7600"], chosen)
-        self.assertIn("10.0.0.1:7600", self.board.choose(_PEERS, 20.0))
+
+    def test_one_that_was_passed_over_is_tried_beside_the_others(self) -> None:
+        self.board.note_asked("10.0.0.1:7600", 0.0)
+        self.board.choose(_PEERS, 2.5)
+        self.assertEqual(
+            ["10.0.0.1:7600", "10.0.0.2:7600", "10.0.0.3:7600"],
+            self.board.choose(_PEERS, 20.0),
+        )
+        self.board.note_asked("10.0.0.1:7600", 20.0)
+        self.assertNotIn("10.0.0.1:7600", self.board.choose(_PEERS, 22.5))
 
     def test_one_that_is_heard_again_is_a_hub_again(self) -> None:
         self.board.note_asked("10.0.0.1:7600", 0.0)
