--- a/bench/fleet_cost.py
+++ b/bench/fleet_cost.py
@@ -13,7 +13,8 @@
 from tests import serving_builders as builders
 
 from bench import figures
-from martenquay_daemon.fleet import hub, links, messages, topology, zones
+from martenquay_daemon.fleet import hub, messages, topology, zones
+from martenquay_daemon.fleet import pace as paces
 
 _SIZES = (8, 80, 400)
 _TEAMS = 16
@@ -24,8 +25,6 @@
 _AT_ONCE = 6
 _SILENT_S = 2.0
 _FACTS = hub.HubFacts(3, 900, 40)
-# What a daemon may be sent of the fleet, as the links have it.
-_BYTES_PER_S = 4000.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -119,15 +118,12 @@
 def _describe(size: int) -> list[str]:
     cost = _measure_zone(size)
     if size <= topology.FULL_MESH + 1:
-        pace = links.MESH_PACE
+        pace = paces.MESH_PACE
         told = cost.digest_bytes * (size - 1) / pace.own_s
         sent = f"{told / 1000:.1f}"
         return [str(size), str(cost.digest_bytes), "-", sent, sent, *"----"]
-    pace = links.ZONE_PACE
-    report_s = min(
-        pace.longest_report_s,
-        max(pace.report_s, cost.report_bytes / _BYTES_PER_S),
-    )
+    pace = paces.ZONE_PACE
+    report_s = pace.find_report_s(cost.report_bytes)
     members = size // _ZONES
     hubs = 2
     told = cost.digest_bytes * hubs / pace.own_s
--- a/packages/daemon/src/martenquay_daemon/allowances/ledger.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/ledger.py
@@ -20,7 +20,7 @@
 
 import trio
 
-from martenquay_daemon.allowances import window
+from martenquay_daemon.allowances import accounts, window
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
@@ -56,9 +56,6 @@
 _LEAST_WAIT_S = 0.1
 # Above this part of a full window, spending is told at once.
 _HIGH_TOTAL = 0.6
-# The time over which a daemon's rate of spending is measured; reports may
-# come milliseconds apart.
-_RATE_MEMORY_S = 2.0
 # After this long a daemon's own sum is as good as any other's.
 _GUESS_S = 8.0
 
@@ -99,45 +96,6 @@
     hurry: Callable[[], None]
 
 
-@dataclasses.dataclass
-class _Spending:
-    """What one daemon, or those of a zone, have spent for one team."""
-
-    total: float = 0.0
-    daemons: int = 1
-    assumed: float = 0.0
-    rate: float = 0.0
-    heard_at: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True)
-class _Past:
-    """Sums from before this daemon started."""
-
-    sums: dict[str, float]
-    written_at: float
-    period_s: float
-
-
-@dataclasses.dataclass
-class _Account:
-    """One team's spending as this daemon sees it."""
-
-    limit: float
-    used: window.SlidingWindow
-    started_at: float
-    filled_at: float
-    size: float
-    level: float = 0.0
-    is_guessed: bool = True
-    others: dict[str, _Spending] = dataclasses.field(default_factory=dict)
-
-    def charge(self, now: float, units: float) -> None:
-        """Note units spent, here or elsewhere."""
-        self.used.add(now, units)
-        self.level -= units
-
-
 class AllowanceLedger:
     """The teams' allowances as this daemon sees them.
 
@@ -148,9 +106,9 @@
     def __init__(self, bounds: ToleranceBounds, fleet: FleetFacts) -> None:
         self.bounds = bounds
         self._fleet = fleet
-        self._accounts: dict[str, _Account] = {}
+        self._accounts: dict[str, accounts.Account] = {}
         self._own: dict[str, float] = {}
-        self._past = _Past({}, -math.inf, 0.0)
+        self._past = accounts.Past({}, -math.inf, 0.0)
 
     def take(self, team: catalog.Team, units: float, reserve: int = 0) -> float:
         """Spend units; return 0, or the seconds until there may be room.
@@ -233,7 +191,9 @@
             age_s: Since they were written.
             period_s: How long spending may have gone on unwritten.
         """
-        self._past = _Past(dict(sums), trio.current_time() - age_s, period_s)
+        self._past = accounts.Past(
+            dict(sums), trio.current_time() - age_s, period_s
+        )
         for team, account in self._accounts.items():
             if account.is_guessed and team in self._past.sums:
                 self._fill_from_past(account, team)
@@ -254,10 +214,10 @@
             known = account.others.get(source)
             if known is None:
                 # What was spent before this daemon knew of it is over.
-                known = _Spending(total, heard_at=now)
+                known = accounts.Spending(total, heard_at=now)
                 account.others[source] = known
             else:
-                _settle(account, known, total, now)
+                accounts.settle(account, known, total, now)
             known.daemons = daemons
 
     def forget_source(self, source: str) -> None:
@@ -270,7 +230,7 @@
         for account in self._accounts.values():
             account.others.clear()
 
-    def _refill(self, team: catalog.Team) -> _Account:
+    def _refill(self, team: catalog.Team) -> accounts.Account:
         now = trio.current_time()
         account = self._accounts.get(team.name)
         if account is None:
@@ -297,7 +257,9 @@
             account.used.add(now, unheard)
         return account
 
-    def _count_absent(self, account: _Account, now: float, daemons: int) -> int:
+    def _count_absent(
+        self, account: accounts.Account, now: float, daemons: int
+    ) -> int:
         """Return how many daemons are not heard now, or were never."""
         heard = sum(known.daemons for known in account.others.values())
         silent = sum(
@@ -307,11 +269,11 @@
         )
         return max(0, daemons - 1 - heard) + silent
 
-    def _is_silent(self, known: _Spending, now: float) -> bool:
+    def _is_silent(self, known: accounts.Spending, now: float) -> bool:
         limit_s = _SILENT_PART * self._fleet.find_silence()
         return now - known.heard_at > limit_s
 
-    def _open(self, team: catalog.Team, now: float) -> _Account:
+    def _open(self, team: catalog.Team, now: float) -> accounts.Account:
         """Open an account whose window counts as full.
 
         A daemon that starts anew has forgotten what it spent a moment ago.
@@ -321,7 +283,7 @@
         used = window.SlidingWindow(self.bounds.window_s)
         limit = self.bounds.find_limit(team)
         used.fill_evenly(now, limit)
-        account = _Account(
+        account = accounts.Account(
             limit,
             used,
             started_at=now,
@@ -333,7 +295,7 @@
             self._fill_from_past(account, team.name)
         return account
 
-    def _fill_from_past(self, account: _Account, team: str) -> None:
+    def _fill_from_past(self, account: accounts.Account, team: str) -> None:
         """Take what was written, and the most for the time after it."""
         now = trio.current_time()
         past = self._past
@@ -351,7 +313,7 @@
     def _assume(
         self,
         team: catalog.Team,
-        account: _Account,
+        account: accounts.Account,
         now: float,
         elapsed_s: float,
     ) -> float:
@@ -380,19 +342,3 @@
 ) -> AllowanceLedger:
     """Return a ledger without accounts."""
     return AllowanceLedger(bounds, fleet)
-
-
-def _settle(
-    account: _Account, known: _Spending, total: float, now: float
-) -> None:
-    """Put what a daemon has spent in the place of what was assumed."""
-    spent = total - known.total
-    difference = spent - known.assumed
-    if difference:
-        account.charge(now, difference)
-    elapsed_s = now - known.heard_at
-    kept = math.exp(-elapsed_s / _RATE_MEMORY_S)
-    known.rate = kept * known.rate + max(0.0, spent) / _RATE_MEMORY_S
-    known.total = total
-    known.assumed = 0.0
-    known.heard_at = now
--- a/packages/daemon/src/martenquay_daemon/fleet/links.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/links.py
@@ -2,7 +2,7 @@
 
 One task keeps one link. In a small fleet each daemon tells all others of
 itself. In a large one it tells the hubs of its zone, and those report; see
-`topology`.
+`topology` and `zone_mode`.
 """
 
 from __future__ import annotations
@@ -18,18 +18,19 @@
 from martenquay_core import logs
 from martenquay_core.peers import sockets
 from martenquay_daemon.fleet import (
-    hub,
     messages,
     state_copies,
     topology,
+    zone_mode,
 )
+from martenquay_daemon.fleet import pace as paces
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from martenquay_daemon.fleet import view
 
-__all__ = ["MESH_PACE", "ZONE_PACE", "FleetLinks", "FleetPace", "Listeners"]
+__all__ = ["FleetLinks", "Listeners"]
 
 _LOG = logs.create_log("fleet")
 # A request frame from a dealer arrives behind its identity.
@@ -39,60 +40,6 @@
 _QUEUE_LENGTH = 4
 # A copy comes within milliseconds, or is not coming.
 _ASK_AGAIN_S = 0.2
-# What a log that has never answered counts as.
-_LONGEST_AGE_S = 3600.0
-# A hub that has not reported for so long is not relied on for the log; the
-# operators' changes have to be in force within 2 s.
-_SERVED_S = 1.2
-# A hub whose own reading of the log is this old is not relied on for it.
-_FRESH_LOG_MS = 1000
-# What a daemon may be sent of the fleet, in bytes a second: a large fleet is
-# reported on less often. The users allow 5 KB/s for control; its own digests
-# take the rest.
-_REPORT_BYTES_PER_S = 4000.0
-
-
-@dataclasses.dataclass(frozen=True)
-class FleetPace:
-    """How often a daemon tells of itself and, as a hub, of the others.
-
-    Attributes:
-        own_s: Between two digests of its own.
-        hurry_s: The least time between two, for news that cannot wait.
-        step_s: Between two looks at what there is to do.
-        report_s: Between two reports of a hub, at the least.
-        longest_report_s: The same, however large reports are.
-        silent_s: Without news for so long, a daemon or zone is silent.
-    """
-
-    own_s: float
-    hurry_s: float
-    step_s: float
-    report_s: float
-    longest_report_s: float
-    silent_s: float
-
-
-# In a full mesh a digest takes one step, and four may be lost.
-MESH_PACE = FleetPace(
-    own_s=0.25,
-    hurry_s=0.04,
-    step_s=0.04,
-    report_s=0.25,
-    longest_report_s=0.8,
-    silent_s=1.2,
-)
-# Over hubs it takes three.
-ZONE_PACE = FleetPace(
-    own_s=0.5,
-    hurry_s=0.15,
-    step_s=0.1,
-    report_s=0.25,
-    longest_report_s=0.8,
-    silent_s=2.0,
-)
-# Of a hub's reports so many may be lost before its zone counts as silent.
-_LOST_REPORTS = 4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -133,34 +80,27 @@
         fleet: view.FleetView,
         state: state_copies.FleetState,
         create_digest: Callable[[], messages.Digest],
-        mesh_pace: FleetPace = MESH_PACE,
-        zone_pace: FleetPace = ZONE_PACE,
+        mesh_pace: paces.FleetPace = paces.MESH_PACE,
+        zone_pace: paces.FleetPace = paces.ZONE_PACE,
         *,
         announced: str | None = None,
     ) -> None:
         self.address = announced or own.address
-        self._announced = announced
         self.listeners: Listeners | None = None
         self._own_place = own
+        self._announced = announced
         self._view = fleet
-        self._state = state
         self._copies = state_copies.StateCopies(state)
         self._create_digest = create_digest
         self._mesh_pace = mesh_pace
         self._zone_pace = zone_pace
+        self._zone = zone_mode.ZoneMode(own, fleet, state, zone_pace)
         self._own: messages.Digest | None = None
         self._told_at = -math.inf
-        self._reported_at = -math.inf
-        self._report_s = zone_pace.report_s
         self._asked_at = -math.inf
         self._context = zmq.Context()
         self._known: dict[str, topology.PeerAddress] = {}
         self._links: dict[str, _Link] = {}
-        self._board = topology.HubBoard(own.address)
-        self._hub = hub.ZoneHub(fleet.zones)
-        self._is_hub = False
-        self._own_hubs: list[str] = []
-        self._served: dict[str, _Served] = {}
         self._nursery: trio.Nursery | None = None
         self._wake = trio.Event()
 
@@ -170,7 +110,7 @@
         """Listen and keep the links until cancelled."""
         router = sockets.bind_router(self._context, self._own_place.address)
         self.address = self._announced or router.address
-        self._board.own_address = self.address
+        self._zone.move_to(self.address)
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
@@ -199,7 +139,7 @@
     def send_now(self) -> None:
         """Tell all linked daemons at once."""
         digest = self._create_digest()
-        self._hub.take_own(digest, trio.current_time())
+        self._zone.take_own(digest)
         raw = messages.encode_message(messages.DigestNote(digest))
         for link in self._links.values():
             link.socket.send([raw])
@@ -213,15 +153,7 @@
 
         In a large fleet the hubs do, and hand on what is new.
         """
-        if self.is_mesh() or self._is_hub:
-            return True
-        oldest = trio.current_time() - _SERVED_S
-        served = [
-            one
-            for one in self._served.values()
-            if one.heard_at >= oldest and one.log_age_ms <= _FRESH_LOG_MS
-        ]
-        return not served
+        return self.is_mesh() or not self._zone.is_served()
 
     async def _serve(self, router: sockets.PeerSocket) -> None:
         while True:
@@ -244,8 +176,8 @@
         match message:
             case messages.DigestNote(digest=digest):
                 self._take_digest(digest)
-            case messages.ZoneExchange(summary=summary, loads=loads):
-                self._take_exchange(summary, loads)
+            case messages.ZoneExchange():
+                self._zone.take_exchange(message)
             case messages.FleetReport():
                 self._take_report(message)
             case messages.WantState():
@@ -266,40 +198,16 @@
         self.add_peer(
             topology.PeerAddress(digest.address, digest.zone, digest.capacity)
         )
-        if digest.zone == self._own_place.zone:
-            self._hub.take(digest, trio.current_time())
+        self._zone.take_digest(digest)
         if self.is_mesh() and self.listeners is not None:
             self.listeners.take_digest(digest)
 
-    def _take_exchange(
-        self,
-        summary: messages.ZoneSummary,
-        loads: dict[str, messages.LoadLine],
-    ) -> None:
-        now = trio.current_time()
-        self._board.note_heard(summary.address, now)
-        if summary.zone != self._own_place.zone:
-            self._view.zones.take(summary, loads, now)
-
     def _take_report(self, report: messages.FleetReport) -> None:
-        if self.is_mesh() or not report.zones:
+        if self.is_mesh() or not self._zone.take_report(report):
             return
-        own = report.zones[0]
-        now = trio.current_time()
-        self._board.note_heard(own.address, now)
-        self._served[own.address] = _Served(own, now)
-        if self._is_hub and report.hub != self._find_member():
-            # A hub goes by its own sums; the other one is known to be there.
-            return
-        if not self._is_hub and own.log_age_ms <= _FRESH_LOG_MS:
-            self._state.contact.note_relayed(own.log_age_ms / 1000)
-        counts = [self._view.zones.take(s, {}, now) for s in report.zones]
-        if counts[0] and self.listeners is not None:
+        if self.listeners is not None:
             self.listeners.take_report(report)
 
-    def _find_member(self) -> str:
-        return "" if self._own is None else self._own.member
-
     async def _tell(self) -> None:
         """Tell others of this daemon, and as a hub of the fleet."""
         was_mesh = self.is_mesh()
@@ -313,11 +221,10 @@
             self._view.silent_s = self._find_silent(pace)
             self._view.check_silence()
             self._choose_links()
-            is_renewed = self._renew_own(pace)
-            if is_renewed:
+            if self._is_own_due(pace):
                 self._tell_own()
-            if self._is_hub and not is_mesh:
-                self._report(pace)
+            if not is_mesh and self._zone.is_report_due():
+                self._report()
             self._ask_for_state()
             await trio.sleep(pace.step_s)
             if is_mesh:
@@ -335,68 +242,44 @@
         if self.listeners is not None:
             self.listeners.change_mode()
 
-    def _find_pace(self) -> FleetPace:
+    def _find_pace(self) -> paces.FleetPace:
         return self._mesh_pace if self.is_mesh() else self._zone_pace
 
-    def _find_silent(self, pace: FleetPace) -> float:
+    def _find_silent(self, pace: paces.FleetPace) -> float:
         if self.is_mesh():
             return pace.silent_s
-        return max(pace.silent_s, _LOST_REPORTS * self._report_s)
+        return max(pace.silent_s, paces.LOST_REPORTS * self._zone.report_s)
 
-    def _renew_own(self, pace: FleetPace) -> bool:
-        """Make a new digest of this daemon's own if it is time for one."""
-        now = trio.current_time()
+    def _is_own_due(self, pace: paces.FleetPace) -> bool:
         due_s = pace.hurry_s if self._wake.is_set() else pace.own_s
-        if now < self._told_at + due_s:
-            return False
-        self._own = self._create_digest()
-        self._hub.take_own(self._own, now)
-        self._hub.forget_old(now)
-        self._told_at = now
-        self._wake = trio.Event()
-        return True
+        return trio.current_time() >= self._told_at + due_s
 
     def _tell_own(self) -> None:
-        assert self._own is not None, "the first digest comes first"
-        raw = messages.encode_message(messages.DigestNote(self._own))
-        addresses = list(self._links) if self.is_mesh() else self._own_hubs
-        for address in addresses:
-            if self._send(address, raw):
-                self._board.note_asked(address, trio.current_time())
-
-    def _report(self, pace: FleetPace) -> None:
-        """Report to the daemons of the zone and to other zones' hubs."""
-        now = trio.current_time()
-        if now < self._reported_at + self._report_s:
+        """Make a new digest of this daemon's own and send it."""
+        self._own = self._create_digest()
+        self._zone.take_own(self._own)
+        self._told_at = trio.current_time()
+        self._wake = trio.Event()
+        if not self.is_mesh():
+            self._send_all(self._zone.create_notes(self._own))
             return
-        self._reported_at = now
-        facts = self._create_facts()
-        silent_s = self._view.silent_s
-        exchange = self._hub.create_exchange(facts, now, silent_s)
-        raw = messages.encode_message(exchange)
-        for address in self._list_foreign_hubs():
-            if self._send(address, raw):
-                self._board.note_asked(address, now)
-        reports = self._hub.create_reports(facts, now, silent_s)
-        self._take_report(reports.pop(self.address))
-        longest = 0
-        for address, report in reports.items():
-            raw = messages.encode_message(report)
-            longest = max(longest, len(raw))
+        raw = messages.encode_message(messages.DigestNote(self._own))
+        for address in list(self._links):
             self._send(address, raw)
-        self._report_s = min(
-            pace.longest_report_s,
-            max(pace.report_s, longest / _REPORT_BYTES_PER_S),
-        )
 
-    def _create_facts(self) -> hub.HubFacts:
-        state = self._state
-        age_s = min(state.contact.age_s, _LONGEST_AGE_S)
-        return hub.HubFacts(
-            state.store.version,
-            state.directory.changed_end,
-            int(age_s * 1000),
-        )
+    def _report(self) -> None:
+        """Report to the daemons of the zone and to other zones' hubs."""
+        self._send_all(self._zone.create_exchanges())
+        own, reports = self._zone.create_reports()
+        self._take_report(own)
+        for one in reports:
+            self._send(one.address, one.raw)
+
+    def _send_all(self, notes: Iterable[zone_mode.Outgoing]) -> None:
+        """Send what hubs should answer with reports."""
+        for one in notes:
+            if self._send(one.address, one.raw):
+                self._zone.note_sent(one.address)
 
     def _send(self, address: str, raw: bytes) -> bool:
         link = self._links.get(address)
@@ -424,27 +307,16 @@
                 digest.runners_changed,
                 digest.log_age_ms,
             )
-        if self.is_mesh():
-            return
-        summaries = [one.summary for one in self._served.values()]
-        summaries += [k.summary for k in self._view.zones.list_active()]
-        for summary in summaries:
-            yield state_copies.PeerState(
-                summary.address,
-                summary.catalog_version,
-                summary.runners_changed,
-                summary.log_age_ms,
-            )
+        if not self.is_mesh():
+            yield from self._zone.list_states()
 
     def _list_peers(self) -> list[messages.PeerLine]:
+        own = dataclasses.replace(self._own_place, address=self.address)
         return [
             messages.PeerLine(p.address, p.zone, p.capacity)
-            for p in [*self._known.values(), self._find_own_place()]
+            for p in [*self._known.values(), own]
         ]
 
-    def _find_own_place(self) -> topology.PeerAddress:
-        return dataclasses.replace(self._own_place, address=self.address)
-
     def _choose_links(self) -> None:
         assert self._nursery is not None, "links are not running"
         wanted = self._select_peers()
@@ -463,36 +335,11 @@
 
     def _select_peers(self) -> set[str]:
         if self.is_mesh():
-            self._is_hub = False
             self._view.is_candidate = True
             return set(self._known)
-        now = trio.current_time()
-        zone = self._own_place.zone
-        own_zone = [p for p in self._known.values() if p.zone == zone]
-        chosen = self._board.choose([*own_zone, self._find_own_place()], now)
-        subscribers = set(self._hub.list_subscribers(now))
-        self._is_hub = self.address in chosen or bool(subscribers)
-        self._view.is_candidate = self._is_hub
-        self._own_hubs = [a for a in chosen if a != self.address]
-        peers = set(self._own_hubs)
-        if self._is_hub:
-            peers |= subscribers | set(self._list_foreign_hubs())
-        return peers - {self.address}
-
-    def _list_foreign_hubs(self) -> list[str]:
-        """Return the hubs of other zones, and those that take us for one."""
-        now = trio.current_time()
-        by_zone: dict[str, list[topology.PeerAddress]] = {}
-        for peer in self._known.values():
-            if peer.zone and peer.zone != self._own_place.zone:
-                by_zone.setdefault(peer.zone, []).append(peer)
-        found: list[str] = []
-        for peers in by_zone.values():
-            found += self._board.choose(peers, now)
-            addresses = {p.address for p in peers}
-            heard = self._board.list_heard(now)
-            found += [a for a in heard if a in addresses and a not in found]
-        return found
+        peers = self._zone.select_peers(self._known.values())
+        self._view.is_candidate = self._zone.is_hub
+        return peers
 
     async def _keep_link(self, link: _Link) -> None:
         """Read what the peer replies until the link is dropped."""
@@ -504,16 +351,3 @@
         finally:
             self._links.pop(link.address, None)
             link.socket.close()
-
-
-class _Served:
-    """A hub of this zone and when it last reported."""
-
-    def __init__(self, summary: messages.ZoneSummary, heard_at: float) -> None:
-        self.summary = summary
-        self.heard_at = heard_at
-
-    @property
-    def log_age_ms(self) -> int:
-        """Since the log answered that hub, when it reported."""
-        return self.summary.log_age_ms
--- /dev/null
+++ b/packages/daemon/src/martenquay_daemon/fleet/zone_mode.py
@@ -0,0 +1,220 @@
+"""Take part in a large fleet: have hubs, and be one."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from typing import TYPE_CHECKING
+
+import trio
+
+from martenquay_daemon.fleet import hub, messages, state_copies, topology
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from martenquay_daemon.fleet import pace, view
+
+__all__ = ["Outgoing", "ZoneMode"]
+
+# What a log that has never answered counts as.
+_LONGEST_AGE_S = 3600.0
+# A hub that has not reported for so long is not relied on for the log; the
+# operators' changes have to be in force within 2 s.
+_SERVED_S = 1.2
+# A hub whose own reading of the log is this old is not relied on for it.
+_FRESH_LOG_MS = 1000
+_MS = 1000
+
+
+@dataclasses.dataclass(frozen=True)
+class Outgoing:
+    """A message for a daemon.
+
+    Attributes:
+        address: Its fleet link.
+        raw: The message's bytes.
+    """
+
+    address: str
+    raw: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class _Served:
+    """A hub of this zone and when it last reported."""
+
+    summary: messages.ZoneSummary
+    heard_at: float
+
+
+class ZoneMode:
+    """This daemon's place in a large fleet.
+
+    Attributes:
+        is_hub: It reports to others.
+        report_s: Between two of its reports.
+    """
+
+    def __init__(
+        self,
+        place: topology.PeerAddress,
+        fleet: view.FleetView,
+        state: state_copies.FleetState,
+        zone_pace: pace.FleetPace,
+    ) -> None:
+        self.is_hub = False
+        self.report_s = zone_pace.report_s
+        self._place = place
+        self._view = fleet
+        self._state = state
+        self._pace = zone_pace
+        self._board = topology.HubBoard(place.address)
+        self._hub = hub.ZoneHub(fleet.zones)
+        self._own_hubs: list[str] = []
+        self._foreign_hubs: list[str] = []
+        self._served: dict[str, _Served] = {}
+        self._reported_at = -math.inf
+
+    def move_to(self, address: str) -> None:
+        """Note where this daemon can be reached, once that is known."""
+        self._place = dataclasses.replace(self._place, address=address)
+        self._board.own_address = address
+
+    def take_own(self, digest: messages.Digest) -> None:
+        """Take this daemon's own digest."""
+        now = trio.current_time()
+        self._hub.take_own(digest, now)
+        self._hub.forget_old(now)
+
+    def take_digest(self, digest: messages.Digest) -> None:
+        """Take the digest of a daemon that takes this one for a hub."""
+        if digest.zone == self._place.zone:
+            self._hub.take(digest, trio.current_time())
+
+    def take_exchange(self, exchange: messages.ZoneExchange) -> None:
+        """Take what another zone's hub tells."""
+        summary = exchange.summary
+        now = trio.current_time()
+        self._board.note_heard(summary.address, now)
+        if summary.zone != self._place.zone:
+            self._view.zones.take(summary, exchange.loads, now)
+
+    def take_report(self, report: messages.FleetReport) -> bool:
+        """Take a hub's report; tell whether it counts."""
+        if not report.zones:
+            return False
+        own = report.zones[0]
+        now = trio.current_time()
+        self._board.note_heard(own.address, now)
+        self._served[own.address] = _Served(own, now)
+        if self.is_hub and own.address != self._place.address:
+            # A hub goes by its own sums; the other one is known to be there.
+            return False
+        if not self.is_hub and own.log_age_ms <= _FRESH_LOG_MS:
+            self._state.contact.note_relayed(own.log_age_ms / _MS)
+        news = [self._view.zones.take(s, {}, now) for s in report.zones]
+        return news[0]
+
+    def select_peers(self, known: Iterable[topology.PeerAddress]) -> set[str]:
+        """Decide who this daemon's hubs are and whether it is one.
+
+        Args:
+            known: All other daemons.
+
+        Returns:
+            The addresses to be linked to.
+        """
+        now = trio.current_time()
+        by_zone: dict[str, list[topology.PeerAddress]] = {}
+        for peer in known:
+            by_zone.setdefault(peer.zone, []).append(peer)
+        by_zone.pop("", None)
+        own_zone = [*by_zone.pop(self._place.zone, []), self._place]
+        chosen = self._board.choose(own_zone, now)
+        subscribers = set(self._hub.list_subscribers(now))
+        self.is_hub = self._place.address in chosen or bool(subscribers)
+        self._own_hubs = [a for a in chosen if a != self._place.address]
+        if not self.is_hub:
+            return set(self._own_hubs)
+        self._foreign_hubs = list(self._list_foreign_hubs(by_zone, now))
+        peers = {*self._own_hubs, *subscribers, *self._foreign_hubs}
+        return peers - {self._place.address}
+
+    def create_notes(self, digest: messages.Digest) -> list[Outgoing]:
+        """Return what to tell the hubs of this daemon."""
+        raw = messages.encode_message(messages.DigestNote(digest))
+        return [Outgoing(address, raw) for address in self._own_hubs]
+
+    def note_sent(self, address: str) -> None:
+        """Note that a hub was told something and should report."""
+        self._board.note_asked(address, trio.current_time())
+
+    def create_exchanges(self) -> list[Outgoing]:
+        """Return what to tell the hubs of other zones."""
+        exchange = self._hub.create_exchange(
+            self._create_facts(), trio.current_time(), self._view.silent_s
+        )
+        raw = messages.encode_message(exchange)
+        return [Outgoing(address, raw) for address in self._foreign_hubs]
+
+    def create_reports(self) -> tuple[messages.FleetReport, list[Outgoing]]:
+        """Return this hub's report to itself, and those to its zone."""
+        reports = self._hub.create_reports(
+            self._create_facts(), trio.current_time(), self._view.silent_s
+        )
+        own = reports.pop(self._place.address)
+        found = [
+            Outgoing(address, messages.encode_message(report))
+            for address, report in reports.items()
+        ]
+        longest = max((len(one.raw) for one in found), default=0)
+        self.report_s = self._pace.find_report_s(longest)
+        return own, found
+
+    def is_report_due(self) -> bool:
+        """Tell whether it is time for the next reports; if so, count on."""
+        now = trio.current_time()
+        if not self.is_hub or now < self._reported_at + self.report_s:
+            return False
+        self._reported_at = now
+        return True
+
+    def is_served(self) -> bool:
+        """Tell whether a hub follows the log for this daemon."""
+        oldest = trio.current_time() - _SERVED_S
+        return not self.is_hub and any(
+            one.heard_at >= oldest and one.summary.log_age_ms <= _FRESH_LOG_MS
+            for one in self._served.values()
+        )
+
+    def list_states(self) -> Iterator[state_copies.PeerState]:
+        """Return what hubs say that they have."""
+        summaries = [one.summary for one in self._served.values()]
+        summaries += [k.summary for k in self._view.zones.list_active()]
+        for summary in summaries:
+            yield state_copies.PeerState(
+                summary.address,
+                summary.catalog_version,
+                summary.runners_changed,
+                summary.log_age_ms,
+            )
+
+    def _list_foreign_hubs(
+        self, by_zone: dict[str, list[topology.PeerAddress]], now: float
+    ) -> Iterator[str]:
+        """Return the other zones' hubs, and those that take us for one."""
+        heard = set(self._board.list_heard(now))
+        for peers in by_zone.values():
+            chosen = self._board.choose(peers, now)
+            yield from chosen
+            yield from heard.intersection(p.address for p in peers) - {*chosen}
+
+    def _create_facts(self) -> hub.HubFacts:
+        state = self._state
+        age_s = min(state.contact.age_s, _LONGEST_AGE_S)
+        return hub.HubFacts(
+            state.store.version,
+            state.directory.changed_end,
+            int(age_s * _MS),
+        )
--- a/tests/test_fleet/test_links.py
+++ b/tests/test_fleet/test_links.py
@@ -18,6 +18,7 @@
 from martenquay_daemon.fleet import (
     links,
     messages,
+    pace,
     state_copies,
     topology,
     view,
@@ -26,12 +27,13 @@
 from tests import serving_builders as builders
 
 _HANG_S = 30.0
-_PACE = links.FleetPace(
+_PACE = pace.FleetPace(
     own_s=0.02,
     hurry_s=0.005,
     step_s=0.005,
     report_s=0.02,
     longest_report_s=0.1,
+    report_bytes_per_s=1e6,
     silent_s=5.0,
 )
 # The first ones have the best links.
