Hand on runners' entries without their heartbeats

A copy of an entry took the place of the one before with each heartbeat, so whoever asked for what had changed got all entries.

Change: an entry that only says again that its runner lives, or that a leaving one has less time left, changes nothing. Test in test_runner_directory, which fails on the code before.

--- a/packages/daemon/src/martenquay_daemon/discovery/runner_directory.py
+++ b/packages/daemon/src/martenquay_daemon/discovery/runner_directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 from typing import TYPE_CHECKING
 
@@ -140,13 +141,16 @@
         return self._left.get(runner_id, math.inf) - trio.current_time()
 
     def _store(self, runner: runners.Runner, copy: RunnerCopy) -> None:
+        self._lapsing.pop(runner.id, None)
         previous = self._runners.get(runner.id)
+        if previous is not None and not _is_change(previous, runner):
+            # The copy stays at the record that said this first: heartbeats
+            # of a thousand runners are not worth handing on.
+            return
         self._runners[runner.id] = runner
         self._copies[runner.id] = copy
         self._zones.setdefault(runner.service, set()).add(runner.zone)
-        if runner != previous:
-            self._note_change(copy.offset)
-        self._lapsing.pop(runner.id, None)
+        self._note_change(copy.offset)
         if previous is None:
             self._note_new(runner)
         elif runner.is_leaving and not previous.is_leaving:
@@ -209,3 +213,13 @@
         self._copies.pop(runner_id, None)
         self._lapsing.pop(runner_id, None)
         self._left.pop(runner_id, None)
+
+
+def _is_change(previous: runners.Runner, runner: runners.Runner) -> bool:
+    """Tell whether an entry says more than that its runner still lives.
+
+    How long a leaving runner stays is told once; it only grows less.
+    """
+    if previous.is_leaving and runner.is_leaving:
+        runner = dataclasses.replace(runner, leaves_in_s=previous.leaves_in_s)
+    return runner != previous
--- a/tests/test_discovery/test_runner_directory.py
+++ b/tests/test_discovery/test_runner_directory.py
@@ -58,6 +58,18 @@
 
         self.run_clocked(scenario)
 
+    def test_heartbeats_are_not_handed_on(self) -> None:
+        async def scenario() -> None:
+            self._build()
+            self._put(id="r-1")
+            self._put(id="r-1", is_leaving=True, leaves_in_s=2.0)
+            first = self.directory.list_copies()
+            self._put(id="r-1", is_leaving=True, leaves_in_s=1.0)
+            self.assertEqual(first, self.directory.list_copies())
+            self.assertAlmostEqual(2.0, self.directory.find_time_left("r-1"))
+
+        self.run_clocked(scenario)
+
     def test_copies_of_some_entries_leave_the_others(self) -> None:
         async def scenario() -> None:
             self._build()
