Grant each daemon its part of the room in an allowance until it hears of others

News of spending take up to 0.8 s in a large fleet, and each of 77 daemons took all the room that was left for its own.

Change: between two reports others are reckoned to go on as they lately spent; a daemon may spend its part of the room, as it spent of the whole lately and an even part at least, and what a request overdraws is taken from the next part. Hubs report sooner while an allowance runs short.

A team at half its rate is refused nothing that counts (test).

--- a/packages/daemon/src/martenquay_daemon/allowances/accounts.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/accounts.py
@@ -62,6 +62,9 @@
         filled_at: When it was last brought up to date.
         size: Of the bucket, in units.
         level: What is in it; less than 0 after large requests.
+        own: What this daemon has spent in the same time.
+        grant: What this daemon may still spend until it hears of others.
+        granted_at: When that was reckoned.
         is_guessed: Nothing is known of the time before the account.
         others: What other sources have told, by source.
     """
@@ -71,7 +74,10 @@
     started_at: float
     filled_at: float
     size: float
+    own: window.SlidingWindow
     level: float = 0.0
+    grant: float = 0.0
+    granted_at: float = -math.inf
     is_guessed: bool = True
     others: dict[str, Spending] = dataclasses.field(default_factory=dict)
 
@@ -80,6 +86,26 @@
         self.used.add(now, units)
         self.level -= units
 
+    def spend(self, now: float, units: float) -> None:
+        """Note units spent here."""
+        self.charge(now, units)
+        self.own.add(now, units)
+        self.grant -= units
+
+    def renew_grant(self, now: float, daemons: int) -> None:
+        """Reckon this daemon's part of the room that is left.
+
+        It is what it lately spent of the whole, and an even part at least. A
+        request may overdraw it; that is taken from the next.
+        """
+        self.granted_at = now
+        self.own.slide(now)
+        share = 1 / daemons
+        if self.used.total > 0:
+            share = max(share, min(1.0, self.own.total / self.used.total))
+        room = max(0.0, self.limit - self.used.total)
+        self.grant = min(0.0, self.grant) + share * room
+
 
 def settle(account: Account, known: Spending, total: float, now: float) -> None:
     """Put what a source has spent in the place of what was assumed."""
--- a/packages/daemon/src/martenquay_daemon/allowances/ledger.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/ledger.py
@@ -52,6 +52,11 @@
 # The part of the window that each step of urgency leaves to the more urgent.
 _RESERVE = 0.02
 _MOST_RESERVE = 0.15
+# A daemon's part of the room that is left is reckoned anew when others are
+# heard, but not more often than they are in a small fleet; without news after
+# the second time.
+_GRANT_S = 0.2
+_LONGEST_GRANT_S = 1.0
 # A caller that is told to come back sooner only meets the same refusal.
 _LEAST_WAIT_S = 0.1
 # Above this part of a full window, spending is told at once.
@@ -135,7 +140,9 @@
         missing = kept * _BUCKET_BURST * team.burst - account.level
         if missing >= 0:
             return max(missing / (_BUCKET_RATE * team.rate), _LEAST_WAIT_S)
-        account.charge(now, units)
+        if account.grant <= 0:
+            return _GRANT_S
+        account.spend(now, units)
         self._own[team.name] = self._own.get(team.name, 0.0) + units
         if account.used.total > _HIGH_TOTAL * limit:
             self._fleet.hurry()
@@ -152,7 +159,7 @@
         account = self._accounts.get(team.name)
         if account is None or team.rate <= 0:
             return
-        account.charge(trio.current_time(), -units)
+        account.spend(trio.current_time(), -units)
         self._own[team.name] -= units
 
     def find_used(self, team: str) -> float:
@@ -177,8 +184,7 @@
         for team, units in sums.items():
             account = self._accounts.get(team)
             if account is not None and account.is_guessed:
-                account.used.fill_evenly(trio.current_time(), units)
-                account.is_guessed = False
+                self._replace_guess(account, trio.current_time(), units)
 
     def note_past(
         self, sums: Mapping[str, float], age_s: float, period_s: float
@@ -219,6 +225,8 @@
             else:
                 accounts.settle(account, known, total, now)
             known.daemons = daemons
+            if now - account.granted_at >= _GRANT_S:
+                account.renew_grant(now, max(1, self._fleet.count_daemons()))
 
     def forget_source(self, source: str) -> None:
         """Drop a source that is gone for good."""
@@ -255,6 +263,9 @@
             # daemons that have not spent anything would refuse everybody
             # while a large fleet starts.
             account.used.add(now, unheard)
+        account.limit = self.bounds.find_limit(team)
+        if now - account.granted_at >= _LONGEST_GRANT_S:
+            account.renew_grant(now, daemons)
         return account
 
     def _count_absent(
@@ -289,6 +300,7 @@
             started_at=now,
             filled_at=now,
             size=_BUCKET_BURST * team.burst,
+            own=window.SlidingWindow(self.bounds.window_s),
         )
         self._accounts[team.name] = account
         if team.name in self._past.sums:
@@ -309,6 +321,14 @@
         daemons = max(1, self._fleet.count_daemons())
         account.level = _START_PART * account.size / daemons
         account.is_guessed = False
+        account.renew_grant(now, daemons)
+
+    def _replace_guess(
+        self, account: accounts.Account, now: float, units: float
+    ) -> None:
+        account.used.fill_evenly(now, units)
+        account.is_guessed = False
+        account.renew_grant(now, max(1, self._fleet.count_daemons()))
 
     def _assume(
         self,
@@ -317,7 +337,7 @@
         now: float,
         elapsed_s: float,
     ) -> float:
-        """Return what daemons that are not heard likely spent meanwhile."""
+        """Return what others likely spent since they were last heard."""
         daemons = max(1, self._fleet.count_daemons())
         # Each side of a cut may spend what it does not assume of the other;
         # with even parts of all that may be spent, the sum is no more.
@@ -328,12 +348,13 @@
         unheard = max(0, daemons - 1 - heard)
         units = unheard * even * elapsed_s
         for known in account.others.values():
+            # Also between two reports: a greedy team spends much in that time.
+            rate = known.rate
             if self._is_silent(known, now):
-                silent_s = now - known.heard_at
-                least = even * known.daemons
-                likely = min(most, max(known.rate, least)) * silent_s
-                units += max(0.0, likely - known.assumed)
-                known.assumed = max(known.assumed, likely)
+                rate = max(rate, even * known.daemons)
+            likely = min(most, rate) * (now - known.heard_at)
+            units += max(0.0, likely - known.assumed)
+            known.assumed = max(known.assumed, likely)
         return units
 
 
--- a/packages/daemon/src/martenquay_daemon/fleet/links.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/links.py
@@ -225,9 +225,10 @@
             self._view.silent_s = self._find_silent(pace)
             self._view.check_silence()
             self._choose_links()
+            is_hurried = self._wake.is_set()
             if self._is_own_due(pace):
                 self._tell_own()
-            if not is_mesh and self._zone.is_report_due():
+            if not is_mesh and self._zone.is_report_due(is_hurried=is_hurried):
                 self._report()
             self._ask_for_state()
             await trio.sleep(pace.step_s)
--- a/packages/daemon/src/martenquay_daemon/fleet/zone_mode.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/zone_mode.py
@@ -174,10 +174,15 @@
         self.report_s = self._pace.find_report_s(longest)
         return own, found
 
-    def is_report_due(self) -> bool:
-        """Tell whether it is time for the next reports; if so, count on."""
+    def is_report_due(self, *, is_hurried: bool) -> bool:
+        """Tell whether it is time for the next reports; if so, count on.
+
+        Args:
+            is_hurried: There is news that cannot wait.
+        """
         now = trio.current_time()
-        if not self.is_hub or now < self._reported_at + self.report_s:
+        due_s = self._pace.report_s if is_hurried else self.report_s
+        if not self.is_hub or now < self._reported_at + due_s:
             return False
         self._reported_at = now
         return True
--- a/tests/test_allowances/test_ledger.py
+++ b/tests/test_allowances/test_ledger.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import trio
 
 from martenquay_daemon.allowances import ledger
@@ -70,6 +72,24 @@
             self.tell(sides=sides)
         return given
 
+    async def run_demand(
+        self, seconds: float, demand: float, units: float, tell_s: float
+    ) -> None:
+        """Have daemons ask for so many times the rate, and tell seldom."""
+        rng = random.Random(1)
+        told_at = trio.current_time()
+        for _ in range(int(seconds / 0.05)):
+            await trio.sleep(0.05)
+            for one in self.ledgers:
+                asks = demand * _RATE * 0.05 / units / len(self.ledgers)
+                count = int(asks) + (rng.random() < asks % 1)
+                for _ in range(count):
+                    if one.take(_TEAM, units) == 0.0:
+                        self.spent.append((trio.current_time(), units))
+            if trio.current_time() - told_at >= tell_s:
+                told_at = trio.current_time()
+                self.tell()
+
     def find_busiest(self) -> float:
         """Return the most that was spent in any window."""
         return max(
@@ -93,6 +113,34 @@
 
         self.run_clocked(scenario)
 
+    def test_a_greedy_team_stays_inside_the_bound_when_news_are_late(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            fleet = _Fleet(40)
+            fleet.tell()
+            await fleet.run_demand(6.0, 0.55, 3.0, 0.8)
+            await fleet.run_demand(10.0, 6.0, 3.0, 0.8)
+            self.assertLess(fleet.find_busiest(), _BOUND)
+            self.assertGreater(fleet.find_busiest(), _ALLOWANCE)
+
+        self.run_clocked(scenario)
+
+    def test_a_team_within_its_rate_is_not_refused_when_news_are_late(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            fleet = _Fleet(40)
+            fleet.tell()
+            # Accounts begin with a full window.
+            await fleet.run_demand(8.0, 0.5, 3.0, 0.8)
+            asked = len(fleet.spent)
+            await fleet.run_demand(16.0, 0.5, 3.0, 0.8)
+            given = (len(fleet.spent) - asked) * 3.0
+            self.assertGreater(given, 0.97 * 16.0 * 0.5 * _RATE)
+
+        self.run_clocked(scenario)
+
     def test_both_sides_of_a_cut_together_stay_inside_the_bound(self) -> None:
         async def scenario() -> None:
             fleet = _Fleet(4)
