Write the sums of spending also while nobody has the lease

The sums that were read after the second kill were 5.5 s old: the holder alone writes them, and for 3.5 s after a common restart there is none. One second of spending was assumed for the time after.

Change: the daemon that is first in line writes them while nobody is known to hold the lease; sums that are older than a restart takes count as unwritten for that much longer. They are written each second even if nothing was spent, so that their age means something.

Tests in test_record and test_ledger; both fail on the code before.

--- a/packages/daemon/src/martenquay_daemon/allowances/ledger.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/ledger.py
@@ -49,6 +49,9 @@
 # The part of its share of the bucket that a daemon begins with when all have
 # started anew; the rest makes up for what was spent and not written down.
 _START_PART = 0.5
+# What a common restart takes, in seconds, from the last moment in which daemons
+# still served to the reading of the sums.
+_RESTART_S = 2.0
 # The part of the window that each step of urgency leaves to the more urgent.
 _RESERVE = 0.02
 _MOST_RESERVE = 0.15
@@ -311,7 +314,12 @@
         """Take what was written, and the most for the time after it."""
         now = trio.current_time()
         past = self._past
-        unwritten_s = min(max(0.0, now - past.written_at), past.period_s)
+        age_s = max(0.0, now - past.written_at)
+        # Sums that are older than a restart takes were not written for long
+        # before it: the log was away, or nobody had the lease.
+        unwritten_s = max(
+            min(age_s, past.period_s), age_s - past.period_s - _RESTART_S
+        )
         most = account.limit / self.bounds.window_s
         account.used.fill_evenly(past.written_at, past.sums[team])
         account.used.add(past.written_at + unwritten_s, most * unwritten_s)
--- a/packages/daemon/src/martenquay_daemon/allowances/record.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/record.py
@@ -42,7 +42,7 @@
 
 
 class SpendingRecord:
-    """Write the sums while this daemon holds the lease; read them once."""
+    """Write the sums as the lease's holder, or next one; read them once."""
 
     def __init__(
         self,
@@ -57,7 +57,6 @@
         self._ledger = accounts
         self._lease = duty
         self._read_clock = read_clock
-        self._written: dict[str, float] = {}
 
     async def run(self) -> None:
         """Read at the start, then write until cancelled."""
@@ -65,16 +64,16 @@
         while True:
             await trio.sleep(_PERIOD_S)
             used = self._ledger.list_used()
-            if self._lease.is_held() and used != self._written:
+            # After a common restart the old lease has to be waited out, and
+            # all may be killed again before that.
+            if self._lease.is_held() or self._lease.is_next():
                 await self._write(used)
 
     async def _write(self, used: dict[str, float]) -> None:
         value = msgspec.json.encode(_Sums(self._read_clock(), used))
         payload = self._log.join_keyed(_KEY, value)
         written = await self._log.append(self._topic, [payload])
-        if written.is_ok():
-            self._written = used
-        else:
+        if written.is_error():
             _LOG.write(f"Sums are not written: {written.error.message}.")
 
     async def _read(self) -> None:
--- a/packages/daemon/src/martenquay_daemon/duties/lease.py
+++ b/packages/daemon/src/martenquay_daemon/duties/lease.py
@@ -93,6 +93,11 @@
         now = trio.current_time()
         return self.fence > 0 and now + needed_s < self._valid_until
 
+    def is_next(self) -> bool:
+        """Tell whether nobody is known to hold it and this daemon is first."""
+        is_free = not self.fence and self._told_free_at <= trio.current_time()
+        return is_free and not self._is_stopping and self._find_rank() == 0
+
     def create_news(self) -> messages.LeaseNews | None:
         """Return what to tell candidates; None if it is not held here."""
         if not self.is_held():
--- a/tests/test_allowances/test_ledger.py
+++ b/tests/test_allowances/test_ledger.py
@@ -228,6 +228,20 @@
 
         self.run_clocked(scenario)
 
+    def test_sums_that_were_not_written_for_long_leave_less_room(self) -> None:
+        async def scenario() -> None:
+            used = []
+            for age_s in (1.5, 6.0):
+                one = _create(1)
+                one.refill([_TEAM])
+                one.note_past({"florists": 0.0}, age_s, 1.0)
+                used.append(one.find_used("florists"))
+            most_a_second = _BOUNDS.find_limit(_TEAM) / _WINDOW_S
+            self.assertAlmostEqual(most_a_second, used[0])
+            self.assertAlmostEqual(3 * most_a_second, used[1])
+
+        self.run_clocked(scenario)
+
     def test_a_refusal_says_when_there_may_be_room(self) -> None:
         async def scenario() -> None:
             one = _Fleet(1).ledgers[0]
--- a/tests/test_allowances/test_record.py
+++ b/tests/test_allowances/test_record.py
@@ -75,6 +75,29 @@
 
         self.run_clocked(scenario)
 
+    def test_sums_are_written_before_the_old_lease_is_waited_out(self) -> None:
+        async def scenario() -> None:
+            store = log.MemoryLog()
+            await self._spend_and_restart(store, 50.0)
+            second = _Daemon(store, "entry-2")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(second.run)
+                await trio.sleep(0.3)
+                second.ledger.refill([_TEAM])
+                await trio.sleep(0.2)
+                self.assertEqual(0.0, second.ledger.take(_TEAM, 900.0))
+                await trio.sleep(1.6)
+                nursery.cancel_scope.cancel()
+            third = _Daemon(store, "entry-3")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(third.run)
+                await trio.sleep(0.5)
+                third.ledger.refill([_TEAM])
+                self.assertGreater(third.ledger.find_used("florists"), 900.0)
+                nursery.cancel_scope.cancel()
+
+        self.run_clocked(scenario)
+
     def test_without_the_log_nothing_is_taken_for_granted(self) -> None:
         async def scenario() -> None:
             store = log.MemoryLog()
