--- a/packages/daemon/src/martenquay_daemon/engines/placer.py
+++ b/packages/daemon/src/martenquay_daemon/engines/placer.py
@@ -126,8 +126,8 @@
     ) -> list[runners.Runner]:
         """Return the runners to look at: a few homes and a few at random.
 
-        Loads are seconds old in a large fleet. If all daemons looked at all
-        runners, all would send to the one that was idle then.
+        Loads are up to a second old in a large fleet. If all daemons looked at
+        all runners, all would send to the one that was idle then.
         """
         if len(candidates) <= _LOOK_AT_ALL:
             return candidates
