Grant nothing before a daemon knows how large the fleet is

Change: what a daemon may spend of old sums begins 0.3 s after its start, when the list has been read.

Test in test_ledger; it fails on the code before.

--- a/packages/daemon/src/martenquay_daemon/allowances/accounts.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/accounts.py
@@ -66,6 +66,7 @@
         grant: What this daemon may still spend until it hears of others.
         granted_at: When that was reckoned.
         restarted_at: When sums from before a common restart were taken.
+        is_begun: This daemon has had its first part after a common restart.
         is_guessed: Nothing is known of the time before the account.
         others: What other sources have told, by source.
     """
@@ -80,6 +81,7 @@
     grant: float = 0.0
     granted_at: float = -math.inf
     restarted_at: float = -math.inf
+    is_begun: bool = True
     is_guessed: bool = True
     others: dict[str, Spending] = dataclasses.field(default_factory=dict)
 
--- a/packages/daemon/src/martenquay_daemon/allowances/ledger.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/ledger.py
@@ -49,6 +49,8 @@
 # The part of its share of the bucket that a daemon begins with when all have
 # started anew; the rest makes up for what was spent and not written down.
 _START_PART = 0.5
+# A daemon has read in the log who else there is so long after its start.
+_LISTED_S = 0.3
 # For one window after a common restart this part of the limit is kept back: the
 # sums that were written and what is assumed of the time after are not exact,
 # and the hunts were up to 0.6% over the bound.
@@ -121,6 +123,7 @@
         self._accounts: dict[str, accounts.Account] = {}
         self._own: dict[str, float] = {}
         self._past = accounts.Past({}, -math.inf, 0.0)
+        self._listed_at = trio.current_time() + _LISTED_S
 
     def take(self, team: catalog.Team, units: float, reserve: int = 0) -> float:
         """Spend units; return 0, or the seconds until there may be room.
@@ -232,7 +235,8 @@
             else:
                 accounts.settle(account, known, total, now)
             known.daemons = daemons
-            if now - account.granted_at >= _GRANT_S:
+            is_old = now - account.granted_at >= _GRANT_S
+            if is_old and account.is_begun:
                 account.renew_grant(now, max(1, self._fleet.count_daemons()))
 
     def forget_source(self, source: str) -> None:
@@ -271,7 +275,9 @@
             # while a large fleet starts.
             account.used.add(now, unheard)
         account.limit = self._find_limit(account, team, now)
-        if now - account.granted_at >= _LONGEST_GRANT_S:
+        self._begin(account, now)
+        is_old = now - account.granted_at >= _LONGEST_GRANT_S
+        if is_old and account.is_begun:
             account.renew_grant(now, daemons)
         return account
 
@@ -339,10 +345,19 @@
         account.used.slide(now)
         # Most teams' buckets are full; what was in this one is shared by all
         # daemons that start now.
-        daemons = max(1, self._fleet.count_daemons())
-        account.level = _START_PART * account.size / daemons
         account.is_guessed = False
         account.restarted_at = now
+        # How many share it is known a moment later; one alone would take all.
+        account.is_begun = False
+        self._begin(account, now)
+
+    def _begin(self, account: accounts.Account, now: float) -> None:
+        """Give a daemon that starts with all others its first part."""
+        if account.is_begun or now < self._listed_at:
+            return
+        account.is_begun = True
+        daemons = max(1, self._fleet.count_daemons())
+        account.level = _START_PART * account.size / daemons
         account.renew_grant(now, daemons)
 
     def _replace_guess(
--- a/tests/test_allowances/test_ledger.py
+++ b/tests/test_allowances/test_ledger.py
@@ -200,6 +200,8 @@
             for one in fleet.ledgers:
                 one.refill([_TEAM])
                 one.note_past({"florists": 0.5 * _ALLOWANCE}, 1.5, 1.0)
+            # Until then a daemon does not know how many there are.
+            await trio.sleep(0.3)
             given = 0
             for number in range(20):
                 one = fleet.ledgers[number]
@@ -245,6 +247,23 @@
 
         self.run_clocked(scenario)
 
+    def test_nothing_is_granted_before_the_size_of_the_fleet_is_known(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            size = 1
+            facts = ledger.FleetFacts(lambda: size, lambda: 1.2, lambda: None)
+            one = ledger.create_ledger(_BOUNDS, facts)
+            one.refill([_TEAM])
+            one.note_past({"florists": 0.0}, 1.0, 1.0)
+            self.assertGreater(one.take(_TEAM, 1.0), 0.0)
+            size = 50
+            await trio.sleep(0.4)
+            self.assertEqual(0.0, one.take(_TEAM, 30.0))
+            self.assertGreater(one.take(_TEAM, 1.0), 0.0)
+
+        self.run_clocked(scenario)
+
     def test_sums_that_were_not_written_for_long_leave_less_room(self) -> None:
         async def scenario() -> None:
             used = []
