--- a/packages/daemon/src/martenquay_daemon/gateway.py
+++ b/packages/daemon/src/martenquay_daemon/gateway.py
@@ -54,6 +54,21 @@
 ) -> int:
     """Serve until SIGTERM; return the exit status."""
     writer = logs.start_bounded_logging(settings.instance, sys.stdout.fileno())
+    try:
+        await _serve(settings, ports, settings_path)
+    except Exception as error:
+        # Else a fault of ours looks like a kill from outside: the lines just
+        # end, for the traceback goes elsewhere.
+        _LOG.write(f"Ended by a fault: {error!r}.")
+        raise
+    finally:
+        writer.close(_LAST_LINES_S)
+    return 0
+
+
+async def _serve(
+    settings: gateway.GatewaySettings, ports: GatewayPorts, settings_path: str
+) -> None:
     parts = gateway_parts.create_parts(settings, ports)
     async with trio.open_nursery() as nursery:
         address = await nursery.start(parts.listener.run)
@@ -69,8 +84,6 @@
         await _obey_signals(watch)
         await _stop(settings, parts)
         nursery.cancel_scope.cancel()
-    writer.close(_LAST_LINES_S)
-    return 0
 
 
 async def _serve_readiness(
@@ -90,6 +103,9 @@
     """Return at the stop signal."""
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
         async for number in signals:
+            # A stop or reload that nobody here asked for is told from one
+            # that was by this line alone.
+            _LOG.write(f"Took {signal.Signals(number).name}.", stage="serving")
             if number == signal.SIGTERM:
                 return
             watch.reload()
