Add failing tests of signals in series at one daemon

Cause to be shown: a daemon's signals are handled for a part of its process's life only; outside it the system's action applies and ends the process with its requests. Figures on this code: SIGHUP after SIGTERM, with a stream in progress, ends the process with status -1 (SIGHUP); SIGHUP while it starts ends it with -1; the daemon of the own interface is ended by SIGHUP at any time. Change besides: the scripted runner can wait for the test before its last piece; a scene that runs the platform's daemon as a process.

--- a/packages/standins/src/martenquay_standins/ports/runner.py
+++ b/packages/standins/src/martenquay_standins/ports/runner.py
@@ -23,12 +23,14 @@
         is_reset: The connection is reset after them, not closed.
         is_held: The connection stays open after them.
         reads_all: The whole request head is read before the first piece.
+        resume: Waited for before the last piece.
     """
 
     pieces: tuple[bytes, ...] = ()
     is_reset: bool = False
     is_held: bool = False
     reads_all: bool = True
+    resume: trio.Event | None = None
 
 
 class ScriptedRunner:
@@ -75,8 +77,12 @@
                 if not data:
                     return
                 self.requests[number] += data
-            for piece in script.pieces:
+            *first, last = script.pieces or (b"",)
+            for piece in first:
                 await stream.send_all(piece)
+            if script.resume is not None:
+                await script.resume.wait()
+            await stream.send_all(last)
             if script.is_held:
                 while await stream.receive_some(_RECEIVE_BYTES):
                     pass
--- /dev/null
+++ b/tests/process_scene.py
@@ -0,0 +1,206 @@
+"""Run the platform's daemon as a process, before a platform of stand-ins."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import pathlib
+import tempfile
+from typing import TYPE_CHECKING, Any
+
+import trio
+
+from martenquay_platform import log as wire
+from martenquay_platform_standins import store
+from martenquay_standins import host
+from martenquay_standins.chaos import programs
+from martenquay_standins.ports import runner as scripted
+from tests import serving_builders as builders
+from tests import serving_scene
+
+if TYPE_CHECKING:
+    import signal
+    from collections.abc import AsyncIterator
+
+__all__ = ["ProcessScene", "open_process_scene"]
+
+_PROGRAM = pathlib.Path(__file__).parents[1] / "platform" / "martenquayd.py"
+_POLL_S = 0.005
+_HOST = "desk.example"
+_CONFIG = {
+    "Version": 1,
+    "Routes": [
+        {
+            "Name": "r-note",
+            "Host": _HOST,
+            "PathPrefix": "/note/",
+            "RouteKind": "streaming",
+            "TimeoutMs": 30000,
+            "SloMs": 500,
+            "Service": "model",
+            "MaxAttempts": 1,
+        }
+    ],
+    "Services": [{"Name": "model"}],
+}
+_CALL = (
+    b"GET /note/1 HTTP/1.1\r\nhost: desk.example\r\n"
+    b"attempt-id: call-1\r\ndeadline-ms: 30000\r\n\r\n"
+)
+_STARTED = "Started; callers are served at "
+# Mapped once the interpreter has run some lines of the start script.
+_EARLY_LIBRARY = "/zmq/"
+
+
+class ProcessScene:
+    """A daemon's process and what stands around it.
+
+    Attributes:
+        program: The process.
+        runner: The one runner; its stream waits for `resume`.
+        resume: Lets the runner end its stream.
+        texts: The sentences that the daemon has logged.
+    """
+
+    def __init__(self, folder: pathlib.Path, log_address: str) -> None:
+        self.resume = trio.Event()
+        head = (
+            b"HTTP/1.1 200 OK\r\nserver-seal: s\r\nattempt-id: call-1\r\n"
+            b"content-type: text/event-stream\r\ncontent-length: 20\r\n\r\n"
+        )
+        script = scripted.Script(
+            (head + b"id: 1\n\n\n\n", b"id: 2\n\n\n\n"), resume=self.resume
+        )
+        self.runner = scripted.ScriptedRunner([script])
+        self.texts: list[str] = []
+        self.program: programs.Program | None = None
+        self._settings = folder / "settings.jsonc"
+        self._slack = 52
+        self._log_address = log_address
+        self._write_settings()
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start the process."""
+        env = {**os.environ, "MARTENQUAY_BOOT": str(self._settings)}
+        program = await programs.start_program("daemon", [str(_PROGRAM)], env)
+        self.program = program
+        nursery.start_soon(program.read_lines, self._take)
+        nursery.start_soon(program.read_errors)
+
+    def send(self, *numbers: signal.Signals) -> None:
+        """Send signals one after the other."""
+        assert self.program is not None, "the process is started"
+        for number in numbers:
+            self.program.send(number)
+
+    def change_settings(self) -> None:
+        """Write another settings file in the place of the last one."""
+        self._slack += 1
+        self._write_settings()
+
+    async def wait_text(self, start: str) -> str:
+        """Wait for a sentence that begins so; it fails if the daemon ends."""
+        while True:
+            for text in self.texts:
+                if text.startswith(start):
+                    return text
+            self._expect_running()
+            await trio.sleep(_POLL_S)
+
+    async def wait_importing(self) -> None:
+        """Wait until the daemon's own lines run, long before it serves."""
+        assert self.program is not None, "the process is started"
+        maps = pathlib.Path(f"/proc/{self.program.process.pid}/maps")
+        while _EARLY_LIBRARY not in maps.read_text():
+            self._expect_running()
+            await trio.sleep(_POLL_S)
+
+    async def wait_serving(self) -> None:
+        """Wait until callers are served by the configuration."""
+        await self.wait_text(_STARTED)
+        await self.wait_text("Version 1 is in force")
+        await self.wait_text("Runner runner-1 is known")
+
+    async def open_stream(self) -> trio.SocketStream:
+        """Send a request; return once its first event is on the way."""
+        started = await self.wait_text(_STARTED)
+        address = started.removeprefix(_STARTED).rstrip(".")
+        name, _, port = address.rpartition(":")
+        stream = await trio.open_tcp_stream(name, int(port))
+        await stream.send_all(_CALL)
+        while not any(self.runner.requests):
+            self._expect_running()
+            await trio.sleep(_POLL_S)
+        return stream
+
+    async def read_answer(
+        self, stream: trio.SocketStream
+    ) -> serving_scene.Reply:
+        """Let the runner end its stream and read it to the end."""
+        self.resume.set()
+        async with stream:
+            return await serving_scene.read_reply(stream)
+
+    async def wait_end(self) -> int:
+        """Return the exit status."""
+        assert self.program is not None, "the process is started"
+        return await self.program.process.wait()
+
+    def describe(self) -> str:
+        """Return what the daemon has told, for a failed test."""
+        assert self.program is not None, "the process is started"
+        errors = self.program.errors.decode(errors="replace")
+        return "\n".join([*self.texts, errors])
+
+    def _take(self, line: dict[str, Any]) -> None:
+        self.texts.append(line.get("text", ""))
+
+    def _expect_running(self) -> None:
+        assert self.program is not None, "the process is started"
+        status = self.program.process.poll()
+        if status is not None:
+            raise AssertionError(f"ended with {status}: {self.describe()}")
+
+    def _write_settings(self) -> None:
+        content = builders.build_gateway_settings()
+        content["platform"] = {"log": self._log_address}
+        content["bounds"]["retry_slack"] = self._slack
+        self._settings.write_text(json.dumps(content))
+
+
+@contextlib.asynccontextmanager
+async def open_process_scene() -> AsyncIterator[ProcessScene]:
+    """Start a platform, a runner and a daemon; end them at the end."""
+    async with trio.open_nursery() as nursery:
+        platform = store.StoreStandIn(lambda *_, **__: None)
+        running = await host.start_stand_in(nursery, platform)
+        with tempfile.TemporaryDirectory() as folder:
+            scene = ProcessScene(pathlib.Path(folder), running.address)
+            await nursery.start(scene.runner.run)
+            await _fill(platform, scene.runner.address)
+            try:
+                await scene.start(nursery)
+                yield scene
+            finally:
+                if scene.program is not None:
+                    scene.program.kill()
+        nursery.cancel_scope.cancel()
+
+
+async def _fill(platform: store.StoreStandIn, runner: str) -> None:
+    """Have operators write a configuration and the runner its entry."""
+    entry = {
+        "Service": "model",
+        "Addr": runner,
+        "Zone": "a",
+        "Slots": 4,
+        "State": "ready",
+    }
+    records = [
+        ("keyed.op", "config", _CONFIG),
+        ("keyed.servers", "runner-1", entry),
+    ]
+    for topic, key, content in records:
+        payload = wire.join_keyed(key, json.dumps(content).encode())
+        await platform.log.append(topic, [payload])
--- a/tests/test_promises/test_leaving.py
+++ b/tests/test_promises/test_leaving.py
@@ -97,6 +97,35 @@
 
         self.run_scene(scenario)
 
+    def test_signals_in_series_cut_no_request_off(self):
+        # The system's own action for a signal that nobody handles is to end
+        # the process, and the second stop signal was taken as an order to.
+        async def scenario(scene: scenarios.Scene) -> None:
+            shape = engine.EngineShape(token_s=0.02)
+            await scene.world.add_engine(
+                world.SERRANA, "serra-a", "model-1", shape
+            )
+            (daemon,) = await scene.start_processes(world.SERRANA, 1)
+            replies: list[scenarios.CallerReply] = []
+
+            async def ask() -> None:
+                replies.append(
+                    await scene.caller.chat(daemon, max_tokens=60, stream=True)
+                )
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                await scene.wait_until(self._has_running, scene, daemon, 1)
+                daemon.send_signal(signal.SIGHUP)
+                for _ in range(2):
+                    daemon.send_signal(signal.SIGTERM)
+                    await scene.wait_until(self._has_begun, scene, daemon)
+                    daemon.send_signal(signal.SIGHUP)
+            self.assertTrue(replies[0].is_unbroken())
+            self.assertEqual(0, await daemon.process.wait())
+
+        self.run_scene(scenario)
+
     def test_deferrable_work_is_handed_over_at_a_stop(self):
         async def scenario(scene: scenarios.Scene) -> None:
             shape = engine.EngineShape(token_s=0.03)
@@ -183,6 +212,12 @@
     async def _is_ready(self, scene: scenarios.Scene, daemon: Any) -> bool:
         return (await self._read_readiness(scene, daemon)) == 200
 
+    async def _has_begun(self, scene: scenarios.Scene, daemon: Any) -> bool:
+        """Tell whether a stop has begun, or the process is gone already."""
+        if daemon.process.poll() is not None:
+            return True
+        return await self._is_unready(scene, daemon)
+
     async def _is_unready(self, scene: scenarios.Scene, daemon: Any) -> bool:
         return (await self._read_readiness(scene, daemon)) == 503
 
