Handle signals from the first line of a process to its last

Cause: the daemon listened for SIGTERM and SIGHUP in a block that ended with the first SIGTERM, so the system's own action was back in force for the whole stop, the longest stage in which requests are in progress; likewise before callers were served, and while the interpreter shuts down. The class: a process's answer to an event bound to one stage of its life. Ruled out: a reload that fails during the stop (the new test reloads changed settings then), an early end of the stop itself (its line is missing), memory. Change: signals are held from the first line on, before the imports; one handler runs for as long as the process does and turns them into one stop and any number of reloads; what ends it falls back to holding; at the very end they are ignored. A stop asked for before callers are served ends the process at once. The daemon of the own interface had the same fault (SIGHUP at any time, a second SIGTERM) and uses the same handler; there only a second SIGINT, from a terminal, still cuts requests off. The scene's scripted answer now states its true length; before, its stream could not have ended whole on any code. Left: the first tens of milliseconds of the interpreter, which no program can reach.

--- a/packages/daemon/src/martenquay_daemon/__main__.py
+++ b/packages/daemon/src/martenquay_daemon/__main__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from martenquay_daemon import main
+from martenquay_daemon import entry
 
 if __name__ == "__main__":
-    main.start()
+    entry.start()
--- a/packages/daemon/src/martenquay_daemon/gateway.py
+++ b/packages/daemon/src/martenquay_daemon/gateway.py
@@ -3,19 +3,20 @@
 from __future__ import annotations
 
 import dataclasses
-import signal
 import sys
 from typing import TYPE_CHECKING
 
 import trio
 
 from martenquay_core import logs
+from martenquay_core.util import signals
 from martenquay_daemon import gateway_parts, readiness, settings_watch
 
 if TYPE_CHECKING:
     from martenquay_core.serving import ports as port_types
     from martenquay_core.serving import topics
     from martenquay_core.settings import gateway
+    from martenquay_core.util import held_signals
 
 __all__ = ["GatewayPorts", "run_gateway"]
 
@@ -50,12 +51,22 @@
 
 
 async def run_gateway(
-    settings: gateway.GatewaySettings, ports: GatewayPorts, settings_path: str
+    settings: gateway.GatewaySettings,
+    ports: GatewayPorts,
+    settings_path: str,
+    held: held_signals.HeldSignals,
 ) -> int:
-    """Serve until SIGTERM; return the exit status."""
+    """Serve until a planned stop; return the exit status.
+
+    Args:
+        settings: As read at the start.
+        ports: The platform.
+        settings_path: Where the settings are read again.
+        held: Signals that came before.
+    """
     writer = logs.start_bounded_logging(settings.instance, sys.stdout.fileno())
     try:
-        await _serve(settings, ports, settings_path)
+        await _serve(settings, ports, settings_path, held)
     except Exception as error:
         # Else a fault of ours looks like a kill from outside: the lines just
         # end, for the traceback goes elsewhere.
@@ -67,25 +78,43 @@
 
 
 async def _serve(
-    settings: gateway.GatewaySettings, ports: GatewayPorts, settings_path: str
+    settings: gateway.GatewaySettings,
+    ports: GatewayPorts,
+    settings_path: str,
+    held: held_signals.HeldSignals,
 ) -> None:
     parts = gateway_parts.create_parts(settings, ports)
+    watch = settings_watch.SettingsWatch(
+        settings_path, settings, parts.apply_settings
+    )
+    handler = signals.SignalHandler(held, watch.reload)
     async with trio.open_nursery() as nursery:
-        address = await nursery.start(parts.listener.run)
-        nursery.start_soon(_serve_readiness, settings, parts)
-        await nursery.start(parts.run)
-        _LOG.write(
-            f"Started; callers are served at {address}.", zone=settings.zone
-        )
-        watch = settings_watch.SettingsWatch(
-            settings_path, settings, parts.apply_settings
-        )
-        nursery.start_soon(watch.run)
-        await _obey_signals(watch)
-        await _stop(settings, parts)
+        # It runs until the last request has ended: a signal that nobody
+        # handles ends the process, and what is in progress with it.
+        await nursery.start(handler.run)
+        if handler.stop.is_set():
+            _LOG.write("Stopped before callers were served.")
+        else:
+            await _start_serving(settings, parts, nursery)
+            nursery.start_soon(watch.run)
+            handler.stage = signals.Stage.SERVING
+            await handler.stop.wait()
+            handler.stage = signals.Stage.STOPPING
+            await _stop(watch.settings, parts)
         nursery.cancel_scope.cancel()
 
 
+async def _start_serving(
+    settings: gateway.GatewaySettings,
+    parts: gateway_parts.GatewayParts,
+    nursery: trio.Nursery,
+) -> None:
+    address = await nursery.start(parts.listener.run)
+    nursery.start_soon(_serve_readiness, settings, parts)
+    await nursery.start(parts.run)
+    _LOG.write(f"Started; callers are served at {address}.", zone=settings.zone)
+
+
 async def _serve_readiness(
     settings: gateway.GatewaySettings, parts: gateway_parts.GatewayParts
 ) -> None:
@@ -99,18 +128,6 @@
     await server.serve_app(app, options)
 
 
-async def _obey_signals(watch: settings_watch.SettingsWatch) -> None:
-    """Return at the stop signal."""
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
-        async for number in signals:
-            # A stop or reload that nobody here asked for is told from one
-            # that was by this line alone.
-            _LOG.write(f"Took {signal.Signals(number).name}.", stage="serving")
-            if number == signal.SIGTERM:
-                return
-            watch.reload()
-
-
 async def _stop(
     settings: gateway.GatewaySettings, parts: gateway_parts.GatewayParts
 ) -> None:
--- a/packages/daemon/src/martenquay_daemon/main.py
+++ b/packages/daemon/src/martenquay_daemon/main.py
@@ -3,16 +3,20 @@
 from __future__ import annotations
 
 import json
-import signal
 import sys
+from typing import TYPE_CHECKING
 
 import trio
 from absl import app, flags
 
 from martenquay_core import logs
 from martenquay_core.settings import models, reader
+from martenquay_core.util import signals
 from martenquay_daemon import daemon
 
+if TYPE_CHECKING:
+    from martenquay_core.util import held_signals
+
 __all__ = ["start"]
 
 _SETTINGS = flags.DEFINE_string(
@@ -23,49 +27,59 @@
 _EXIT_CUT_OFF = 1
 
 
-def start() -> None:
-    """Run the daemon; the entry point of the binary."""
-    app.run(_run)
+def start(held: held_signals.HeldSignals) -> None:
+    """Run the daemon until it is stopped."""
+    app.run(lambda _: _run(held))
 
 
-def _run(argv: list[str]) -> int:
-    del argv
+def _run(held: held_signals.HeldSignals) -> int:
     settings = reader.read_settings(_SETTINGS.value, models.DaemonSettings)
     if settings.is_error():
         for problem in settings.error:
             print(reader.describe_problem(problem), file=sys.stderr)
         return _EXIT_SETTINGS
     logs.start_logging(settings.ok.instance)
-    return trio.run(_serve, settings.ok)
+    status = trio.run(_serve, settings.ok, held)
+    signals.ignore_signals()
+    return status
 
 
-async def _serve(settings: models.DaemonSettings) -> int:
+async def _serve(
+    settings: models.DaemonSettings, held: held_signals.HeldSignals
+) -> int:
     process = daemon.Daemon(settings)
     async with trio.open_nursery() as nursery:
+
+        def cut_off() -> None:
+            cut = process.readiness.in_progress
+            _LOG.write(f"Cut off {cut} requests.", cut_off=cut)
+            nursery.cancel_scope.cancel()
+
+        handler = signals.SignalHandler(held, _note_reload, cut_off)
+        # It runs until the last request has ended: a signal that nobody
+        # handles ends the process, and what is in progress with it.
+        await nursery.start(handler.run)
         addresses = await nursery.start(process.run)
-        # The launcher reads this line to learn ports that the system chose.
-        line = {
-            "callers": addresses.callers,
-            "operators": addresses.operators,
-            "peers": addresses.peers,
-            "member": process.member,
-        }
-        print(json.dumps(line), flush=True)
-        nursery.start_soon(_obey_signals, process, nursery)
+        _print_addresses(addresses, process.member)
+        handler.stage = signals.Stage.SERVING
+        await handler.stop.wait()
+        handler.stage = signals.Stage.STOPPING
+        process.stop()
         await process.wait_stopped()
         nursery.cancel_scope.cancel()
     return 0 if process.readiness.in_progress == 0 else _EXIT_CUT_OFF
 
 
-async def _obey_signals(process: daemon.Daemon, nursery: trio.Nursery) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        first = True
-        async for number in signals:
-            if first:
-                process.stop()
-                first = False
-                continue
-            cut = process.readiness.in_progress
-            _LOG.write(f"Signal {number} again: cut off {cut} requests.")
-            nursery.cancel_scope.cancel()
-            return
+def _print_addresses(addresses: daemon.Addresses, member: str) -> None:
+    """Tell the launcher the ports that the system chose."""
+    line = {
+        "callers": addresses.callers,
+        "operators": addresses.operators,
+        "peers": addresses.peers,
+        "member": member,
+    }
+    print(json.dumps(line), flush=True)
+
+
+def _note_reload() -> None:
+    _LOG.write("Kept the settings; they are read at the start only.")
--- a/tests/process_scene.py
+++ b/tests/process_scene.py
@@ -48,6 +48,12 @@
     b"GET /note/1 HTTP/1.1\r\nhost: desk.example\r\n"
     b"attempt-id: call-1\r\ndeadline-ms: 30000\r\n\r\n"
 )
+_ANSWER = (
+    b"HTTP/1.1 200 OK\r\nserver-seal: s\r\nattempt-id: call-1\r\n"
+    b"content-type: text/event-stream\r\ncontent-length: 18\r\n\r\n",
+    b"id: 1\n\n\n\n",
+    b"id: 2\n\n\n\n",
+)
 _STARTED = "Started; callers are served at "
 # Mapped once the interpreter has run some lines of the start script.
 _EARLY_LIBRARY = "/zmq/"
@@ -65,13 +71,7 @@
 
     def __init__(self, folder: pathlib.Path, log_address: str) -> None:
         self.resume = trio.Event()
-        head = (
-            b"HTTP/1.1 200 OK\r\nserver-seal: s\r\nattempt-id: call-1\r\n"
-            b"content-type: text/event-stream\r\ncontent-length: 20\r\n\r\n"
-        )
-        script = scripted.Script(
-            (head + b"id: 1\n\n\n\n", b"id: 2\n\n\n\n"), resume=self.resume
-        )
+        script = scripted.Script(_ANSWER, resume=self.resume)
         self.runner = scripted.ScriptedRunner([script])
         self.texts: list[str] = []
         self.program: programs.Program | None = None
--- a/tests/test_platform/test_signals.py
+++ b/tests/test_platform/test_signals.py
@@ -34,6 +34,8 @@
 
 # Ends a scenario that hangs; nothing is asserted about time.
 _HANG_S = 60.0
+# Between two signals of a storm.
+_STORM_S = 0.002
 _STOPPING = "Stopping"
 _TERM = signal.SIGTERM
 _HUP = signal.SIGHUP
@@ -72,6 +74,42 @@
 
         self._run(scenario)
 
+    def test_stop_signals_in_series_cut_no_request_off(self) -> None:
+        async def scenario(scene: process_scene.ProcessScene) -> None:
+            await scene.wait_serving()
+            stream = await scene.open_stream()
+            scene.send(_HUP, _TERM)
+            await scene.wait_text(_STOPPING)
+            scene.send(_TERM, signal.SIGINT, _HUP, _TERM)
+            await self._expect_whole(scene, stream)
+
+        self._run(scenario)
+
+    def test_signals_until_the_process_is_gone_change_nothing(self) -> None:
+        async def scenario(scene: process_scene.ProcessScene) -> None:
+            await scene.wait_serving()
+            stream = await scene.open_stream()
+            scene.send(_TERM)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._storm, scene)
+                await self._expect_whole(scene, stream)
+
+        self._run(scenario)
+
+    async def _storm(self, scene: process_scene.ProcessScene) -> None:
+        while scene.program.process.poll() is None:
+            scene.send(_HUP, _TERM)
+            await trio.sleep(_STORM_S)
+
+    def test_a_stop_before_it_serves_ends_it_at_once(self) -> None:
+        async def scenario(scene: process_scene.ProcessScene) -> None:
+            await scene.wait_importing()
+            scene.send(_HUP, _TERM, _HUP)
+            self.assertEqual(0, await scene.wait_end(), scene.describe())
+            self.assertIn("Stopped before callers were served.", scene.texts)
+
+        self._run(scenario)
+
     def test_signals_in_series_while_it_starts_do_not_end_it(self) -> None:
         async def scenario(scene: process_scene.ProcessScene) -> None:
             await scene.wait_importing()
