Start a background task anew after a fault instead of ending the daemon

Cause: another way to the same end as an unhandled signal: a fault in any follower or duty took the whole process down, with every request in progress. Found by looking for the class, not by a failure that was seen. The links between daemons are not: they own sockets that a second start would find taken; a fault there still ends the daemon, with its line.

--- a/packages/daemon/src/martenquay_daemon/gateway.py
+++ b/packages/daemon/src/martenquay_daemon/gateway.py
@@ -10,7 +10,12 @@
 
 from martenquay_core import logs
 from martenquay_core.util import signals
-from martenquay_daemon import gateway_parts, readiness, settings_watch
+from martenquay_daemon import (
+    gateway_parts,
+    readiness,
+    settings_watch,
+    supervision,
+)
 
 if TYPE_CHECKING:
     from martenquay_core.serving import ports as port_types
@@ -96,7 +101,7 @@
             _LOG.write("Stopped before callers were served.")
         else:
             await _start_serving(settings, parts, nursery)
-            nursery.start_soon(watch.run)
+            nursery.start_soon(supervision.keep_running, "settings", watch.run)
             handler.stage = signals.Stage.SERVING
             await handler.stop.wait()
             handler.stage = signals.Stage.STOPPING
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from martenquay_daemon import supervision
 from martenquay_daemon.allowances import ledger, record
 from martenquay_daemon.discovery import (
     catalog_sink,
@@ -132,18 +133,22 @@
         """Run everything but the listener and the readiness address."""
         async with trio.open_nursery() as nursery:
             address = await nursery.start(self.links.run)
-            for task in self._list_tasks():
-                nursery.start_soon(task)
-            nursery.start_soon(self._announcer.announce, address)
+            for name, task in self._list_tasks().items():
+                nursery.start_soon(supervision.keep_running, name, task)
+            nursery.start_soon(
+                supervision.keep_running,
+                "announcement",
+                lambda: self._announcer.announce(address),
+            )
             task_status.started(address)
 
-    def _list_tasks(self) -> list[Callable[[], Awaitable[None]]]:
-        return [
-            self._catalog_follower.run,
-            self._runner_follower.run,
-            self._member_follower.run,
-            *self._duties,
-        ]
+    def _list_tasks(self) -> dict[str, Callable[[], Awaitable[None]]]:
+        return {
+            "catalog": self._catalog_follower.run,
+            "runners": self._runner_follower.run,
+            "members": self._member_follower.run,
+            **self._duties,
+        }
 
     def _build_discovery(self) -> None:
         ports = self._ports
@@ -235,7 +240,7 @@
             bounds.lease_ms / 1000,
             self._view,
         )
-        self._duties: list[Callable[[], Awaitable[None]]] = []
+        self._duties: dict[str, Callable[[], Awaitable[None]]] = {}
         if self._ports.cloud is not None and self._settings.platform.duties:
             self._build_cloud_duties(self._ports.cloud)
 
@@ -269,12 +274,12 @@
             self._allowances,
             self._lease,
         )
-        self._duties = [
-            spending.run,
-            self._lease.run,
-            reporter.run,
-            keeper.run,
-        ]
+        self._duties = {
+            "spending": spending.run,
+            "lease": self._lease.run,
+            "usage": reporter.run,
+            "capacity": keeper.run,
+        }
 
     def _share_state(self) -> None:
         settings = self._settings
--- a/tests/test_daemon/test_gateway.py
+++ b/tests/test_daemon/test_gateway.py
@@ -123,6 +123,32 @@
 
         self._run(scenario)
 
+    def test_a_fault_of_a_background_task_does_not_end_the_daemon(
+        self,
+    ) -> None:
+        async def scenario(platform, daemons, runner) -> None:
+            one = daemons[0]
+            platform.put_catalog(3)
+            platform.put_runner(runner.address)
+            while (await one.ask()).status != 200:
+                await trio.sleep(0.05)
+            read = platform.log.read
+            failed = trio.Event()
+
+            async def fail_once(topic: str, start: int, *, wait_s: float = 0.0):
+                platform.log.read = read
+                failed.set()
+                raise ValueError("a record that nobody expected")
+
+            platform.log.read = fail_once
+            platform.put_catalog(4)
+            await failed.wait()
+            platform.put_catalog(5, routes=())
+            while (await one.ask()).status != 404:
+                await trio.sleep(0.05)
+
+        self._run(scenario)
+
     def test_a_newer_version_changes_what_is_served(self) -> None:
         async def scenario(platform, daemons, runner) -> None:
             one = daemons[0]
--- a/tests/test_daemon/test_settings_watch.py
+++ b/tests/test_daemon/test_settings_watch.py
@@ -57,6 +57,23 @@
 
         self.run_clocked(scenario)
 
+    def test_a_file_that_is_half_written_changes_nothing(self) -> None:
+        # The platform writes while a signal asks to read; whatever stands
+        # there, reading it must not end the daemon.
+        watch = self._build()
+        self._write(zone="b")
+        whole = self.path.read_bytes()
+        odd = [b"", b"[]", b"7", b"null", b"\xff\xfe", b'{"zone": {}}']
+        for content in [whole[:n] for n in range(len(whole) - 1)] + odd:
+            self.path.write_bytes(content)
+            watch.reload()
+            self.assertEqual([], self.applied, content)
+        self.path.unlink()
+        watch.reload()
+        self.path.write_bytes(whole)
+        watch.reload()
+        self.assertEqual(["b"], [s.zone for s in self.applied])
+
     def test_bad_settings_change_nothing(self) -> None:
         watch = self._build()
         self._write(zone="")
--- /dev/null
+++ b/tests/test_daemon/test_supervision.py
@@ -0,0 +1,53 @@
+"""A background task's fault is logged, and the task starts anew."""
+
+from __future__ import annotations
+
+import eliot
+import trio
+
+from martenquay_daemon import supervision
+from tests import clocked
+
+
+class SupervisionTest(clocked.ClockedTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.starts = 0
+        self.lines: list[dict[str, object]] = []
+        eliot.add_destinations(self.lines.append)
+        self.addCleanup(eliot.remove_destination, self.lines.append)
+
+    async def _fail_twice(self) -> None:
+        self.starts += 1
+        if self.starts <= 2:
+            raise ValueError(f"fault {self.starts}")
+
+    async def _fail_in_a_nursery(self) -> None:
+        self.starts += 1
+        async with trio.open_nursery() as nursery:
+            if self.starts == 1:
+                nursery.start_soon(self._fail_twice)
+
+    def test_a_task_that_fails_starts_anew_until_it_ends(self) -> None:
+        async def scenario() -> None:
+            await supervision.keep_running("usage", self._fail_twice)
+
+        self.run_clocked(scenario)
+        self.assertEqual(3, self.starts)
+        self.assertEqual(2, len(self.lines))
+        self.assertIn("fault 1", self.lines[0]["text"])
+        self.assertIn("_fail_twice", self.lines[0]["trace"])
+
+    def test_a_fault_inside_a_nursery_counts_as_one(self) -> None:
+        async def scenario() -> None:
+            await supervision.keep_running("links", self._fail_in_a_nursery)
+
+        self.run_clocked(scenario)
+        self.assertGreaterEqual(self.starts, 2)
+
+    def test_it_ends_when_it_is_cancelled(self) -> None:
+        async def scenario() -> None:
+            with trio.move_on_after(5.0):
+                await supervision.keep_running("lease", trio.sleep_forever)
+
+        self.run_clocked(scenario)
