Give the platform's ports a module of their own

Cause: gateway.py and gateway_parts.py named each other, so neither could be read first. Change: GatewayPorts stands in gateway_ports.py, which both name.

--- a/packages/daemon/src/martenquay_daemon/gateway.py
+++ b/packages/daemon/src/martenquay_daemon/gateway.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import sys
 from typing import TYPE_CHECKING
 
@@ -18,12 +17,11 @@
 )
 
 if TYPE_CHECKING:
-    from martenquay_core.serving import ports as port_types
-    from martenquay_core.serving import topics
     from martenquay_core.settings import gateway
     from martenquay_core.util import held_signals
+    from martenquay_daemon import gateway_ports
 
-__all__ = ["GatewayPorts", "run_gateway"]
+__all__ = ["run_gateway"]
 
 _LOG = logs.create_log("gateway")
 # The balancer asks every second and believes the second miss; until then it
@@ -36,28 +34,9 @@
 _LAST_LINES_S = 0.2
 
 
-@dataclasses.dataclass(frozen=True)
-class GatewayPorts:
-    """The platform, as an adapter gives it.
-
-    Attributes:
-        log: Its log.
-        cloud: Its cloud API; None where there are no duties.
-        calls: Names headers.
-        records: Decodes records.
-        topics: Names topics.
-    """
-
-    log: port_types.LogPort
-    cloud: port_types.CloudPort | None
-    calls: port_types.CallCodec
-    records: port_types.PlatformCodec
-    topics: topics.Topics
-
-
 async def run_gateway(
     settings: gateway.GatewaySettings,
-    ports: GatewayPorts,
+    ports: gateway_ports.GatewayPorts,
     settings_path: str,
     held: held_signals.HeldSignals,
 ) -> int:
@@ -84,7 +63,7 @@
 
 async def _serve(
     settings: gateway.GatewaySettings,
-    ports: GatewayPorts,
+    ports: gateway_ports.GatewayPorts,
     settings_path: str,
     held: held_signals.HeldSignals,
 ) -> None:
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -46,7 +46,7 @@
 
     from martenquay_core.serving import ports as port_types
     from martenquay_core.settings import gateway
-    from martenquay_daemon import gateway as gateway_module
+    from martenquay_daemon import gateway_ports
     from martenquay_daemon.fleet import messages
 
 __all__ = ["GatewayParts", "create_parts"]
@@ -81,7 +81,7 @@
     def __init__(
         self,
         settings: gateway.GatewaySettings,
-        ports: gateway_module.GatewayPorts,
+        ports: gateway_ports.GatewayPorts,
     ) -> None:
         self.instance = settings.instance
         self._settings = settings
@@ -358,7 +358,7 @@
 
 
 def create_parts(
-    settings: gateway.GatewaySettings, ports: gateway_module.GatewayPorts
+    settings: gateway.GatewaySettings, ports: gateway_ports.GatewayPorts
 ) -> GatewayParts:
     """Return the parts, connected and not yet running."""
     return GatewayParts(settings, ports)
--- a/tests/test_daemon/test_gateway.py
+++ b/tests/test_daemon/test_gateway.py
@@ -10,7 +10,7 @@
 import trio
 
 from martenquay_core.settings import gateway as settings_module
-from martenquay_daemon import gateway, gateway_parts
+from martenquay_daemon import gateway_parts, gateway_ports
 from martenquay_platform import codec
 from martenquay_standins.ports import cloud, log
 from martenquay_standins.ports import runner as scripted
@@ -62,7 +62,7 @@
         )
         self.parts = gateway_parts.create_parts(
             settings,
-            gateway.GatewayPorts(
+            gateway_ports.GatewayPorts(
                 log=platform.log,
                 cloud=platform.cloud,
                 calls=codec.create_codec(),
