Test that a caller's leaving reaches its runner at every stage

Cause looked for: runners that are still at work, or are sent something, more than half a second after their caller has closed its connection.

Each asks for three things: the runner's connection is closed within half a second, one log line tells request, stage and time, nothing more goes out.

Scripted runners can break off what they hold and tell when they were asked.

--- a/packages/standins/src/martenquay_standins/ports/runner.py
+++ b/packages/standins/src/martenquay_standins/ports/runner.py
@@ -39,13 +39,16 @@
     Attributes:
         address: Host and port.
         requests: What each connection has sent.
+        heard: Set when a whole request head has come.
         closed: Set when a held connection was closed by the other side.
     """
 
     def __init__(self, scripts: list[Script]) -> None:
         self.address = ""
         self.requests: list[bytes] = []
+        self.heard = trio.Event()
         self.closed = trio.Event()
+        self._holds: set[trio.CancelScope] = set()
         self._scripts = scripts
         self._listening = trio.CancelScope()
 
@@ -53,6 +56,11 @@
         """Take no more connections; open ones stay."""
         self._listening.cancel()
 
+    def break_off(self) -> None:
+        """Close the connections that are held."""
+        for hold in self._holds:
+            hold.cancel()
+
     async def run(
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -77,6 +85,8 @@
                 if not data:
                     return
                 self.requests[number] += data
+            if script.reads_all:
+                self.heard.set()
             *first, last = script.pieces or (b"",)
             for piece in first:
                 await stream.send_all(piece)
@@ -84,9 +94,7 @@
                 await script.resume.wait()
             await stream.send_all(last)
             if script.is_held:
-                while await stream.receive_some(_RECEIVE_BYTES):
-                    pass
-                self.closed.set()
+                await self._hold(stream)
         except trio.BrokenResourceError:
             # Connections that only ask whether the runner is there reset too.
             if self.requests[number]:
@@ -96,3 +104,12 @@
                 socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
             )
         await trio.aclose_forcefully(stream)
+
+    async def _hold(self, stream: trio.SocketStream) -> None:
+        """Wait until the other side closes or the runner breaks off."""
+        with trio.CancelScope() as hold:
+            self._holds.add(hold)
+            while await stream.receive_some(_RECEIVE_BYTES):
+                pass
+            self.closed.set()
+        self._holds.discard(hold)
--- /dev/null
+++ b/tests/leaving.py
@@ -0,0 +1,155 @@
+"""Callers that leave, runners that hang, and what is seen of both."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import struct
+from typing import TYPE_CHECKING, Any
+from unittest import mock
+
+import eliot
+import trio
+
+from martenquay_daemon.forwarding import runner_connection as connections
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Iterator
+
+__all__ = [
+    "TOLD_S",
+    "ConnectWatch",
+    "DepartureLog",
+    "leave",
+    "listen_deaf",
+    "listen_hung",
+    "open_connect_watch",
+    "open_departure_log",
+    "read_to_end",
+]
+
+# The rule: a runner is told within half a second.
+TOLD_S = 0.5
+_RECEIVE_BYTES = 65_536
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_DEAF_BYTES = 4096
+
+
+def leave(caller: trio.SocketStream, *, is_reset: bool) -> None:
+    """Close the caller's connection at once, by FIN or by RST."""
+    if is_reset:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    caller.socket.close()
+
+
+class DepartureLog:
+    """The log lines that tell of callers that left.
+
+    Attributes:
+        lines: Their fields.
+        written: Set with the first one.
+    """
+
+    def __init__(self) -> None:
+        self.lines: list[dict[str, Any]] = []
+        self.written = trio.Event()
+
+    def take(self, message: dict[str, Any]) -> None:
+        """Take any log line."""
+        if message.get("text", "").startswith("A caller left"):
+            self.lines.append(message)
+            self.written.set()
+
+
+@contextlib.contextmanager
+def open_departure_log() -> Iterator[DepartureLog]:
+    """Watch the log."""
+    log = DepartureLog()
+    eliot.add_destinations(log.take)
+    # eliot hands a first destination what was logged before it came.
+    log.lines.clear()
+    log.written = trio.Event()
+    try:
+        yield log
+    finally:
+        eliot.remove_destination(log.take)
+
+
+class ConnectWatch:
+    """The connections to runners that a daemon has begun and ended.
+
+    Attributes:
+        addresses: Of all that were begun.
+        hangs_from: Connections from this number on never come up.
+        hung: Set when one began to hang.
+        ended: Set when one that hung was given up.
+    """
+
+    def __init__(self) -> None:
+        self.addresses: list[str] = []
+        self.hangs_from: int | None = None
+        self.hung = trio.Event()
+        self.ended = trio.Event()
+        self._connect = connections.connect_runner
+
+    @contextlib.asynccontextmanager
+    async def connect(
+        self, address: str, timeout_s: float
+    ) -> AsyncIterator[connections.RunnerConnection]:
+        """Connect as the daemon does, or hang."""
+        number = len(self.addresses)
+        self.addresses.append(address)
+        if self.hangs_from is not None and number >= self.hangs_from:
+            self.hung.set()
+            try:
+                await trio.sleep_forever()
+            finally:
+                self.ended.set()
+        async with self._connect(address, timeout_s) as connection:
+            yield connection
+
+
+@contextlib.contextmanager
+def open_connect_watch() -> Iterator[ConnectWatch]:
+    """Watch the connections to runners."""
+    watch = ConnectWatch()
+    with mock.patch.object(connections, "connect_runner", watch.connect):
+        yield watch
+
+
+@contextlib.contextmanager
+def listen_hung() -> Iterator[tuple[socket.socket, str]]:
+    """Yield a listener whose queue is full: connections do not come up."""
+    with socket.socket() as listener, socket.socket() as filler:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        filler.connect(listener.getsockname())
+        listener.setblocking(False)
+        yield listener, _format_address(listener)
+
+
+@contextlib.contextmanager
+def listen_deaf() -> Iterator[tuple[socket.socket, str]]:
+    """Yield a listener whose connections come up and are not read."""
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _DEAF_BYTES)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        listener.setblocking(False)
+        yield listener, _format_address(listener)
+
+
+async def read_to_end(sock: socket.socket) -> int:
+    """Read until the other side has closed or reset; return the bytes."""
+    sock.setblocking(False)
+    stream = trio.SocketStream(trio.socket.from_stdlib_socket(sock))
+    size = 0
+    with contextlib.suppress(trio.BrokenResourceError):
+        while data := await stream.receive_some(_RECEIVE_BYTES):
+            size += len(data)
+    return size
+
+
+def _format_address(listener: socket.socket) -> str:
+    host, port = listener.getsockname()
+    return f"{host}:{port}"
--- /dev/null
+++ b/tests/test_forwarding/test_departure.py
@@ -0,0 +1,171 @@
+"""A caller that leaves before its runner has its request."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING
+from unittest import mock
+
+import trio
+import trio.testing
+
+from martenquay_daemon.forwarding import attempt, forwarder
+from tests import departures, leaving
+from tests import serving_builders as builders
+
+if TYPE_CHECKING:
+    from martenquay_core.serving import calls
+
+# More than the daemon and both ends of a connection hold back.
+_BEYOND_BUFFERS = 3_000_000
+
+
+class UnreadTest(departures.DepartureTestCase):
+    def test_half_a_body(self) -> None:
+        async def scenario(world: departures.World) -> None:
+            caller = await world.call(departures.POST % 1000 + b"a" * 500)
+            await trio.testing.wait_all_tasks_blocked()
+            await world.leave(caller)
+            self.assert_told(world, "reading", connects=0)
+
+        self.play(scenario, departures.GOOD)
+
+    def test_half_a_chunked_body(self) -> None:
+        async def scenario(world: departures.World) -> None:
+            head = b"POST /lookup/7 HTTP/1.1\r\n" + departures.CALL_HEADERS
+            raw = head + b"transfer-encoding: chunked\r\n\r\n1f4\r\naaa"
+            caller = await world.call(raw)
+            await trio.testing.wait_all_tasks_blocked()
+            await world.leave(caller)
+            self.assert_told(world, "reading", connects=0)
+
+        self.play(scenario, departures.GOOD)
+
+    def test_a_request_that_is_read_after_its_caller_left(self) -> None:
+        async def scenario(world: departures.World) -> None:
+            host, _, port = world.scene.address.rpartition(":")
+            # Without a checkpoint, so the daemon reads it only afterwards.
+            sock = socket.create_connection((host, int(port)))
+            sock.sendall(departures.CALL)
+            stream = trio.SocketStream(trio.socket.from_stdlib_socket(sock))
+            await world.leave(stream)
+            self.assert_told(world, "queued", connects=0)
+
+        self.play(scenario, departures.GOOD)
+
+    def test_a_request_behind_one_whose_caller_left(self) -> None:
+        async def scenario(world: departures.World) -> None:
+            caller = await world.call(departures.CALL + departures.CALL)
+            runner = world.scene.runners[0]
+            await runner.heard.wait()
+            await world.leave(caller, runner.closed)
+            self.assert_told(world, "waiting", connects=1)
+
+        self.play(scenario, departures.SILENT)
+
+
+class QueuedTest(departures.DepartureTestCase):
+    def test_a_request_that_waits_its_turn(self) -> None:
+        async def scenario(world: departures.World) -> None:
+            waits, ended = trio.Event(), trio.Event()
+
+            async def wait_turn(*_: object) -> None:
+                waits.set()
+                try:
+                    await trio.sleep_forever()
+                finally:
+                    ended.set()
+
+            with mock.patch.object(
+                world.scene.parts.attempts, "make", wait_turn
+            ):
+                caller = await world.call()
+                await waits.wait()
+                await world.leave(caller, ended)
+            self.assert_told(world, "queued", connects=0)
+
+        self.play(scenario, departures.GOOD)
+
+    def test_nothing_is_tried_for_a_caller_that_is_gone(self) -> None:
+        async def scenario(world: departures.World) -> None:
+            writer = _GoneWriter()
+            handler = forwarder.Forwarder(world.scene.parts)
+            call = builders.build_call()
+            await handler.handle(call, trio.current_time(), writer)
+            self.assert_told(world, "queued", connects=0)
+
+        self.play(scenario, departures.GOOD)
+
+
+class ConnectingTest(departures.DepartureTestCase):
+    def test_a_connection_that_does_not_come_up(self) -> None:
+        async def scenario(world: departures.World) -> None:
+            with (
+                leaving.listen_hung() as (listener, address),
+                mock.patch.object(attempt, "_CONNECT_S", departures.LONG_S),
+            ):
+                world.scene.add_runner(address)
+                caller = await world.call()
+                await trio.testing.wait_all_tasks_blocked()
+                self.assertEqual([address], world.connects.addresses)
+                await world.leave(caller)
+                self.assert_told(world, "connecting", connects=1)
+                # Only what filled the queue is in it.
+                listener.accept()[0].close()
+                self.assertRaises(BlockingIOError, listener.accept)
+
+        self.play(scenario)
+
+    def test_the_second_runners_connection(self) -> None:
+        async def scenario(world: departures.World) -> None:
+            world.connects.hangs_from = 1
+            caller = await world.call()
+            first = world.scene.runners[0]
+            await first.heard.wait()
+            second = await world.add_runner(departures.GOOD)
+            first.break_off()
+            await world.connects.hung.wait()
+            await world.leave(caller, world.connects.ended)
+            self.assert_told(world, "connecting", connects=2)
+            self.assertEqual([], second.requests)
+
+        self.play(scenario, departures.SILENT)
+
+
+class SendingTest(departures.DepartureTestCase):
+    def test_a_runner_that_does_not_read(self) -> None:
+        async def scenario(world: departures.World) -> None:
+            with leaving.listen_deaf() as (listener, address):
+                world.scene.add_runner(address)
+                body = b"a" * _BEYOND_BUFFERS
+                caller = await world.call(departures.POST % len(body) + body)
+                await trio.testing.wait_all_tasks_blocked(0.1)
+                runner, _ = listener.accept()
+                await world.leave(caller)
+                with trio.fail_after(leaving.TOLD_S):
+                    size = await leaving.read_to_end(runner)
+                self.assertLess(size, len(body))
+                self.assert_told(world, "sending", connects=1)
+
+        self.play(scenario)
+
+
+class _GoneWriter:
+    """The answer of a caller whose close has arrived, but nobody read it."""
+
+    has_started = False
+    has_left = True
+
+    async def start(
+        self, status: int, headers: calls.Headers, length: int | None
+    ) -> None:
+        raise trio.BrokenResourceError
+
+    async def write(self, data: bytes) -> None:
+        raise trio.BrokenResourceError
+
+    async def finish(self) -> None:
+        raise trio.BrokenResourceError
+
+    def abort(self) -> None:
+        pass
