Ask for the close behind 200 KB only where it can arrive

Cause: the test that sends 200 KB behind its request and closes was wrong for the close. The daemon reads 64 KB ahead; the rest fills the window of the connection, and the FIN stays with the caller's kernel behind what does not fit. Nobody on the daemon's side can know of such a close, and the rule counts from when it has arrived.

A reset overtakes the data, so it is still asked for behind 200 KB; the close now stands behind 100 KB, which is still more than is read ahead.

New besides: a caller that leaves within the head of its request.

--- a/tests/test_forwarding/test_departure.py
+++ b/tests/test_forwarding/test_departure.py
@@ -21,6 +21,17 @@
 
 
 class UnreadTest(departures.DepartureTestCase):
+    def test_half_a_head(self) -> None:
+        async def scenario(world: departures.World) -> None:
+            caller = await world.call(departures.CALL[:-2])
+            await trio.testing.wait_all_tasks_blocked()
+            leaving.leave(caller, is_reset=world.is_reset)
+            await world.log.written.wait()
+            self.assertEqual("reading", world.log.lines[0]["stage"])
+            self.assertEqual([], world.connects.addresses)
+
+        self.play(scenario, departures.GOOD)
+
     def test_half_a_body(self) -> None:
         async def scenario(world: departures.World) -> None:
             caller = await world.call(departures.POST % 1000 + b"a" * 500)
--- a/tests/test_forwarding/test_departure_answers.py
+++ b/tests/test_forwarding/test_departure_answers.py
@@ -54,8 +54,19 @@
         self._play_held(departures.SILENT, catalog.CallKind.IDEMPOTENT, b"G")
 
     def test_more_behind_the_request_than_is_read_ahead(self) -> None:
-        ahead = departures.POST % 200_000 + b"a" * 200_000
-        self._play_held(departures.SILENT, catalog.CallKind.IDEMPOTENT, ahead)
+        async def scenario(world: departures.World) -> None:
+            # A close waits behind what the connection's window has no room
+            # for; a reset does not.
+            size = 200_000 if world.is_reset else 100_000
+            ahead = departures.POST % size + b"a" * size
+            caller = await world.call(departures.CALL + ahead)
+            runner = world.scene.runners[0]
+            await runner.heard.wait()
+            await trio.testing.wait_all_tasks_blocked()
+            await world.leave(caller, runner.closed)
+            self.assert_told(world, "waiting", connects=1)
+
+        self.play(scenario, departures.SILENT)
 
     def test_the_question_whether_a_runner_is_there(self) -> None:
         async def scenario(world: departures.World) -> None:
