Test a close that comes while a runner's connection comes up

Cause: a mutation that left out the question before sending failed no test. Now it fails this one: the connection is closed with nothing sent on it.

--- a/tests/test_forwarding/test_departure.py
+++ b/tests/test_forwarding/test_departure.py
@@ -25,8 +25,7 @@
         async def scenario(world: departures.World) -> None:
             caller = await world.call(departures.CALL[:-2])
             await trio.testing.wait_all_tasks_blocked()
-            leaving.leave(caller, is_reset=world.is_reset)
-            await world.log.written.wait()
+            await world.leave(caller)
             self.assertEqual("reading", world.log.lines[0]["stage"])
             self.assertEqual([], world.connects.addresses)
 
@@ -109,6 +108,18 @@
 
 
 class ConnectingTest(departures.DepartureTestCase):
+    def test_a_close_that_came_while_a_connection_came_up(self) -> None:
+        async def scenario(world: departures.World) -> None:
+            handler = forwarder.Forwarder(world.scene.parts)
+            call = builders.build_call()
+            writer = _GoneWriter(stays=1)
+            await handler.handle(call, trio.current_time(), writer)
+            await trio.testing.wait_all_tasks_blocked()
+            self.assert_told(world, "connecting", connects=1)
+            self.assertEqual([b""], world.scene.runners[0].requests)
+
+        self.play(scenario, departures.GOOD)
+
     def test_a_connection_that_does_not_come_up(self) -> None:
         async def scenario(world: departures.World) -> None:
             with (
@@ -165,7 +176,15 @@
     """The answer of a caller whose close has arrived, but nobody read it."""
 
     has_started = False
-    has_left = True
+
+    def __init__(self, stays: int = 0) -> None:
+        """Take how often the caller is still found there."""
+        self._stays = stays
+
+    @property
+    def has_left(self) -> bool:
+        self._stays -= 1
+        return self._stays < 0
 
     async def start(
         self, status: int, headers: calls.Headers, length: int | None
