Tell runners of a caller's leaving at every stage, and log it

Cause: three gaps. The watch of a caller ended once 64 KB had been read ahead, so a close behind that was never seen. A request that was read only after its caller had left, or whose close had arrived with a runner's break, was still taken to a runner, because the handler may run before the watch. And no line said that a caller had left, nor where its request was.

The watch goes on with it when it may read no further; each attempt asks before it is begun and before it sends. An exchange tells its stage, and one line tells request, stage and elapsed time; a caller that leaves in the middle of its head or body is told of by the same line. A half-close still counts as leaving, as before.

Ruled out: reading on without end (memory of a caller's choosing); throwing away what was sent ahead (requests that wait their turn); epoll in place of reading for every request (a descriptor and three calls more each).

--- a/packages/daemon/src/martenquay_daemon/forwarding/answers.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/answers.py
@@ -24,6 +24,10 @@
 
     has_started: bool
 
+    @property
+    def has_left(self) -> bool:
+        """Ask now; the close may have arrived without being read."""
+
     async def start(
         self, status: int, headers: calls.Headers, length: int | None
     ) -> None:
--- a/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
@@ -9,7 +9,12 @@
 
 from martenquay_core import logs
 from martenquay_core.serving import calls, catalog
-from martenquay_daemon.forwarding import event_stream, exchange, silence
+from martenquay_daemon.forwarding import (
+    departure,
+    event_stream,
+    exchange,
+    silence,
+)
 from martenquay_daemon.forwarding import runner_connection as connections
 
 if TYPE_CHECKING:
@@ -61,6 +66,7 @@
     ) -> exchange.AttemptResult:
         """Send the request once and relay or return the answer."""
         runner = placement.runner
+        current.stage = departure.Stage.CONNECTING
         self._meter.note(current.service, placement.uncached_tokens)
         result: exchange.AttemptResult = exchange.TimedOut()
         limit = trio.move_on_at(current.deadline + _ANSWER_GRACE_S)
@@ -108,6 +114,7 @@
                     current, placement, connection, running
                 )
             except (
+                exchange.CallerLeftError,
                 connections.BrokenAnswerError,
                 trio.BrokenResourceError,
                 trio.ClosedResourceError,
@@ -125,12 +132,14 @@
         connection: connections.RunnerConnection,
         running: loads.Running,
     ) -> exchange.AttemptResult:
+        current.check_caller()
+        current.stage = departure.Stage.SENDING
         request = self._create_request(current, placement)
         current.attempts += 1
         current.may_have_run = True
         is_stream = current.route.kind is catalog.CallKind.STREAM
         with self._count_begin(current, is_counted=not is_stream) as begin:
-            status, headers = await self._send(connection, request)
+            status, headers = await self._send(current, connection, request)
             head = self._codec.decode_answer(status, headers)
             if head.did_not_run:
                 begin.take_back()
@@ -164,6 +173,7 @@
 
     async def _send(
         self,
+        current: exchange.Exchange,
         connection: connections.RunnerConnection,
         request: connections.RunnerRequest,
     ) -> tuple[int, calls.Headers]:
@@ -175,6 +185,7 @@
                 # A runner that has answered need not read the rest.
                 with contextlib.suppress(connections.BrokenAnswerError):
                     await connection.send_request(request)
+                    current.stage = departure.Stage.WAITING
 
             nursery.start_soon(send)
             try:
@@ -184,6 +195,7 @@
             nursery.cancel_scope.cancel()
         if failure:
             raise failure[0]
+        current.stage = departure.Stage.WAITING
         return head
 
     @contextlib.contextmanager
@@ -245,6 +257,7 @@
             wanted.append(event.raw)
         if not wanted:
             return ""
+        current.stage = departure.Stage.STREAMING
         if not current.writer.has_started:
             await current.writer.start(head.status, head.headers, None)
         current.events += len(wanted)
--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
@@ -15,7 +15,7 @@
 import trio
 
 from martenquay_core import logs, results
-from martenquay_daemon.forwarding import answers
+from martenquay_daemon.forwarding import answers, departure
 
 if TYPE_CHECKING:
     from martenquay_core.serving import calls, catalog, ports
@@ -79,6 +79,11 @@
         self.is_aborted = False
         self._connection = connection
 
+    @property
+    def has_left(self) -> bool:
+        """Whether the caller has closed its connection."""
+        return self._connection.has_left
+
     async def start(
         self, status: int, headers: calls.Headers, length: int | None
     ) -> None:
@@ -125,18 +130,25 @@
         )
         self._is_cut = False
         self._received_at = 0.0
+        # The request that is being read, as far as its head has told.
+        self._call_id = ""
         self._idle_scope: trio.CancelScope | None = None
 
+    @property
+    def has_left(self) -> bool:
+        """Whether the caller has closed its connection."""
+        return departure.has_left(self._stream.socket)
+
     async def serve(self) -> None:
         """Serve requests until either side closes."""
         try:
             while await self._serve_one():
                 self._http.start_next_cycle()
-        except (
-            _CallerGoneError,
-            trio.BrokenResourceError,
-            trio.ClosedResourceError,
-        ):
+        except _CallerGoneError:
+            departure.log_departure(
+                self._call_id, departure.Stage.READING, self._received_at
+            )
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
             # The caller left; what that means was decided where it matters.
             return
         finally:
@@ -188,6 +200,7 @@
         """Serve one request; tell whether another may follow."""
         self._limits = self._rules.find_limits()
         self.is_idle = True
+        self._call_id = ""
         try:
             call = await self._read_call()
         except _RefusedError as refused:
@@ -227,6 +240,9 @@
                 return
             ahead += len(data)
             self._http.receive_data(data)
+        # The rest has to wait for its turn, and the close stands behind it.
+        await departure.wait_until_left(self._stream.socket)
+        scope.cancel()
 
     async def _read_call(self) -> calls.Call | None:
         """Read a whole request; None if the connection ends before one."""
@@ -237,8 +253,9 @@
         method = head.method.decode("latin-1")
         target = head.target.decode("latin-1")
         self._check_head(target, headers)
-        body = await self._read_body(headers)
         call = self._codec.decode_call(method, target, headers)
+        self._call_id = call.id
+        body = await self._read_body(headers)
         return dataclasses.replace(call, body=body)
 
     async def _read_head(self) -> h11.Request | None:
@@ -323,8 +340,11 @@
             raise _RefusedError(answers.create_own_answer(code, message))
 
     async def _receive(self) -> None:
-        data = await self._stream.receive_some(_RECEIVE_BYTES)
-        if not data and self._http.their_state is h11.SEND_BODY:
+        try:
+            data = await self._stream.receive_some(_RECEIVE_BYTES)
+        except trio.BrokenResourceError:
+            data = b""
+        if not data and not self.is_idle:
             raise _CallerGoneError
         self._http.receive_data(data)
 
--- a/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
@@ -5,6 +5,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from martenquay_daemon.forwarding import departure
+
 if TYPE_CHECKING:
     from martenquay_core.serving import calls, catalog
     from martenquay_daemon.forwarding import answers
@@ -12,6 +14,7 @@
 __all__ = [
     "AttemptResult",
     "Broken",
+    "CallerLeftError",
     "Delivered",
     "Exchange",
     "NotRun",
@@ -21,6 +24,10 @@
 ]
 
 
+class CallerLeftError(Exception):
+    """The caller has closed its connection."""
+
+
 @dataclasses.dataclass
 class Exchange:
     """One request and how far it has come.
@@ -33,6 +40,7 @@
         received_at: When its first byte came, in trio's time.
         deadline: When it has to be over, in trio's time.
         writer: Where the answer goes.
+        stage: How far the present attempt has come.
         attempts: Runners that have been sent it.
         may_have_run: Some runner may have begun to work on it.
         last_event: The last event delivered, or that the caller had before.
@@ -49,6 +57,7 @@
     received_at: float
     deadline: float
     writer: answers.AnswerWriter
+    stage: departure.Stage = departure.Stage.QUEUED
     attempts: int = 0
     may_have_run: bool = False
     last_event: int | None = None
@@ -67,6 +76,18 @@
             return team.plain_tokens
         return float(self.call.tokens_in + (self.call.tokens_out or 0))
 
+    def check_caller(self) -> None:
+        """Make sure that somebody waits for the answer.
+
+        A daemon that comes late to its events may meet a runner's first and
+        would send on what nobody waits for.
+
+        Raises:
+            CallerLeftError: Nobody does.
+        """
+        if self.writer.has_left:
+            raise CallerLeftError
+
 
 @dataclasses.dataclass(frozen=True)
 class NotSent:
--- a/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
@@ -8,7 +8,7 @@
 import trio
 
 from martenquay_core import logs, results
-from martenquay_daemon.forwarding import answers, exchange
+from martenquay_daemon.forwarding import answers, departure, exchange
 
 if TYPE_CHECKING:
     import random
@@ -84,7 +84,7 @@
             case answers.OwnAnswer():
                 await self._answer(call, writer, admitted)
             case exchange.Exchange():
-                await self._forward(admitted)
+                await self._forward_while_wanted(admitted)
 
     def _admit(
         self,
@@ -168,6 +168,18 @@
             return 0
         return 1 + min(current.route.urgency, 1)
 
+    async def _forward_while_wanted(self, current: exchange.Exchange) -> None:
+        """Forward until the answer is given or its caller has left."""
+        try:
+            await self._forward(current)
+        except exchange.CallerLeftError:
+            self._note_departure(current)
+        except (trio.BrokenResourceError, trio.Cancelled):
+            # A stop of the daemon cancels too.
+            if current.writer.has_left:
+                self._note_departure(current)
+            raise
+
     async def _forward(self, current: exchange.Exchange) -> None:
         final = await self._try_runners(current)
         match final:
@@ -192,6 +204,8 @@
         parts = self._parts
         parts.retries.note_request(current.service)
         while True:
+            current.stage = departure.Stage.QUEUED
+            current.check_caller()
             if trio.current_time() >= current.deadline:
                 return current.fallback or self._describe_timeout(current)
             if current.attempts and not self._may_try_again(current):
@@ -349,6 +363,17 @@
             or getattr(result, "status", None),
         )
 
+    def _note_departure(self, current: exchange.Exchange) -> None:
+        departure.log_departure(
+            current.call.id,
+            current.stage,
+            current.received_at,
+            route=current.route.name,
+            team=current.team and current.team.name,
+            attempts=current.attempts,
+            events=current.events,
+        )
+
     def _note_end(
         self, current: exchange.Exchange, outcome: str, status: int
     ) -> None:
