Test that no header of a caller steers a runner

Cause looked for: headers that are the system's to set (Hold, Pin-Ms, Kv-Backup, Kv-From, Kv-Fetch, Expect-Instance, Expect-Version, Request-Priority, Tenant) passed on as a caller sent them.

Finding: none is passed on; the codec drops them all already. The tests pass at once, so they were seen to fail: each name taken out of the codec's list in turn fails the codec's test, Hold, Pin-Ms and Kv-From also the one over connections. Last-Event-Id stays the caller's and goes out once, as the last event that was delivered; without its name in the list it goes out twice, which the third test finds.

Conclusion: no change of the code.

--- a/tests/test_forwarding/test_forwarder.py
+++ b/tests/test_forwarding/test_forwarder.py
@@ -102,6 +102,15 @@
         ]
         self.assertLessEqual(int(line[0].split(b":")[1]), 700)
 
+    def test_a_caller_cannot_steer_the_runner(self) -> None:
+        async def scenario(scene: serving_scene.Scene) -> None:
+            forged = b"Hold: forged\r\nPIN-MS: forged\r\nKv-From: forged\r\n"
+            head, _, rest = (_CALL % (b"GET /lookup/7", 5000)).partition(b"\n")
+            await scene.ask(head + b"\n" + forged + rest)
+            self.assertNotIn(b"forged", scene.runners[0].requests[0])
+
+        self._run(scenario, [_GOOD])
+
     def test_a_broken_answer_is_asked_for_again(self) -> None:
         reply, sent = self._ask_once([_BROKEN, _GOOD], [_BROKEN, _GOOD])
         self.assertEqual(502, reply.status)
--- a/tests/test_platform/test_codec.py
+++ b/tests/test_platform/test_codec.py
@@ -21,6 +21,19 @@
     (b"x-kept", b"yes"),
 ]
 
+# The system sets these; a caller could steer runners by them.
+_STEERING = (
+    b"hold",
+    b"pin-ms",
+    b"kv-backup",
+    b"kv-from",
+    b"kv-fetch",
+    b"expect-instance",
+    b"expect-version",
+    b"request-priority",
+    b"tenant",
+)
+
 
 class CallTest(testtools.TestCase):
     def setUp(self) -> None:
@@ -47,6 +60,22 @@
         self.assertEqual(b"florists", sent[b"tenant"])
         self.assertEqual(b"i-1", sent[b"expect-instance"])
 
+    def test_no_caller_steers_a_runner(self) -> None:
+        for name in _STEERING:
+            # Sent twice: neither may slip through.
+            asked = [*_HEADERS, (name, b"forged"), (name, b"forged")]
+            call = self.codec.decode_call("GET", "/", asked)
+            sent = self.codec.encode_order(call, calls.RunnerOrder("i-1", 1.5))
+            self.assertNotIn((name, b"forged"), sent)
+
+    def test_a_stream_goes_on_after_the_last_event_delivered(self) -> None:
+        asked = self.call.resume_after
+        for last in (asked, 15):
+            order = calls.RunnerOrder("i-1", 1.5, resume_after=last)
+            sent = self.codec.encode_order(self.call, order)
+            found = [value for name, value in sent if name == b"last-event-id"]
+            self.assertEqual([b"%d" % last], found)
+
     def test_what_concerns_one_connection_stays_there(self) -> None:
         order = calls.RunnerOrder("i-1", 1.5)
         sent = dict(self.codec.encode_order(self.call, order))
