--- a/bench/platform_mutations.py
+++ b/bench/platform_mutations.py
@@ -83,6 +83,21 @@
         "            if not data:\n                return\n",
         f"{_FORWARDER}.PlainCallTest",
     ),
+    Mutation(
+        "a caller's close is seen behind what it sent ahead",
+        f"{DAEMON}/forwarding/caller_connection.py",
+        "        await departure.wait_until_left(self._stream.socket)\n"
+        "        scope.cancel()\n",
+        "",
+        "tests.test_forwarding.test_departure_answers.WaitingTest",
+    ),
+    Mutation(
+        "nothing is sent for a caller that is gone",
+        f"{DAEMON}/forwarding/exchange.py",
+        "        if self.writer.has_left:\n",
+        "        if False:\n",
+        "tests.test_forwarding.test_departure",
+    ),
     Mutation(
         "calls that were given up are reset",
         f"{CORE}/util/http.py",
