Soak daemons with planned signals, restarts and changes in series

Cause, by reading and by trials: the soak could not find that a daemon which got SIGTERM and 0.2 s later SIGHUP died and cut requests off. - faults.py kept each daemon that was stopped, started or killed in _busy until it served again, so no stopping or starting daemon ever got another signal; a reload was one SIGHUP with a whole file, at a daemon that served. - A stop set is_expected_to_end, and nobody looked at the exit status: an end by SIGHUP passed as a stop. - The judge counted a cut request only beside a stop and only if no other fault of any kind, at any daemon, was within the 3 s before. Nothing was counted around a reload or a start, nor requests that were read and not yet run. - Runners worked for 0.03 s (calls) and 0.4 s (streams), so little was under way; callers left a daemon after each connection.

Change: signal_series plays one daemon through serving, stopping, starting and serving again, with drawn SIGHUPs, SIGTERMs, changed and half-written settings and new configurations at each stage, one signal every 10 ms up to the end included. Series run before the faults without any, and among them. A stop has to end with 0 within the grace time (and 0.5 s for a busy machine; it was 10 s). A signal sent before the process had worked 0.1 s of its own time is excused, and only an end by that very signal. The judge reports each request that was run, or lasted 1 s, and ended without a whole answer, unless a kill, freeze, cut or other fault of its daemon or of any runner was within 3 s. Calls and streams of 1 to 2.5 s; 3 s would run into the end of the grace time (2.6 s of notice, 0.4 s of reserve, 6 s in all). Callers come back to the daemon that they have just used, and let connections rest. fleet.py gave places.py and configuration.py away.

Tests: the judge's and the fleet's new rules, each with a history that breaks it and one that doesn't. Three tests changed, each to the stricter side: a kill of another daemon excused a cut request and doesn't any more, and the two that looked at visibly broken-off answers now have the kill that may break them off, since without one they are a breach.

--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -17,6 +17,7 @@
 _FIRST = flags.DEFINE_integer("first_seed", 1, "The first seed.")
 _SEEDS = flags.DEFINE_integer("seeds", 5, "How many seeds.")
 _FAULTS = flags.DEFINE_integer("faults", 24, "Faults a seed.")
+_SERIES = flags.DEFINE_integer("series", 8, "Planned series a seed.")
 _DAEMONS = flags.DEFINE_integer("daemons", 6, "Daemons.")
 _RUNNERS = flags.DEFINE_integer("runners", 3, "Runners of each service.")
 
@@ -28,7 +29,11 @@
     broken = 0
     for seed in range(_FIRST.value, _FIRST.value + _SEEDS.value):
         plan = soak.SoakPlan(
-            seed, _FAULTS.value, _DAEMONS.value, _RUNNERS.value
+            seed,
+            faults=_FAULTS.value,
+            series=_SERIES.value,
+            daemons=_DAEMONS.value,
+            runners=_RUNNERS.value,
         )
         report = trio.run(soak.run_soak, plan)
         for breach in report.breaches:
--- a/packages/standins/src/martenquay_standins/chaos/programs.py
+++ b/packages/standins/src/martenquay_standins/chaos/programs.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import collections
 import json
+import os
+import pathlib
 import signal
 import subprocess
 import sys
+import time
 from typing import TYPE_CHECKING, Any
 
 import trio
@@ -18,6 +22,10 @@
 _PIECE_BYTES = 65_536
 # What is kept of a program's errors.
 _KEPT_BYTES = 4000
+_KEPT_LINES = 6
+# Before an interpreter has worked so long, nothing it runs can catch a signal.
+# It is its own time, which a busy machine doesn't stretch.
+_UNCATCHABLE_S = 0.1
 
 
 class Program:
@@ -28,6 +36,8 @@
         process: The process.
         errors: The end of what it wrote to its error output.
         is_expected_to_end: It was told to end.
+        signals: The signals that it was sent, and how long after its start.
+        lines: The last lines that it printed.
     """
 
     def __init__(self, name: str, process: trio.Process) -> None:
@@ -35,12 +45,41 @@
         self.process = process
         self.errors = b""
         self.is_expected_to_end = False
+        self.signals: list[str] = []
+        self.lines: collections.deque[str] = collections.deque(
+            maxlen=_KEPT_LINES
+        )
+        self._started_at = time.monotonic()
+        self._uncatchable: set[int] = set()
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to this process alone, if it is still there."""
         if self.process.poll() is None:
             self.process.send_signal(number)
 
+    def send_early_or_late(self, number: signal.Signals) -> None:
+        """Send a signal; note whether the program can know of it by now."""
+        if self.process.poll() is not None:
+            return
+        worked_s = self._find_worked_s()
+        if worked_s < _UNCATCHABLE_S:
+            self._uncatchable.add(number)
+        elif worked_s > 2 * _UNCATCHABLE_S:
+            # It has outlived what came early.
+            self._uncatchable.clear()
+        age_s = time.monotonic() - self._started_at
+        self.signals.append(f"{number.name}+{age_s:.3f}")
+        self.send(number)
+
+    def is_excused(self) -> bool:
+        """Tell whether it ended by a signal that nobody could catch."""
+        status = self.process.poll()
+        return status is not None and -status in self._uncatchable
+
+    def keep_line(self, line: dict[str, Any]) -> None:
+        """Keep a line that it printed, for those who ask why it ended."""
+        self.lines.append(str(line.get("text", line)))
+
     def kill(self) -> None:
         """End it at once."""
         self.is_expected_to_end = True
@@ -55,6 +94,14 @@
             for line in lines:
                 take(json.loads(line))
 
+    def _find_worked_s(self) -> float:
+        """Return how long it has worked, by the system's account."""
+        account = pathlib.Path(f"/proc/{self.process.pid}/stat").read_text()
+        # The name, in brackets, may hold anything.
+        fields = account.rpartition(")")[2].split()
+        ticks = int(fields[11]) + int(fields[12])
+        return ticks / os.sysconf("SC_CLK_TCK")
+
     async def read_errors(self) -> None:
         """Keep what it writes to its error output."""
         assert self.process.stderr is not None, "it is started with a pipe"
--- a/tests/test_platform/test_soak_judge.py
+++ b/tests/test_platform/test_soak_judge.py
@@ -81,6 +81,18 @@
             list(breaches), judge.find_breaches(self.seen, _BOUNDS)
         )
 
+    def _disturb(self, name: str, target: str) -> None:
+        self.seen.disturbances.append(
+            history.Disturbance(name, target, 9.0, 12.0)
+        )
+
+    def _expect_cuts(self, *ids: str) -> None:
+        found = judge.find_breaches(self.seen, _BOUNDS)
+        self.assertEqual(
+            [f"{call_id} was cut off" for call_id in ids],
+            [breach.partition(" after")[0] for breach in found],
+        )
+
     def test_a_good_history_passes(self) -> None:
         self._add(_build_call("call-3", CallKind.BOOK, status=503, body=b""))
         self.seen.calls["call-3"].is_sealed = False
@@ -126,11 +138,13 @@
         call.body = runner.make_event("call-2", 1)
         self._expect(f"call-2 has a whole answer of {call.body!r}")
         call.is_whole = False
+        self._disturb("kill", "entry-0")
         self._expect()
 
     def test_events_out_of_order_or_of_another_call(self) -> None:
         call = self.seen.calls["call-2"]
         call.is_whole = False
+        self._disturb("kill", "entry-0")
         for second in (
             runner.make_event("call-2", 3),
             runner.make_event("call-7", 2),
@@ -200,18 +214,90 @@
         )
         self._expect()
 
-    def test_a_planned_stop_that_cuts_a_request_off(self) -> None:
+    def test_planned_work_that_cuts_a_request_off(self) -> None:
         call = self.seen.calls["call-1"]
         call.is_whole = False
         call.status = 0
+        call.body = b""
+        for name in ("stop", "reload", "series"):
+            self.seen.disturbances.clear()
+            self._disturb(name, "entry-0")
+            self._expect_cuts("call-1")
+
+    def test_planned_work_that_breaks_an_answer_off(self) -> None:
+        call = self.seen.calls["call-2"]
+        call.is_whole = False
+        call.body = runner.make_event("call-2", 1)
+        self._disturb("series", "entry-0")
+        self._expect_cuts("call-2")
+
+    def test_a_request_that_is_cut_off_while_nothing_is_done(self) -> None:
+        self.seen.calls["call-1"].is_whole = False
+        self._expect_cuts("call-1")
+
+    def test_a_fault_that_may_have_cut_a_request_off(self) -> None:
+        self.seen.calls["call-1"].is_whole = False
+        self._disturb("stop", "entry-0")
+        for name, target in (
+            ("kill", "entry-0"),
+            ("kill all", ""),
+            ("freeze", "entry-0"),
+            ("cut peers 3", "entry-0"),
+            ("harm callers 0", "entry-0"),
+            ("harm runner 0", "runner-7"),
+            ("kill runner", "runner-7"),
+        ):
+            self._disturb(name, target)
+            self._expect()
+            self.seen.disturbances.pop()
+
+    def test_a_fault_elsewhere_excuses_nothing(self) -> None:
+        self.seen.calls["call-1"].is_whole = False
+        self._disturb("stop", "entry-0")
+        for name, target in (
+            ("kill", "entry-1"),
+            ("freeze", "entry-1"),
+            ("cut platform 4", "entry-1"),
+            ("store hang", "store"),
+            ("leave", "runner-7"),
+        ):
+            self._disturb(name, target)
+            self._expect_cuts("call-1")
+            self.seen.disturbances.pop()
+
+    def test_a_fault_long_before_excuses_nothing(self) -> None:
+        self.seen.calls["call-1"].is_whole = False
+        self._disturb("stop", "entry-0")
         self.seen.disturbances.append(
-            history.Disturbance("stop", "entry-0", 10.05, 12.0)
+            history.Disturbance("kill", "entry-0", 1.0, 6.9)
         )
-        self._expect("call-1 was cut off by a planned stop")
-        self.seen.disturbances.append(
-            history.Disturbance("kill", "entry-1", 9.0, 9.5)
+        self._expect_cuts("call-1")
+
+    def test_a_request_that_was_read_and_got_no_answer(self) -> None:
+        call = _build_call(
+            "call-3", CallKind.BOOK, ended_at=11.5, status=0, body=b""
         )
+        call.is_sealed = False
+        call.is_whole = False
+        self._add(call)
+        self._disturb("series", "entry-0")
+        self._expect_cuts("call-3")
+        # This one crosses the close of its connection.
+        call.ended_at = 10.2
+        self._expect()
+
+    def test_slow_kinds_are_bound_as_the_quick_ones(self) -> None:
+        for call_id, kind in (("call-4", CallKind.WAIT), ("call-5", "long")):
+            call = _build_call(call_id, CallKind(kind))
+            if kind == "long":
+                call.body = self.seen.calls["call-2"].body.replace(
+                    b"call-2", b"call-5"
+                )
+            self._add(call)
+            self.seen.runs.append(_build_run(call_id, CallKind(kind)))
         self._expect()
+        self.seen.runs.append(_build_run("call-4", CallKind.WAIT))
+        self._expect("call-4 ran 2 times")
 
     def test_a_process_that_ended_by_itself(self) -> None:
         self.seen.lost.append("entry-0.1 ended 1: ...")
