--- a/packages/standins/src/martenquay_standins/chaos/programs.py
+++ b/packages/standins/src/martenquay_standins/chaos/programs.py
@@ -22,7 +22,7 @@
 _PIECE_BYTES = 65_536
 # What is kept of a program's errors.
 _KEPT_BYTES = 4000
-_KEPT_LINES = 6
+_KEPT_LINES = 40
 # Before an interpreter has worked so long, nothing it runs can catch a signal.
 # It is its own time, which a busy machine doesn't stretch.
 _UNCATCHABLE_S = 0.1
