--- a/tests/test_platform/test_soak_judge.py
+++ b/tests/test_platform/test_soak_judge.py
@@ -277,12 +277,16 @@
         call = _build_call(
             "call-3", CallKind.BOOK, ended_at=11.5, status=0, body=b""
         )
+        call.waited_s = 1.45
         call.is_sealed = False
         call.is_whole = False
         self._add(call)
         self._disturb("series", "entry-0")
         self._expect_cuts("call-3")
-        # This one crosses the close of its connection.
+        # This one crosses the close of its connection, and so does one during
+        # which the soak stood still.
+        call.waited_s = 0.05
+        self._expect()
         call.ended_at = 10.2
         self._expect()
 
