--- a/tests/test_platform/test_soak_judge.py
+++ b/tests/test_platform/test_soak_judge.py
@@ -231,6 +231,18 @@
         self._disturb("series", "entry-0")
         self._expect_cuts("call-2")
 
+    def test_an_answer_that_its_own_time_breaks_off(self) -> None:
+        call = self.seen.calls["call-2"]
+        call.is_whole = False
+        call.body = b""
+        call.ended_at = call.sent_at + call.budget_s - 0.1
+        self._expect_cuts("call-2")
+        call.ended_at = call.sent_at + call.budget_s + 0.1
+        self._expect()
+        # One that was never begun had to be told so in time.
+        call.status = 0
+        self._expect_cuts("call-2")
+
     def test_a_request_that_is_cut_off_while_nothing_is_done(self) -> None:
         self.seen.calls["call-1"].is_whole = False
         self._expect_cuts("call-1")
