--- a/packages/standins/src/martenquay_standins/chaos/programs.py
+++ b/packages/standins/src/martenquay_standins/chaos/programs.py
@@ -36,8 +36,9 @@
         process: The process.
         errors: The end of what it wrote to its error output.
         is_expected_to_end: It was told to end.
+        started_at: When it was started, by the steady clock.
         signals: The signals that it was sent, and how long after its start.
-        lines: The last lines that it printed.
+        lines: The last lines that it printed, and how long after its start.
     """
 
     def __init__(self, name: str, process: trio.Process) -> None:
@@ -49,7 +50,9 @@
         self.lines: collections.deque[str] = collections.deque(
             maxlen=_KEPT_LINES
         )
-        self._started_at = time.monotonic()
+        self.started_at = time.monotonic()
+        # Lines bear the time of day.
+        self._clock_at = time.time()
         self._uncatchable: set[int] = set()
 
     def send(self, number: signal.Signals) -> None:
@@ -67,7 +70,7 @@
         elif worked_s > 2 * _UNCATCHABLE_S:
             # It has outlived what came early.
             self._uncatchable.clear()
-        age_s = time.monotonic() - self._started_at
+        age_s = time.monotonic() - self.started_at
         self.signals.append(f"{number.name}+{age_s:.3f}")
         self.send(number)
 
@@ -78,7 +81,8 @@
 
     def keep_line(self, line: dict[str, Any]) -> None:
         """Keep a line that it printed, for those who ask why it ended."""
-        self.lines.append(str(line.get("text", line)))
+        age_s = line.get("timestamp", 0.0) - self._clock_at
+        self.lines.append(f"{age_s:.3f} {line.get('text', line)}")
 
     def kill(self) -> None:
         """End it at once."""
