Let the proxies silence open connections for good

Cause: the proxies could hold a way up until it heals or reset it; an open connection that goes silent for good while new ones pass was never played. Ruled out: silencing by the way's faults, which also stop new connections.

--- a/packages/standins/src/martenquay_standins/chaos/proxy.py
+++ b/packages/standins/src/martenquay_standins/chaos/proxy.py
@@ -33,11 +33,27 @@
     is_silent_from: bool = False
 
 
+@dataclasses.dataclass(eq=False)
+class _Passage:
+    """One connection through the proxy.
+
+    Attributes:
+        is_silent: Nothing passes any more, not even its end.
+    """
+
+    scope: trio.CancelScope = dataclasses.field(
+        default_factory=trio.CancelScope
+    )
+    is_silent: bool = False
+
+
 class FaultyProxy:
     """Forward TCP to one target.
 
     What is held back while a direction is silent passes when it heals, as
-    after a cut, unless the connection was reset meanwhile.
+    after a cut, unless the connection was reset meanwhile. A connection that
+    was silenced by itself stays so for good; each side's kernel goes on
+    acknowledging what the other one does not get.
 
     Attributes:
         address: Where it listens.
@@ -49,7 +65,7 @@
         self.target = target
         self._faults = ProxyFaults()
         self._changed = trio.Event()
-        self._open: set[trio.CancelScope] = set()
+        self._open: set[_Passage] = set()
 
     async def run(
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -64,13 +80,22 @@
     def set_faults(self, faults: ProxyFaults) -> None:
         """Change what goes wrong."""
         self._faults = faults
-        self._changed.set()
-        self._changed = trio.Event()
+        self._wake()
 
     def reset_connections(self) -> None:
         """Reset all open connections, on both sides."""
-        for scope in list(self._open):
-            scope.cancel()
+        for passage in list(self._open):
+            passage.scope.cancel()
+
+    def silence_connections(self) -> None:
+        """Silence the connections that are open now; new ones pass."""
+        for passage in self._open:
+            passage.is_silent = True
+        self._wake()
+
+    def count_connections(self) -> int:
+        """Return how many connections are open, silent ones too."""
+        return len(self._open)
 
     async def _forward(self, near: trio.SocketStream) -> None:
         host, _, port = self.target.rpartition(":")
@@ -79,37 +104,46 @@
         except OSError:
             _close_hard(near)
             return
-        with trio.CancelScope() as scope:
-            self._open.add(scope)
+        passage = _Passage()
+        with passage.scope:
+            self._open.add(passage)
             try:
                 async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._copy, near, far, True)
-                    nursery.start_soon(self._copy, far, near, False)
+                    nursery.start_soon(self._copy, passage, near, far, True)
+                    nursery.start_soon(self._copy, passage, far, near, False)
             finally:
-                self._open.discard(scope)
+                self._open.discard(passage)
                 _close_hard(near, far)
 
     async def _copy(
         self,
+        passage: _Passage,
         source: trio.SocketStream,
         target: trio.SocketStream,
         is_to_target: bool,
     ) -> None:
         try:
             while piece := await source.receive_some(_PIECE_BYTES):
-                await self._hold(is_to_target)
+                await self._hold(passage, is_to_target)
                 await target.send_all(piece)
-            await self._hold(is_to_target)
+            await self._hold(passage, is_to_target)
             await target.send_eof()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
+            if passage.is_silent:
+                # The other side of a silent connection learns of nothing.
+                await trio.sleep_forever()
             _close_hard(source, target)
 
-    async def _hold(self, is_to_target: bool) -> None:
+    async def _hold(self, passage: _Passage, is_to_target: bool) -> None:
         if self._faults.delay_s:
             await trio.sleep(self._faults.delay_s)
-        while self._is_silent(is_to_target):
+        while passage.is_silent or self._is_silent(is_to_target):
             await self._changed.wait()
 
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
     def _is_silent(self, is_to_target: bool) -> bool:
         if is_to_target:
             return self._faults.is_silent_to
