Find out links between daemons that go silent

Cause: a daemon hears nothing on the links that it opened, and the listener sends nothing on its side; only bytes without an acknowledgement ended a link (1.5 s). A link that falls silent in its handshake stayed for 30 s, one that is acknowledged on the way or whose end was not told stayed for good. Ruled out: the time-to-live of ZeroMQ's question alone, for the timer that it starts ends with the next digest; keep-alive of the kernel, which sees acknowledgements. Conclusion: heartbeats each 0.75 s with 0.75 s for a word, 5 s on the listener's side, and 1 s for the handshake.

--- a/packages/core/src/martenquay_core/peers/sockets.py
+++ b/packages/core/src/martenquay_core/peers/sockets.py
@@ -22,6 +22,17 @@
 # whose bytes are not acknowledged, and one that does not come up.
 _UNACKNOWLEDGED_MS = 1500
 _CONNECT_MS = 1000
+# A link may also be acknowledged on the way and yet deliver nothing. Asking
+# this often and waiting this long for a word finds it within 1.5 s, as above;
+# the wait covers two lost packets (0.2 s and 0.4 s till they are sent again).
+_ASK_MS = 750
+_WORD_MS = 750
+# The listening side holds a descriptor for each link that it was not told the
+# end of. They are few between two losses, so it need not ask often.
+_HELD_ASK_MS = 5000
+# A handshake takes two ways there and back; one that falls silent would keep
+# the link down for ZeroMQ's 30 s.
+_HANDSHAKE_MS = 1000
 
 
 class PeerSocket:
@@ -78,6 +89,7 @@
     inner = context.socket(zmq.ROUTER)
     inner.setsockopt(zmq.RCVHWM, _QUEUE_LENGTH)
     inner.setsockopt(zmq.SNDHWM, _QUEUE_LENGTH)
+    _bound_silence(inner, _HELD_ASK_MS)
     host, port = address.rsplit(":", 1)
     inner.bind(f"tcp://{host}:{'*' if port == '0' else port}")
     endpoint = inner.getsockopt(zmq.LAST_ENDPOINT).decode().rstrip("\x00")
@@ -103,9 +115,17 @@
     inner = context.socket(zmq.DEALER)
     inner.setsockopt(zmq.SNDHWM, queue_length)
     inner.setsockopt(zmq.IMMEDIATE, 0 if waits_for_peer else 1)
-    inner.setsockopt(zmq.TCP_MAXRT, _UNACKNOWLEDGED_MS)
+    _bound_silence(inner, _ASK_MS)
     inner.setsockopt(zmq.CONNECT_TIMEOUT, _CONNECT_MS)
     inner.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MS)
     inner.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
     inner.connect(f"tcp://{address}")
     return PeerSocket(inner)
+
+
+def _bound_silence(inner: zmq.Socket[bytes], ask_ms: int) -> None:
+    """Have connections given up that are not heard or not acknowledged."""
+    inner.setsockopt(zmq.TCP_MAXRT, _UNACKNOWLEDGED_MS)
+    inner.setsockopt(zmq.HEARTBEAT_IVL, ask_ms)
+    inner.setsockopt(zmq.HEARTBEAT_TIMEOUT, _WORD_MS)
+    inner.setsockopt(zmq.HANDSHAKE_IVL, _HANDSHAKE_MS)
