Leave connections to the platform that went silent

Cause: a call without an answer was given up after 1.5 s, and the next one took another kept connection, as silent; a long poll was found out when its wait was over (3.5 s, 6.5 s, for members 31.5 s). A renewal of the lease that waited 1.5 s for a lost answer outlived the lease. Ruled out: repeating appends, whose outcome is unknown and stays so; closing connections under other calls, which would make theirs unknown.

--- a/packages/core/src/martenquay_core/util/http.py
+++ b/packages/core/src/martenquay_core/util/http.py
@@ -10,9 +10,10 @@
 
 import httpcore
 import msgspec
-import trio
 from expression import Error, Ok, Result
 
+from martenquay_core.util import pools
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
@@ -35,6 +36,14 @@
     socket.SO_LINGER,
     struct.pack("ii", 1, 0),
 )
+# A connection on which nothing is under way, or a call that waits long, is
+# asked after a second and given up after two more: a lost packet is no end.
+_KEEP_ALIVE = [
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+]
 _DEFAULT_TIMEOUT_S = 10.0
 _MAX_CONNECTIONS = 1000
 _KEEPALIVE_S = 4.0
@@ -66,10 +75,12 @@
         sent: False only if no byte of the request left this process, so
             that the other side certainly did not run it.
         message: What the library said.
+        is_silent: Nothing came, not even a reset.
     """
 
     sent: bool
     message: str
+    is_silent: bool = False
 
 
 class StreamedAnswer:
@@ -103,10 +114,13 @@
 
 
 class HttpClient:
-    """Call HTTP servers; each call has one time limit for all of it."""
+    """Call HTTP servers; each call has one time limit for all of it.
+
+    After a call without an answer, later ones get new connections.
+    """
 
-    def __init__(self, pool: httpcore.AsyncConnectionPool) -> None:
-        self._pool = pool
+    def __init__(self, keeper: pools.PoolKeeper) -> None:
+        self._keeper = keeper
 
     async def call(
         self,
@@ -116,28 +130,48 @@
         headers: Headers | None = None,
         body: bytes = b"",
         timeout_s: float = _DEFAULT_TIMEOUT_S,
+        may_be_cut: bool = False,
     ) -> Result[Answer, CallFailure]:
-        """Send one request and read the whole answer; never sends twice."""
-        try:
-            with trio.fail_after(timeout_s):
-                response = await self._pool.request(
-                    method,
-                    url,
-                    headers=headers or [],
-                    content=body,
-                    extensions=_limit_connect(timeout_s),
-                )
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
-            return Error(CallFailure(sent=False, message=_describe(error)))
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-            trio.TooSlowError,
-        ) as error:
-            return Error(CallFailure(sent=True, message=_describe(error)))
-        names = _lower_names(response.headers)
-        return Ok(Answer(response.status, names, response.content))
+        """Send one request and read the whole answer; never sends twice.
+
+        Args:
+            method: The HTTP method.
+            url: Where to.
+            headers: The request's headers.
+            body: The request's body.
+            timeout_s: The time for all of it.
+            may_be_cut: `cut_silent` may end it; for what may be repeated.
+        """
+        async with self._keeper.use() as generation:
+            try:
+                with generation.limit(timeout_s, may_be_cut=may_be_cut):
+                    response = await generation.pool.request(
+                        method,
+                        url,
+                        headers=headers or [],
+                        content=body,
+                        extensions=_limit_connect(timeout_s),
+                    )
+                    names = _lower_names(response.headers)
+                    return Ok(Answer(response.status, names, response.content))
+            except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+                return Error(CallFailure(sent=False, message=_describe(error)))
+            except (
+                httpcore.NetworkError,
+                httpcore.ProtocolError,
+                httpcore.TimeoutException,
+            ) as error:
+                return Error(CallFailure(sent=True, message=_describe(error)))
+            self._keeper.replace(generation)
+        message = f"no answer in {timeout_s:.3f} s or before it was cut"
+        return Error(CallFailure(sent=True, message=message, is_silent=True))
+
+    def cut_silent(self) -> None:
+        """End calls that may be cut and run on connections in doubt.
+
+        For when a new connection has shown that the other side is well.
+        """
+        self._keeper.cut_older()
 
     @contextlib.asynccontextmanager
     async def stream(
@@ -158,13 +192,16 @@
             httpcore.TimeoutException: Nothing came for `read_timeout_s`.
         """
         limits = {"connect": connect_timeout_s, "read": read_timeout_s}
-        async with self._pool.stream(
-            method,
-            url,
-            headers=headers or [],
-            content=body,
-            extensions={"timeout": limits},
-        ) as response:
+        async with (
+            self._keeper.use() as generation,
+            generation.pool.stream(
+                method,
+                url,
+                headers=headers or [],
+                content=body,
+                extensions={"timeout": limits},
+            ) as response,
+        ):
             yield StreamedAnswer(response)
 
 
@@ -195,14 +232,23 @@
         resets: Close connections by resetting them, so that a call that was
             given up is never delivered later.
     """
-    options = [*_SOCKET_OPTIONS, _RESET_ON_CLOSE] if resets else _SOCKET_OPTIONS
-    async with httpcore.AsyncConnectionPool(
-        max_connections=_MAX_CONNECTIONS,
-        max_keepalive_connections=_MAX_CONNECTIONS if reuse else 0,
-        keepalive_expiry=_KEEPALIVE_S,
-        socket_options=options,
-    ) as pool:
-        yield HttpClient(pool)
+    options = [*_SOCKET_OPTIONS, *_KEEP_ALIVE]
+    if resets:
+        options.append(_RESET_ON_CLOSE)
+
+    def create_pool() -> httpcore.AsyncConnectionPool:
+        return httpcore.AsyncConnectionPool(
+            max_connections=_MAX_CONNECTIONS,
+            max_keepalive_connections=_MAX_CONNECTIONS if reuse else 0,
+            keepalive_expiry=_KEEPALIVE_S,
+            socket_options=options,
+        )
+
+    keeper = pools.PoolKeeper(create_pool)
+    try:
+        yield HttpClient(keeper)
+    finally:
+        await keeper.close()
 
 
 def _limit_connect(timeout_s: float) -> dict[str, dict[str, float]]:
--- a/tests/test_platform/test_log.py
+++ b/tests/test_platform/test_log.py
@@ -23,8 +23,8 @@
         self.calls: list[tuple[str, str, bytes]] = []
         self._answers = list(answers)
 
-    async def call(self, method, url, *, headers=None, body=b"", timeout_s=0):
-        del headers, timeout_s
+    async def call(self, method, url, *, body=b"", **options):
+        del options
         self.calls.append((method, url, body))
         return self._answers.pop(0)
 
--- a/tests/test_platform/test_silent_store.py
+++ b/tests/test_platform/test_silent_store.py
@@ -10,10 +10,11 @@
 import trio
 
 from martenquay_core.platform import outcome
+from martenquay_core.serving import ports
 from martenquay_core.util import http
 from martenquay_daemon.duties import lease
 from martenquay_daemon.fleet import view
-from martenquay_platform import log
+from martenquay_platform import cloud, log
 from martenquay_platform_standins import store
 from martenquay_standins import host
 from martenquay_standins.chaos import proxy
@@ -33,13 +34,15 @@
     Attributes:
         stand_in: The store.
         front: Stands before it.
-        log: The client.
+        log: The client of its log.
+        cloud: The client of its cloud API.
         nursery: Runs tasks to the end of the test.
     """
 
     stand_in: store.StoreStandIn
     front: proxy.FaultyProxy
     log: log.PlatformLog
+    cloud: cloud.PlatformCloud
     nursery: trio.Nursery
 
 
@@ -55,7 +58,8 @@
             await nursery.start(front.run)
             async with http.open_client(resets=True) as client:
                 platform = log.create_log(client, front.address)
-                yield _Scene(stand_in, front, platform, nursery)
+                duties = cloud.create_cloud(client, front.address)
+                yield _Scene(stand_in, front, platform, duties, nursery)
             nursery.cancel_scope.cancel()
 
 
@@ -99,6 +103,20 @@
 
         self._run(scenario)
 
+    def test_a_report_that_was_lost_goes_out_again_on_a_new_connection(
+        self,
+    ) -> None:
+        async def scenario(scene: _Scene) -> None:
+            await self._open_connections(scene, 4)
+            scene.front.silence_connections()
+            report = ports.UsageReport(1, {"florists": 2})
+            lost = await scene.cloud.report_usage(report, "e", 1)
+            self.assertIs(outcome.Effect.UNKNOWN, lost.error.effect)
+            again = await scene.cloud.report_usage(report, "e", 1)
+            self.assertEqual(200, again.ok)
+
+        self._run(scenario)
+
     def test_a_silent_long_poll_is_left_when_others_prove_the_store_well(
         self,
     ) -> None:
