--- /dev/null
+++ b/tests/test_forwarding/test_silent_connections.py
@@ -0,0 +1,179 @@
+"""A connection that goes silent for good holds nothing up for ever."""
+
+from __future__ import annotations
+
+import pathlib
+import socket
+
+import testtools
+import trio
+
+from martenquay_core.serving import catalog
+from martenquay_daemon.forwarding import runner_connection as connections
+from martenquay_standins.chaos import proxy
+from martenquay_standins.ports import runner as scripted
+from martenquay_standins.ports.runner import Script
+from tests import serving_builders as builders
+from tests import serving_scene
+
+_HANG_S = 20.0
+_PAUSE_S = 0.02
+_CALL = (
+    b"GET /lookup/7 HTTP/1.1\r\nhost: desk.example\r\nattempt-id: call-1\r\n"
+    b"deadline-ms: %d\r\n\r\n"
+)
+_HEAD = b"HTTP/1.1 200 OK\r\nattempt-id: call-1\r\nserver-seal: s1\r\n"
+_GOOD = Script((_HEAD + b"content-length: 4\r\n\r\nfine",))
+_SILENT = Script(is_held=True)
+_STREAM = _HEAD + b"transfer-encoding: chunked\r\n\r\n"
+_END = b"0\r\n\r\n"
+# What the kernel writes of a timer that asks whether the other side lives.
+_ASKS = "02"
+_ESTABLISHED = "01"
+
+
+def _event(number: int) -> bytes:
+    raw = b"id: %d\ndata: token %d\n\n" % (number, number)
+    return b"%x\r\n%s\r\n" % (len(raw), raw)
+
+
+def _count_asked(address: str) -> int:
+    """Return how many connections to an address the kernel asks about."""
+    wanted = f"{int(address.rpartition(':')[2]):04X}"
+    lines = pathlib.Path("/proc/self/net/tcp").read_text("ascii").splitlines()
+    fields = [line.split() for line in lines[1:]]
+    return sum(
+        wanted in {local[-4:], far[-4:]}
+        and state == _ESTABLISHED
+        and timer.startswith(_ASKS)
+        for _, local, far, state, _, timer, *_ in fields
+    )
+
+
+class _SilentTestCase(testtools.TestCase):
+    def _run(self, scenario, *scripts: list[Script], **route) -> None:
+        content = builders.build_catalog(
+            routes=(builders.build_route(**route),)
+        )
+
+        async def run() -> None:
+            with trio.fail_after(_HANG_S):
+                async with serving_scene.open_scene(content, *scripts) as scene:
+                    await scenario(scene)
+
+        trio.run(run)
+
+
+class SilentRunnerTest(_SilentTestCase):
+    def test_a_call_that_may_run_twice_goes_on_while_there_is_time(
+        self,
+    ) -> None:
+        async def scenario(scene: serving_scene.Scene) -> None:
+            while not scene.runners[0].requests:
+                reply = await scene.ask(_CALL % 1500)
+                self.assertEqual(200, reply.status)
+
+        self._run(
+            scenario,
+            [_SILENT],
+            [_GOOD],
+            kind=catalog.CallKind.IDEMPOTENT,
+            max_attempts=2,
+        )
+
+    def test_a_call_that_may_not_run_twice_is_waited_for(self) -> None:
+        async def scenario(scene: serving_scene.Scene) -> None:
+            reply = await scene.ask(_CALL % 1500)
+            self.assertEqual(504, reply.status)
+            sent = [r for one in scene.runners for r in one.requests if r]
+            self.assertEqual(1, len(sent))
+
+        self._run(
+            scenario,
+            [_SILENT],
+            [_SILENT],
+            kind=catalog.CallKind.NON_IDEMPOTENT,
+            max_attempts=2,
+        )
+
+    def test_a_stream_that_falls_silent_goes_on_though_its_runner_lives(
+        self,
+    ) -> None:
+        async def scenario(scene: serving_scene.Scene) -> None:
+            async with trio.open_nursery() as nursery:
+                first = scripted.ScriptedRunner(
+                    [Script((_STREAM + _event(1),), is_held=True)]
+                )
+                await nursery.start(first.run)
+                front = proxy.FaultyProxy(first.address)
+                await nursery.start(front.run)
+                scene.add_runner(front.address)
+                caller = await scene.open_caller()
+                await caller.send_all(_CALL % 8000)
+                begun = b""
+                while b"token 1" not in begun:
+                    begun += await caller.receive_some(1000)
+                front.silence_connections()
+                rest = Script((_STREAM + _event(2) + _END,))
+                other = scripted.ScriptedRunner([rest])
+                await nursery.start(other.run)
+                scene.add_runner(other.address)
+                while not begun.endswith(_END):
+                    piece = await caller.receive_some(1000)
+                    self.assertNotEqual(b"", piece, "cut off")
+                    begun += piece
+                self.assertIn(b"last-event-id: 1", other.requests[-1])
+                self.assertEqual(1, begun.count(b"token 2"))
+                nursery.cancel_scope.cancel()
+
+        self._run(
+            scenario,
+            kind=catalog.CallKind.STREAM,
+            max_attempts=2,
+            is_resumable=True,
+            timeout_s=8.0,
+        )
+
+    def test_the_kernel_asks_whether_a_silent_runner_lives(self) -> None:
+        async def scenario() -> None:
+            server = scripted.ScriptedRunner([_SILENT])
+            async with trio.open_nursery() as nursery:
+                await nursery.start(server.run)
+                async with connections.connect_runner(server.address, 5.0):
+                    self.assertEqual(1, _count_asked(server.address))
+                nursery.cancel_scope.cancel()
+
+        trio.run(scenario)
+
+
+class SilentCallerTest(_SilentTestCase):
+    def _count_open(self, scene: serving_scene.Scene) -> int:
+        return len(scene.listener._connections)
+
+    def test_a_caller_that_takes_nothing_is_given_up(self) -> None:
+        large = b"a" * 8_000_000
+        answer = _HEAD + b"content-length: %d\r\n\r\n" % len(large) + large
+
+        async def scenario(scene: serving_scene.Scene) -> None:
+            caller = trio.socket.socket()
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            host, _, port = scene.address.rpartition(":")
+            await caller.connect((host, int(port)))
+            await caller.send(_CALL % 5000)
+            while not self._count_open(scene):
+                await trio.sleep(_PAUSE_S)
+            while self._count_open(scene):
+                await trio.sleep(_PAUSE_S)
+            caller.close()
+
+        self._run(scenario, [Script((answer,))])
+
+    def test_the_kernel_asks_whether_a_waiting_caller_lives(self) -> None:
+        async def scenario(scene: serving_scene.Scene) -> None:
+            async with await scene.open_caller() as caller:
+                await caller.send_all(_CALL % 5000)
+                while not scene.runners[0].requests:
+                    await trio.sleep(_PAUSE_S)
+                self.assertEqual(1, _count_asked(scene.address))
+
+        self._run(scenario, [_SILENT])
