Have both runners be there in the tests of silent ones

Cause: the stream's other runner was made known only after the first one was silent; whether another one is there is known when the first is chosen. A test of the watch itself is new; its fake has the field that the watch reads now.

--- a/tests/test_forwarding/test_silence.py
+++ b/tests/test_forwarding/test_silence.py
@@ -20,9 +20,37 @@
     def __init__(self) -> None:
         self.heard_at = trio.current_time()
         self.has_answered = False
+        self.has_begun = False
+
+
+async def _is_there(address: str) -> bool:
+    del address
+    return False
 
 
 class SilenceTest(clocked.ClockedTestCase):
+    def _wait(self, patience: silence.Patience, *, has_begun: bool) -> float:
+        """Return how long a silent connection of a live runner is borne."""
+        took: list[float] = []
+
+        async def scenario() -> None:
+            connection = _Connection()
+            connection.has_begun = has_begun
+            placement = placer.Placement(builders.build_runner(), 0.0, 0, 1)
+            with mock.patch.object(silence, "_is_gone", _is_there):
+                await silence.wait_until_gone(connection, placement, patience)
+            took.append(trio.current_time() - connection.heard_at)
+
+        self.run_clocked(scenario)
+        return took[0]
+
+    def test_a_live_runners_connection_may_not_be_silent_for_ever(
+        self,
+    ) -> None:
+        patience = silence.Patience(0.3, 0.3, 4.0, 2.0)
+        self.assertAlmostEqual(4.0, self._wait(patience, has_begun=False))
+        self.assertAlmostEqual(2.0, self._wait(patience, has_begun=True))
+
     def test_what_was_heard_during_the_probe_counts(self) -> None:
         async def scenario() -> None:
             connection = _Connection()
--- a/tests/test_forwarding/test_silent_connections.py
+++ b/tests/test_forwarding/test_silent_connections.py
@@ -50,6 +50,38 @@
     )
 
 
+async def _start_engine(
+    nursery: trio.Nursery, scene: serving_scene.Scene, asked: list[bytes]
+) -> proxy.FaultyProxy:
+    """Start a runner that gives one event, and the next to who has that."""
+
+    async def serve(stream: trio.SocketStream) -> None:
+        head = b""
+        while b"\r\n\r\n" not in head:
+            try:
+                piece = await stream.receive_some(1000)
+            except trio.BrokenResourceError:
+                # It only asked whether the runner is there.
+                return
+            if not piece:
+                return
+            head += piece
+        asked.append(head)
+        if b"last-event-id: 1" in head:
+            await stream.send_all(_STREAM + _event(2) + _END)
+            return
+        await stream.send_all(_STREAM + _event(1))
+        await trio.sleep_forever()
+
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port = listeners[0].socket.getsockname()[1]
+    nursery.start_soon(trio.serve_listeners, serve, listeners)
+    front = proxy.FaultyProxy(f"127.0.0.1:{port}")
+    await nursery.start(front.run)
+    scene.add_runner(front.address)
+    return front
+
+
 class _SilentTestCase(testtools.TestCase):
     def _run(self, scenario, *scripts: list[Script], **route) -> None:
         content = builders.build_catalog(
@@ -101,29 +133,24 @@
     ) -> None:
         async def scenario(scene: serving_scene.Scene) -> None:
             async with trio.open_nursery() as nursery:
-                first = scripted.ScriptedRunner(
-                    [Script((_STREAM + _event(1),), is_held=True)]
-                )
-                await nursery.start(first.run)
-                front = proxy.FaultyProxy(first.address)
-                await nursery.start(front.run)
-                scene.add_runner(front.address)
+                asked: list[bytes] = []
+                fronts = [
+                    await _start_engine(nursery, scene, asked) for _ in range(2)
+                ]
                 caller = await scene.open_caller()
                 await caller.send_all(_CALL % 8000)
-                begun = b""
-                while b"token 1" not in begun:
-                    begun += await caller.receive_some(1000)
-                front.silence_connections()
-                rest = Script((_STREAM + _event(2) + _END,))
-                other = scripted.ScriptedRunner([rest])
-                await nursery.start(other.run)
-                scene.add_runner(other.address)
-                while not begun.endswith(_END):
+                got = b""
+                while b"token 1" not in got:
+                    got += await caller.receive_some(1000)
+                for front in fronts:
+                    front.silence_connections()
+                while not got.endswith(_END):
                     piece = await caller.receive_some(1000)
                     self.assertNotEqual(b"", piece, "cut off")
-                    begun += piece
-                self.assertIn(b"last-event-id: 1", other.requests[-1])
-                self.assertEqual(1, begun.count(b"token 2"))
+                    got += piece
+                self.assertEqual(2, len(asked))
+                self.assertEqual(1, got.count(b"token 1"))
+                self.assertEqual(1, got.count(b"token 2"))
                 nursery.cancel_scope.cancel()
 
         self._run(
