End connections to runners and callers that went silent

Cause: a runner that lives takes new connections, so a request or a stream on a silent one was waited for until its time was over (504, or cut off). A caller that takes nothing held connection, task and answer for ever; one gone without a word kept its runner at work until the answer was due. Ruled out: moving a request for which no other runner is there or which has no attempt left (two tests of the forwarder failed: 502 instead of 504); one ask of the kernel instead of two (six in a hundred lost on a bad way). Conclusion: what may be repeated moves on after 2 s between events, or two thirds of its time before them; the kernel gives runners up after 3 s and callers after 6 s of silence; a caller takes 64 KB in 5 s.

--- a/packages/core/src/martenquay_core/peers/sockets.py
+++ b/packages/core/src/martenquay_core/peers/sockets.py
@@ -19,11 +19,13 @@
 _RECONNECT_MS = 100
 _RECONNECT_MAX_MS = 1000
 # A peer without power, or behind a cut, says nothing: give up a connection
-# whose bytes are not acknowledged, and one that does not come up.
-_UNACKNOWLEDGED_MS = 1500
+# whose bytes are not acknowledged, and one that does not come up. The first
+# is past the second time that they are sent again (0.6 s), and short since a
+# daemon unheard for 1.2 s counts as silent.
+_UNACKNOWLEDGED_MS = 800
 _CONNECT_MS = 1000
 # A link may also be acknowledged on the way and yet deliver nothing. Asking
-# this often and waiting this long for a word finds it within 1.5 s, as above;
+# this often and waiting this long for a word finds it within 1.5 s;
 # the wait covers two lost packets (0.2 s and 0.4 s till they are sent again).
 _ASK_MS = 750
 _WORD_MS = 750
--- a/packages/core/src/martenquay_core/util/http.py
+++ b/packages/core/src/martenquay_core/util/http.py
@@ -12,7 +12,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from martenquay_core.util import pools
+from martenquay_core.util import keepalive, pools
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -36,14 +36,9 @@
     socket.SO_LINGER,
     struct.pack("ii", 1, 0),
 )
-# A connection on which nothing is under way, or a call that waits long, is
-# asked after a second and given up after two more: a lost packet is no end.
-_KEEP_ALIVE = [
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
-]
+# For connections on which nothing is under way or a call waits long, both
+# silent by nature: gone after 3 s. Calls have limits of their own.
+_SILENCE = keepalive.KeepAlive(idle_s=1, asks=2)
 _DEFAULT_TIMEOUT_S = 10.0
 _MAX_CONNECTIONS = 1000
 _KEEPALIVE_S = 4.0
@@ -232,7 +227,7 @@
         resets: Close connections by resetting them, so that a call that was
             given up is never delivered later.
     """
-    options = [*_SOCKET_OPTIONS, *_KEEP_ALIVE]
+    options = [*_SOCKET_OPTIONS, *keepalive.list_options(_SILENCE)]
     if resets:
         options.append(_RESET_ON_CLOSE)
 
--- a/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 from typing import TYPE_CHECKING
 
 import trio
@@ -44,6 +45,12 @@
 _QUIET_STREAM_S = 0.25
 # Longer than nearly all plain calls work (22 ms on average, 110 ms at most).
 _QUIET_CALL_S = 0.15
+# A connection may be silent for good while its runner takes others. Events of
+# a runner eight times slower than a busy one are up to 1.6 s apart.
+_LONGEST_PAUSE_S = 2.0
+# Before the answer has begun a runner may be silent for good reasons, so most
+# of the time is waited; what is left is enough for another to do the work.
+_LONGEST_PART = 2 / 3
 
 
 class AttemptMaker:
@@ -99,7 +106,7 @@
             return await self._talk(current, placement, connection, running)
         patience = _find_patience(current, placement)
         result: exchange.AttemptResult = exchange.Broken(
-            "the runner is silent and takes no connection"
+            "the runner or the connection to it is silent"
         )
         failure: Exception | None = None
         async with trio.open_nursery() as nursery:
@@ -225,6 +232,7 @@
             events = splitter.feed(piece)
             if events and not is_begun:
                 is_begun = True
+                connection.has_begun = True
                 running.note_first_event()
                 _Begin(self._usage, current.team).note()
             problem = await self._pass_on(current, head, events)
@@ -300,10 +308,18 @@
 def _find_patience(
     current: exchange.Exchange, placement: placer.Placement
 ) -> silence.Patience:
+    longest_s = longest_pause_s = math.inf
+    has_next = current.attempts + 1 < current.route.max_attempts
+    if has_next and placement.considered > 1:
+        # Another runner may do what this one seems not to.
+        longest_s = _LONGEST_PART * (current.deadline - trio.current_time())
+        longest_pause_s = _LONGEST_PAUSE_S
     if current.route.kind is catalog.CallKind.STREAM:
         first_s = _QUIET_STREAM_S + placement.expected_s
-        return silence.Patience(first_s, _QUIET_STREAM_S)
-    return silence.Patience(_QUIET_CALL_S, _QUIET_CALL_S)
+        return silence.Patience(
+            first_s, _QUIET_STREAM_S, longest_s, longest_pause_s
+        )
+    return silence.Patience(_QUIET_CALL_S, _QUIET_CALL_S, longest_s)
 
 
 def _find_urgency(current: exchange.Exchange) -> int:
--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
@@ -29,6 +29,10 @@
 # For this long unread bytes are thrown away after a refusal, so that closing
 # does not reset the connection before the caller has read it.
 _LINGER_S = 1.0
+# A caller has to take a piece of an answer in this time. One that lives and
+# takes nothing is no end to the kernel, and would hold its answer for ever.
+_PIECE_BYTES = 65_536
+_PIECE_S = 5.0
 # A head line and the separators that h11 takes apart.
 _LINE_OVERHEAD = 4
 
@@ -185,17 +189,26 @@
         follow it.
 
         Raises:
-            trio.BrokenResourceError: The caller is gone, or an earlier piece
-                was sent in part.
+            trio.BrokenResourceError: The caller is gone or takes nothing, or
+                an earlier piece was sent in part.
         """
         if self._is_cut:
             raise trio.BrokenResourceError("a piece was sent in part")
         data = self._http.send(event)
         if data:
             self._is_cut = True
-            await self._stream.send_all(data)
+            await self._send_in_time(data)
             self._is_cut = False
 
+    async def _send_in_time(self, data: bytes) -> None:
+        view = memoryview(data)
+        for begin in range(0, len(data), _PIECE_BYTES):
+            with trio.move_on_after(_PIECE_S) as scope:
+                await self._stream.send_all(view[begin : begin + _PIECE_BYTES])
+            if scope.cancelled_caught:
+                _LOG.write("A caller takes nothing.", waited_s=_PIECE_S)
+                raise trio.BrokenResourceError("the caller takes nothing")
+
     async def _serve_one(self) -> bool:
         """Serve one request; tell whether another may follow."""
         self._limits = self._rules.find_limits()
--- a/packages/daemon/src/martenquay_daemon/forwarding/listener.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/listener.py
@@ -9,6 +9,7 @@
 import trio
 
 from martenquay_core import logs
+from martenquay_core.util import keepalive
 from martenquay_daemon.forwarding import caller_connection
 
 if TYPE_CHECKING:
@@ -21,6 +22,10 @@
 _BACKLOG = 1024
 # Out of descriptors: wait for some connection to end.
 _ACCEPT_PAUSE_S = 0.05
+# A caller that waits for its answer says nothing. One that is gone without a
+# word must not keep runners at work, nor hold a descriptor until its answer is
+# due. It may be far away: found out after 6 s, three asks may be lost.
+_SILENCE = keepalive.KeepAlive(idle_s=3, asks=3)
 _ACCEPT_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS})
 
 
@@ -96,6 +101,7 @@
                 await trio.sleep(_ACCEPT_PAUSE_S)
             return
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        keepalive.bound_silence(sock, _SILENCE)
         nursery.start_soon(self._serve, trio.SocketStream(sock))
 
     async def _serve(self, stream: trio.SocketStream) -> None:
--- a/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
@@ -18,6 +18,8 @@
 import h11
 import trio
 
+from martenquay_core.util import keepalive
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
@@ -36,6 +38,11 @@
 # reach the runner when the cut heals.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
+# A runner that works says nothing for long, so only the kernel can tell; its
+# machine answers in a few ms. Found out after 3 s: two asks may be lost on a
+# bad way once in a thousand times, a request must not be given up for one.
+_SILENCE = keepalive.KeepAlive(idle_s=1, asks=2)
+
 
 class NotConnectedError(Exception):
     """No connection came up, so nothing was sent."""
@@ -69,11 +76,13 @@
         heard_at: When the runner last sent something or the connection came
             up, in trio's time.
         has_answered: The answer's head has come.
+        has_begun: The first event of a stream has come.
     """
 
     def __init__(self, stream: trio.SocketStream) -> None:
         self.heard_at = trio.current_time()
         self.has_answered = False
+        self.has_begun = False
         self._stream = stream
         self._http = h11.Connection(h11.CLIENT)
 
@@ -178,6 +187,7 @@
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        keepalive.bound_silence(sock, _SILENCE)
         with trio.fail_after(timeout_s):
             await sock.connect((host, int(port)))
     except (OSError, trio.TooSlowError) as error:
--- a/packages/daemon/src/martenquay_daemon/forwarding/silence.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/silence.py
@@ -2,12 +2,14 @@
 
 A runner without power says nothing, and neither does one that reads a long
 prompt. A connection tells them apart: the machine of a live runner takes it
-within milliseconds, however busy the runner is.
+within milliseconds, however busy the runner is. But a connection may also be
+silent for good while its runner lives; then only its silence itself tells.
 """
 
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import TYPE_CHECKING
 
 import trio
@@ -35,10 +37,14 @@
     Attributes:
         first_s: Before the answer's head has come.
         next_s: After that, and after each time that it was there.
+        longest_s: However live it is, before a stream has begun.
+        longest_pause_s: The same between a stream's events.
     """
 
     first_s: float
     next_s: float
+    longest_s: float = math.inf
+    longest_pause_s: float = math.inf
 
 
 async def wait_until_gone(
@@ -46,31 +52,50 @@
     placement: placer.Placement,
     patience: Patience,
 ) -> None:
-    """Return when the runner is silent and takes no connection any more."""
+    """Return when the runner is gone, or the connection silent too long."""
     asked_at = connection.heard_at
     while True:
         quiet_s = (
             patience.next_s if connection.has_answered else patience.first_s
         )
-        due = max(asked_at, connection.heard_at) + quiet_s
+        end = connection.heard_at + _find_longest(connection, patience)
+        due = min(max(asked_at, connection.heard_at) + quiet_s, end)
         if trio.current_time() < due:
             await trio.sleep_until(due)
             continue
+        if trio.current_time() >= end:
+            _note(placement, connection, "is silent for too long")
+            return
         heard_at = connection.heard_at
         is_gone = await _is_gone(placement.runner.address)
         # What came while it was asked says more than the probe.
         if is_gone and connection.heard_at == heard_at:
-            silent_s = trio.current_time() - connection.heard_at
-            _LOG.write(
-                f"Runner {placement.runner.id} is silent and takes no"
-                " connection.",
-                runner=placement.runner.id,
-                silent_s=round(silent_s, 3),
-            )
+            _note(placement, connection, "is silent and takes no connection")
             return
         asked_at = trio.current_time()
 
 
+def _find_longest(
+    connection: connections.RunnerConnection, patience: Patience
+) -> float:
+    if connection.has_begun:
+        return patience.longest_pause_s
+    return patience.longest_s
+
+
+def _note(
+    placement: placer.Placement,
+    connection: connections.RunnerConnection,
+    what: str,
+) -> None:
+    silent_s = trio.current_time() - connection.heard_at
+    _LOG.write(
+        f"Runner {placement.runner.id} {what}.",
+        runner=placement.runner.id,
+        silent_s=round(silent_s, 3),
+    )
+
+
 async def _is_gone(address: str) -> bool:
     for _ in range(_PROBES):
         try:
