Test the limit on an answer's piece by itself

Cause: over loopback the kernel ends a caller that takes nothing after 5.5 s as well, so the mutation that takes our limit out was not noticed. The test over loopback stays; this one has a stream that takes nothing. Ruled out: a caller that takes a few bytes now and then over loopback; the kernel ends it too. With our limit taken out the new test fails.

--- a/tests/test_forwarding/test_caller_connection.py
+++ b/tests/test_forwarding/test_caller_connection.py
@@ -146,18 +146,24 @@
 
 
 class CutPieceTest(testtools.TestCase):
+    async def _begin(
+        self, stream: trio.StapledStream
+    ) -> caller_connection.CallerConnection:
+        """Return a connection whose answer has begun."""
+        rules = mock.Mock(is_closing=False, is_stopped=False)
+        rules.find_limits.return_value = catalog.CallerLimits()
+        connection = caller_connection.CallerConnection(
+            stream, mock.Mock(), mock.Mock(), rules
+        )
+        connection.take_bytes(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        await connection.send_head(200, [], None)
+        return connection
+
     def test_nothing_follows_a_piece_that_was_sent_in_part(self) -> None:
         async def scenario() -> None:
             ours, theirs = trio.testing.memory_stream_pair()
             del theirs
-            rules = mock.Mock(is_closing=False, is_stopped=False)
-            rules.find_limits.return_value = catalog.CallerLimits()
-            connection = caller_connection.CallerConnection(
-                ours, mock.Mock(), mock.Mock(), rules
-            )
-            request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
-            connection.take_bytes(request)
-            await connection.send_head(200, [], None)
+            connection = await self._begin(ours)
             ours.send_stream.send_all_hook = trio.sleep_forever
             with trio.move_on_after(1.0):
                 await connection.send_event(h11.Data(data=b"first"))
@@ -167,3 +173,22 @@
 
         clock = trio.testing.MockClock(autojump_threshold=0)
         trio.run(scenario, clock=clock)
+
+    def test_a_piece_that_the_caller_does_not_take_ends_the_answer(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            ours, theirs = trio.testing.memory_stream_pair()
+            del theirs
+            connection = await self._begin(ours)
+            ours.send_stream.send_all_hook = trio.sleep_forever
+            with trio.fail_after(_HANG_S):
+                with self.assertRaises(trio.BrokenResourceError):
+                    await connection.send_event(h11.Data(data=b"first"))
+            # Nothing follows it then either.
+            ours.send_stream.send_all_hook = None
+            with self.assertRaises(trio.BrokenResourceError):
+                await connection.send_event(h11.Data(data=b"second"))
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        trio.run(scenario, clock=clock)
