--- a/bench/platform_mutations.py
+++ b/bench/platform_mutations.py
@@ -9,6 +9,8 @@
 _FORWARDER = "tests.test_forwarding.test_forwarder"
 _LEDGER = "tests.test_allowances.test_ledger"
 _LEASE = "tests.test_duties.test_lease"
+_SILENT_CONNECTIONS = "tests.test_forwarding.test_silent_connections"
+_SILENT_STORE = "tests.test_platform.test_silent_store"
 
 PLATFORM_MUTATIONS = (
     Mutation(
@@ -207,4 +209,46 @@
         "        return True",
         "tests.test_core.test_line_writer",
     ),
+    Mutation(
+        "silent links are asked",
+        f"{CORE}/peers/sockets.py",
+        "    inner.setsockopt(zmq.HEARTBEAT_IVL, ask_ms)\n",
+        "",
+        "tests.test_core.test_silent_peers",
+    ),
+    Mutation(
+        "one silent call casts doubt on other connections",
+        f"{CORE}/util/http.py",
+        "            self._keeper.replace(generation)\n",
+        "",
+        _SILENT_STORE,
+    ),
+    Mutation(
+        "silent long polls are cut",
+        "platform/src/martenquay_platform/log.py",
+        "            self._client.cut_silent()\n",
+        "            pass\n",
+        _SILENT_STORE,
+    ),
+    Mutation(
+        "silent appends leave time to renew the lease",
+        "platform/src/martenquay_platform/log.py",
+        "_CONDITIONAL_S = 0.8",
+        "_CONDITIONAL_S = 1.5",
+        _SILENT_STORE,
+    ),
+    Mutation(
+        "silent connections of live runners are given up",
+        f"{DAEMON}/forwarding/attempt.py",
+        "    if has_next and placement.considered > 1:",
+        "    if False:",
+        _SILENT_CONNECTIONS,
+    ),
+    Mutation(
+        "silent callers that take nothing are given up",
+        f"{DAEMON}/forwarding/caller_connection.py",
+        "_PIECE_S = 5.0",
+        "_PIECE_S = 3600.0",
+        "tests.test_forwarding.test_caller_connection",
+    ),
 )
--- a/packages/core/src/martenquay_core/peers/sockets.py
+++ b/packages/core/src/martenquay_core/peers/sockets.py
@@ -25,9 +25,9 @@
 _UNACKNOWLEDGED_MS = 800
 _CONNECT_MS = 1000
 # A link may also be acknowledged on the way and yet deliver nothing. Asking
-# this often and waiting this long for a word finds it within 1.5 s;
+# this often and waiting this long for a word finds it within 2.25 s;
 # the wait covers two lost packets (0.2 s and 0.4 s till they are sent again).
-_ASK_MS = 750
+_ASK_MS = 1500
 _WORD_MS = 750
 # The listening side holds a descriptor for each link that it was not told the
 # end of. They are few between two losses, so it need not ask often.
--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
@@ -29,8 +29,8 @@
 # For this long unread bytes are thrown away after a refusal, so that closing
 # does not reset the connection before the caller has read it.
 _LINGER_S = 1.0
-# A caller has to take a piece of an answer in this time. One that lives and
-# takes nothing is no end to the kernel, and would hold its answer for ever.
+# A caller has to take a piece of an answer in this time. One that takes a few
+# bytes now and then is live to the kernel, and would hold its answer for ever.
 _PIECE_BYTES = 65_536
 _PIECE_S = 5.0
 # A head line and the separators that h11 takes apart.
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -52,7 +52,8 @@
 __all__ = ["GatewayParts", "create_parts"]
 
 # Operators' changes are rare and wanted at once. A poll that was lost in a cut
-# is found out when its wait is over; digests tell of a newer version earlier.
+# is found out when its wait is over, or when another call shows that the log
+# is well; digests tell of a newer version earlier.
 _CATALOG_PACE = keyed_follower.FollowPace(wait_s=2.0, crowded_wait_s=5.0)
 # Runners write their entries all the time; a leaving one may get requests
 # for 2 s more, so reading twice a second is early enough. In a large fleet
