Have the kernel ask only where it is worth its calls

Each connection to a runner and from a caller took five calls more; most requests to runners are over before the kernel's 3 s are. Ruled out: doing without for callers; they inherit the options of the listener instead.

--- a/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
@@ -83,7 +83,9 @@
         ):
             try:
                 async with connections.connect_runner(
-                    runner.address, _CONNECT_S
+                    runner.address,
+                    _CONNECT_S,
+                    lasts_s=current.deadline - trio.current_time(),
                 ) as connection:
                     result = await self._talk_while_there(
                         current, placement, connection, running
--- a/packages/daemon/src/martenquay_daemon/forwarding/listener.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/listener.py
@@ -80,6 +80,8 @@
         host, _, port = self._address.rpartition(":")
         listener = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Connections that it accepts inherit them.
+        keepalive.bound_silence(listener, _SILENCE)
         await listener.bind((host, int(port)))
         listener.listen(_BACKLOG)
         bound_host, bound_port = listener.getsockname()
@@ -101,7 +103,6 @@
                 await trio.sleep(_ACCEPT_PAUSE_S)
             return
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        keepalive.bound_silence(sock, _SILENCE)
         nursery.start_soon(self._serve, trio.SocketStream(sock))
 
     async def _serve(self, stream: trio.SocketStream) -> None:
--- a/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
@@ -175,10 +175,16 @@
 
 @contextlib.asynccontextmanager
 async def connect_runner(
-    address: str, timeout_s: float
+    address: str, timeout_s: float, *, lasts_s: float = 0.0
 ) -> AsyncIterator[RunnerConnection]:
     """Open a connection to `address` (host and port); leaving closes it.
 
+    Args:
+        address: Host and port.
+        timeout_s: In which it has to come up.
+        lasts_s: How long it may be used. One that may outlast its kernel's
+            patience has the kernel ask; for others the calls would be in vain.
+
     Raises:
         NotConnectedError: It did not come up within `timeout_s`.
     """
@@ -187,7 +193,8 @@
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-        keepalive.bound_silence(sock, _SILENCE)
+        if lasts_s > _SILENCE.unacknowledged_s:
+            keepalive.bound_silence(sock, _SILENCE)
         with trio.fail_after(timeout_s):
             await sock.connect((host, int(port)))
     except (OSError, trio.TooSlowError) as error:
