--- a/tests/leaving.py
+++ b/tests/leaving.py
@@ -94,7 +94,7 @@
 
     @contextlib.asynccontextmanager
     async def connect(
-        self, address: str, timeout_s: float
+        self, address: str, timeout_s: float, **options: float
     ) -> AsyncIterator[connections.RunnerConnection]:
         """Connect as the daemon does, or hang."""
         number = len(self.addresses)
@@ -105,7 +105,7 @@
                 await trio.sleep_forever()
             finally:
                 self.ended.set()
-        async with self._connect(address, timeout_s) as connection:
+        async with self._connect(address, timeout_s, **options) as connection:
             yield connection
 
 
