End no answer for silence alone unless it can go on elsewhere

Cause: a request on a connection that had been silent for long was given up also when the retry budget was spent; the caller got 502 from a runner that might still have answered, and a planned stop or reload beside it would have lost the request. And a runner whose connection was silent counted as failed, so that busy ones would have been left out. Change: the bounds on silence ask whether a repeat is left, and again while it is not; such an end is an outcome of its own, which says nothing of the runner.

--- a/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
@@ -19,7 +19,7 @@
 from martenquay_daemon.forwarding import runner_connection as connections
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from martenquay_core.serving import ports
     from martenquay_daemon.duties import usage_counts
@@ -69,9 +69,18 @@
         self._meter = meter
 
     async def make(
-        self, current: exchange.Exchange, placement: placer.Placement
+        self,
+        current: exchange.Exchange,
+        placement: placer.Placement,
+        may_move: Callable[[], bool],
     ) -> exchange.AttemptResult:
-        """Send the request once and relay or return the answer."""
+        """Send the request once and relay or return the answer.
+
+        Args:
+            current: The request.
+            placement: The runner.
+            may_move: Whether it might be sent once more.
+        """
         runner = placement.runner
         current.stage = departure.Stage.CONNECTING
         self._meter.note(current.service, placement.uncached_tokens)
@@ -87,8 +96,9 @@
                     _CONNECT_S,
                     lasts_s=current.deadline - trio.current_time(),
                 ) as connection:
+                    patience = _find_patience(current, placement, may_move)
                     result = await self._talk_while_there(
-                        current, placement, connection, running
+                        current, placement, connection, running, patience
                     )
             except connections.NotConnectedError as error:
                 result = exchange.NotSent(str(error))
@@ -102,19 +112,22 @@
         placement: placer.Placement,
         connection: connections.RunnerConnection,
         running: loads.Running,
+        patience: silence.Patience,
     ) -> exchange.AttemptResult:
         """Talk, but give a runner up that is gone if another may take over."""
         if not current.route.may_repeat:
             return await self._talk(current, placement, connection, running)
-        patience = _find_patience(current, placement)
-        result: exchange.AttemptResult = exchange.Broken(
-            "the runner or the connection to it is silent"
-        )
+        result: exchange.AttemptResult = exchange.Broken("the runner is gone")
         failure: Exception | None = None
         async with trio.open_nursery() as nursery:
 
             async def watch() -> None:
-                await silence.wait_until_gone(connection, placement, patience)
+                nonlocal result
+                verdict = await silence.wait_until_gone(
+                    connection, placement, patience
+                )
+                if verdict is silence.Verdict.SILENT:
+                    result = exchange.Silent()
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(watch)
@@ -308,7 +321,9 @@
 
 
 def _find_patience(
-    current: exchange.Exchange, placement: placer.Placement
+    current: exchange.Exchange,
+    placement: placer.Placement,
+    may_move: Callable[[], bool],
 ) -> silence.Patience:
     longest_s = longest_pause_s = math.inf
     has_next = current.attempts + 1 < current.route.max_attempts
@@ -319,9 +334,11 @@
     if current.route.kind is catalog.CallKind.STREAM:
         first_s = _QUIET_STREAM_S + placement.expected_s
         return silence.Patience(
-            first_s, _QUIET_STREAM_S, longest_s, longest_pause_s
+            first_s, _QUIET_STREAM_S, longest_s, longest_pause_s, may_move
         )
-    return silence.Patience(_QUIET_CALL_S, _QUIET_CALL_S, longest_s)
+    return silence.Patience(
+        _QUIET_CALL_S, _QUIET_CALL_S, longest_s, may_move=may_move
+    )
 
 
 def _find_urgency(current: exchange.Exchange) -> int:
--- a/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
@@ -19,6 +19,7 @@
     "Exchange",
     "NotRun",
     "NotSent",
+    "Silent",
     "TimedOut",
     "Whole",
 ]
@@ -134,9 +135,18 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True)
+class Silent:
+    """The runner is there and says nothing; it may have run."""
+
+    reason: str = "silent for too long"
+
+
 @dataclasses.dataclass(frozen=True)
 class TimedOut:
     """The time was over before the answer was."""
 
 
-AttemptResult = NotSent | NotRun | Whole | Delivered | Broken | TimedOut
+AttemptResult = (
+    NotSent | NotRun | Whole | Delivered | Broken | Silent | TimedOut
+)
--- a/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
@@ -214,7 +214,11 @@
             if placement is None:
                 return current.fallback or self._describe_failure(current)
             had_run = current.may_have_run
-            result = await parts.attempts.make(current, placement)
+            result = await parts.attempts.make(
+                current,
+                placement,
+                lambda: parts.retries.has_room(current.service),
+            )
             self._note_attempt(current, placement, result)
             match result:
                 case exchange.Delivered():
--- a/packages/daemon/src/martenquay_daemon/forwarding/retry_window.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/retry_window.py
@@ -57,15 +57,19 @@
         """Note the first time that a request is sent."""
         self._find(service).requests.append(trio.current_time())
 
-    def take(self, service: str) -> bool:
-        """Spend one repeat if the budget has one."""
+    def has_room(self, service: str) -> bool:
+        """Tell whether the budget has a repeat, without spending it."""
         counts = self._find(service)
         bounds = self.bounds
         share = bounds.slack / max(1, self._count_daemons())
         allowed = _SAFETY * (bounds.ratio * len(counts.requests) + share)
-        if len(counts.repeats) + 1 > allowed:
+        return len(counts.repeats) + 1 <= allowed
+
+    def take(self, service: str) -> bool:
+        """Spend one repeat if the budget has one."""
+        if not self.has_room(service):
             return False
-        counts.repeats.append(trio.current_time())
+        self._find(service).repeats.append(trio.current_time())
         return True
 
     def _find(self, service: str) -> _Counts:
--- a/packages/daemon/src/martenquay_daemon/forwarding/silence.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/silence.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 import math
 from typing import TYPE_CHECKING
 
@@ -18,9 +19,11 @@
 from martenquay_daemon.forwarding import runner_connection as connections
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from martenquay_daemon.engines import placer
 
-__all__ = ["Patience", "wait_until_gone"]
+__all__ = ["Patience", "Verdict", "wait_until_gone"]
 
 _LOG = logs.create_log("forwarding")
 # As for requests: a live machine answers in a few ms.
@@ -30,6 +33,17 @@
 _PROBES = 2
 
 
+class Verdict(enum.Enum):
+    """Why a runner is not waited for any longer."""
+
+    GONE = enum.auto()
+    SILENT = enum.auto()
+
+
+def _move_never() -> bool:
+    return False
+
+
 @dataclasses.dataclass(frozen=True)
 class Patience:
     """How long a runner may be silent before it is asked.
@@ -39,39 +53,45 @@
         next_s: After that, and after each time that it was there.
         longest_s: However live it is, before a stream has begun.
         longest_pause_s: The same between a stream's events.
+        may_move: Asked when the last two are over: whether another runner
+            may take the request now. If not, silence is no reason to end it.
     """
 
     first_s: float
     next_s: float
     longest_s: float = math.inf
     longest_pause_s: float = math.inf
+    may_move: Callable[[], bool] = _move_never
 
 
 async def wait_until_gone(
     connection: connections.RunnerConnection,
     placement: placer.Placement,
     patience: Patience,
-) -> None:
+) -> Verdict:
     """Return when the runner is gone, or the connection silent too long."""
     asked_at = connection.heard_at
     while True:
+        now = trio.current_time()
+        end = connection.heard_at + _find_longest(connection, patience)
+        if now >= end and patience.may_move():
+            _note(placement, connection, "is silent for too long")
+            return Verdict.SILENT
         quiet_s = (
             patience.next_s if connection.has_answered else patience.first_s
         )
-        end = connection.heard_at + _find_longest(connection, patience)
-        due = min(max(asked_at, connection.heard_at) + quiet_s, end)
-        if trio.current_time() < due:
+        due = max(asked_at, connection.heard_at) + quiet_s
+        if now < end:
+            due = min(due, end)
+        if now < due:
             await trio.sleep_until(due)
             continue
-        if trio.current_time() >= end:
-            _note(placement, connection, "is silent for too long")
-            return
         heard_at = connection.heard_at
         is_gone = await _is_gone(placement.runner.address)
         # What came while it was asked says more than the probe.
         if is_gone and connection.heard_at == heard_at:
             _note(placement, connection, "is silent and takes no connection")
-            return
+            return Verdict.GONE
         asked_at = trio.current_time()
 
 
--- a/tests/test_forwarding/test_retry_window.py
+++ b/tests/test_forwarding/test_retry_window.py
@@ -34,6 +34,17 @@
 
         self._run(scenario)
 
+    def test_asking_for_room_spends_nothing(self) -> None:
+        async def scenario() -> None:
+            asked = retry_window.RetryWindow(_BOUNDS, lambda: _DAEMONS)
+            for _ in range(_FAR_TOO_MANY):
+                self.assertTrue(asked.has_room("desk"))
+            other = retry_window.RetryWindow(_BOUNDS, lambda: _DAEMONS)
+            self.assertEqual(self._take_all(other), self._take_all(asked))
+            self.assertFalse(asked.has_room("desk"))
+
+        self._run(scenario)
+
     def test_requests_allow_repeats_in_proportion(self) -> None:
         async def scenario() -> None:
             window = retry_window.RetryWindow(_BOUNDS, lambda: _DAEMONS)
--- a/tests/test_forwarding/test_silent_connections.py
+++ b/tests/test_forwarding/test_silent_connections.py
@@ -9,6 +9,7 @@
 import trio
 
 from martenquay_core.serving import catalog
+from martenquay_daemon.forwarding import retry_window
 from martenquay_daemon.forwarding import runner_connection as connections
 from martenquay_standins.chaos import proxy
 from martenquay_standins.ports import runner as scripted
@@ -113,6 +114,40 @@
             max_attempts=2,
         )
 
+    def test_without_a_repeat_left_a_silent_call_is_waited_for(self) -> None:
+        # Silence alone ends nothing: the runner may still answer.
+        async def scenario(scene: serving_scene.Scene) -> None:
+            scene.parts.retries.bounds = retry_window.RetryBounds(0, 10, 0)
+            while not scene.runners[0].requests:
+                asked_at = trio.current_time()
+                reply = await scene.ask(_CALL % 1500)
+            self.assertEqual(504, reply.status)
+            self.assertGreaterEqual(trio.current_time() - asked_at, 1.4)
+
+        self._run(
+            scenario,
+            [_SILENT],
+            [_GOOD],
+            kind=catalog.CallKind.IDEMPOTENT,
+            max_attempts=2,
+        )
+
+    def test_a_silent_connection_is_no_fault_of_its_runner(self) -> None:
+        async def scenario(scene: serving_scene.Scene) -> None:
+            scene.parts.ejector.note_failure = failures.append
+            while not scene.runners[0].requests:
+                await scene.ask(_CALL % 1500)
+            self.assertEqual([], failures)
+
+        failures: list[str] = []
+        self._run(
+            scenario,
+            [_SILENT],
+            [_GOOD],
+            kind=catalog.CallKind.IDEMPOTENT,
+            max_attempts=2,
+        )
+
     def test_a_call_that_may_not_run_twice_is_waited_for(self) -> None:
         async def scenario(scene: serving_scene.Scene) -> None:
             reply = await scene.ask(_CALL % 1500)
