Let no content of the settings file end the daemon

Cause: contents that the readers raise an unnamed error for (a number of 5,000 digits, 100,000 brackets, half a surrogate pair as a key) ended the daemon at a reload, with its requests; found by a review that had not seen the repair. So the claim that reading odd contents raises nothing held for those six only. An address that no socket can be given was taken and came up where it is used. Change: a reload keeps the last good settings whatever is raised, with the reason logged; addresses are checked by octet and port. Figures: the test with the three contents fails before (ValueError) and passes after; of seven addresses four are refused, three taken.

--- a/packages/core/src/martenquay_core/settings/gateway.py
+++ b/packages/core/src/martenquay_core/settings/gateway.py
@@ -13,7 +13,11 @@
     "GatewaySettings",
 ]
 
-Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+# What no socket can be given would come up only where the address is used.
+_OCTET = r"(25[0-5]|2[0-4]\d|1?\d?\d)"
+_PORT = r"(6553[0-5]|655[0-2]\d|65[0-4]\d\d|6[0-4]\d{3}|[1-5]?\d{1,4})"
+_ADDRESS = rf"^({_OCTET}\.){{3}}{_OCTET}:{_PORT}$"
+Address = Annotated[str, msgspec.Meta(pattern=_ADDRESS)]
 Text = Annotated[str, msgspec.Meta(min_length=1)]
 Path = Annotated[str, msgspec.Meta(pattern=r"^/")]
 Seconds = Annotated[float, msgspec.Meta(gt=0)]
--- a/packages/daemon/src/martenquay_daemon/settings_watch.py
+++ b/packages/daemon/src/martenquay_daemon/settings_watch.py
@@ -49,6 +49,14 @@
 
     def reload(self) -> None:
         """Read the file; with problems the last good settings stay."""
+        try:
+            self._reload()
+        except Exception as error:  # noqa: BLE001
+            # Some contents make the readers raise what they do not name, such
+            # as a number of 5,000 digits; none may end the daemon.
+            _LOG.write(f"Kept the settings: {error!r}.")
+
+    def _reload(self) -> None:
         found = reader.read_settings(str(self._path), gateway.GatewaySettings)
         if found.is_error():
             for problem in found.error:
--- a/tests/test_core/test_gateway_settings.py
+++ b/tests/test_core/test_gateway_settings.py
@@ -59,3 +59,12 @@
         (problem,) = self._read(json.dumps(content)).error
         self.assertEqual("bounds.grase_s", problem.key)
         self.assertIn("grace_s", problem.message)
+
+    def test_an_address_that_no_socket_can_have_is_told(self) -> None:
+        bad = ("127.0.0.1:99999", "127.0.0.1:65536", ":80", "1.2.3:80")
+        good = ("127.0.0.1:65535", "255.1.20.0:8080", "10.200.1.7:0")
+        for address in (*bad, *good):
+            content = builders.build_gateway_settings()
+            content["platform"]["log"] = address
+            found = self._read(json.dumps(content))
+            self.assertEqual(address in good, found.is_ok(), address)
--- a/tests/test_daemon/test_settings_watch.py
+++ b/tests/test_daemon/test_settings_watch.py
@@ -63,7 +63,17 @@
         watch = self._build()
         self._write(zone="b")
         whole = self.path.read_bytes()
-        odd = [b"", b"[]", b"7", b"null", b"\xff\xfe", b'{"zone": {}}']
+        odd = [
+            b"",
+            b"[]",
+            b"7",
+            b"null",
+            b"\xff\xfe",
+            b'{"zone": {}}',
+            b'{"zone": %s}' % (b"7" * 5000),
+            b"[" * 100_000,
+            b'{"\\ud800": 1}',
+        ]
         for content in [whole[:n] for n in range(len(whole) - 1)] + odd:
             self.path.write_bytes(content)
             watch.reload()
