Answer what was sent before a stop ends accepting

Cause: at a planned stop the listener was closed at once, and connections that rested were cancelled. What the kernel had accepted and nobody had taken yet was reset, and so was a request that stood unread on a kept connection: their callers had sent whole requests and got no answer. The daemon's end did not wait for them either.

A resting connection gets a last look of 0.2 s. The backlog is not cut down: a full one would have the kernel drop the end of handshakes whose callers already send.

Four tests in test_listener.py fail before and pass after: connections made just before the stop are answered whole, also by a daemon too busy to accept within the wait; so is a request that is there on a kept connection; the run ends, and the daemon's end waits for it.

--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
@@ -33,6 +33,9 @@
 # bytes now and then is live to the kernel, and would hold its answer for ever.
 _PIECE_BYTES = 65_536
 _PIECE_S = 5.0
+# A request may be on its way when a stop comes to a resting connection; in one
+# region it is there in milliseconds, and one lost packet is sent again by then.
+_LAST_LOOK_S = 0.2
 # A head line and the separators that h11 takes apart.
 _LINE_OVERHEAD = 4
 
@@ -159,9 +162,9 @@
             await trio.aclose_forcefully(self._stream)
 
     def close_if_idle(self) -> None:
-        """Close now if no request is under way."""
+        """Close soon if no request is under way or comes in just now."""
         if self.is_idle and self._idle_scope is not None:
-            self._idle_scope.cancel()
+            self._bound_rest(self._idle_scope)
 
     async def send_head(
         self, status: int, headers: calls.Headers, length: int | None
@@ -302,12 +305,18 @@
         with trio.move_on_after(self._limits.idle_s) as scope:
             self._idle_scope = scope
             if self._rules.is_stopped:
-                scope.cancel()
+                self._bound_rest(scope)
             await self._receive()
             self._received_at = trio.current_time()
         self._idle_scope = None
         return not scope.cancelled_caught
 
+    def _bound_rest(self, scope: trio.CancelScope) -> None:
+        # A cancelled read would leave unread what the kernel has already, and
+        # the close would reset it.
+        last = trio.current_time() + _LAST_LOOK_S
+        scope.deadline = min(scope.deadline, last)
+
     def _check_head(self, target: str, headers: calls.Headers) -> None:
         size = len(target) + sum(
             len(name) + len(value) + _LINE_OVERHEAD for name, value in headers
--- /dev/null
+++ b/tests/test_forwarding/test_listener.py
@@ -0,0 +1,149 @@
+"""A planned stop answers whole what was sent before accepting stopped."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING
+
+import testtools
+import trio
+import trio.testing
+
+from martenquay_daemon.forwarding import forwarder, listener
+from martenquay_platform import codec
+from martenquay_standins.ports import runner as scripted
+from tests import serving_builders as builders
+from tests import serving_scene
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+_HANG_S = 30.0
+# The wait for what is on its way is 0.25 s; the rest is for a busy machine.
+_STOP_S = 1.5
+_GOOD = scripted.Script(
+    (b"HTTP/1.1 200 OK\r\nserver-seal: s\r\ncontent-length: 4\r\n\r\nfine",)
+)
+_CALL = b"GET /lookup/7 HTTP/1.1\r\nhost: desk.example\r\n\r\n"
+
+
+def _connect(address: str) -> socket.socket:
+    """Connect with no moment in which the daemon could accept."""
+    host, _, port = address.rpartition(":")
+    return socket.create_connection((host, int(port)))
+
+
+def _wrap(sock: socket.socket) -> trio.SocketStream:
+    sock.setblocking(False)
+    return trio.SocketStream(trio.socket.from_stdlib_socket(sock))
+
+
+class StopTest(testtools.TestCase):
+    def _run(
+        self,
+        scenario: Callable[
+            [listener.CallerListener, str, trio.Event], Awaitable[None]
+        ],
+    ) -> None:
+        async def run() -> None:
+            content = builders.build_catalog()
+            with trio.fail_after(_HANG_S):
+                async with serving_scene.open_scene(content, [_GOOD]) as scene:
+                    await self._serve(scene, scenario)
+
+        trio.run(run)
+
+    async def _serve(self, scene: serving_scene.Scene, scenario) -> None:
+        one = listener.CallerListener(
+            "127.0.0.1:0",
+            scene.store,
+            codec.create_codec(),
+            forwarder.Forwarder(scene.parts),
+        )
+        ended = trio.Event()
+
+        async def serve(
+            *, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
+        ) -> None:
+            await one.run(task_status=task_status)
+            ended.set()
+
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(serve)
+            await scenario(one, address, ended)
+            nursery.cancel_scope.cancel()
+
+    async def _check_answer(self, caller: trio.SocketStream) -> None:
+        reply = await serving_scene.read_reply(caller)
+        self.assertEqual((200, b"fine"), (reply.status, reply.body))
+        self.assertTrue(reply.is_whole)
+        self.assertEqual(b"close", reply.headers[b"connection"])
+
+    def test_connections_that_the_kernel_has_made_are_answered(self) -> None:
+        async def scenario(one, address, ended) -> None:
+            del ended
+            callers = [_connect(address) for _ in range(20)]
+            for caller in callers:
+                caller.sendall(_CALL)
+            one.stop_accepting()
+            for caller in callers:
+                async with _wrap(caller) as stream:
+                    await self._check_answer(stream)
+
+        self._run(scenario)
+
+    def test_a_daemon_that_is_busy_past_the_wait_accepts_them_too(
+        self,
+    ) -> None:
+        async def scenario(one, address, ended) -> None:
+            del ended
+            one.stop_accepting()
+            await trio.testing.wait_all_tasks_blocked()
+            callers = [_connect(address) for _ in range(20)]
+            for caller in callers:
+                caller.sendall(_CALL)
+            # Nothing else runs till the wait is over.
+            until = trio.current_time() + 2 * listener._DRAIN_S
+            while trio.current_time() < until:
+                pass
+            for caller in callers:
+                async with _wrap(caller) as stream:
+                    await self._check_answer(stream)
+
+        self._run(scenario)
+
+    def test_a_request_that_is_there_on_a_kept_connection_is_answered(
+        self,
+    ) -> None:
+        async def scenario(one, address, ended) -> None:
+            del ended
+            sock = _connect(address)
+            async with _wrap(sock) as stream:
+                await stream.send_all(_CALL)
+                await serving_scene.read_reply(stream)
+                await trio.testing.wait_all_tasks_blocked()
+                sock.sendall(_CALL)
+                one.stop_accepting()
+                await self._check_answer(stream)
+
+        self._run(scenario)
+
+    def test_the_run_ends_and_new_connections_are_refused(self) -> None:
+        async def scenario(one, address, ended) -> None:
+            resting = _connect(address)
+            await trio.testing.wait_all_tasks_blocked()
+            stopped_at = trio.current_time()
+            one.stop_accepting()
+            # The daemon's end waits for what may be unread.
+            self.assertGreater(one.count_busy(), 0)
+            async with _wrap(resting) as stream:
+                self.assertEqual(b"", await stream.receive_some(10))
+            while one.count_busy():
+                await trio.sleep(0.005)
+            took_s = trio.current_time() - stopped_at
+            await ended.wait()
+            self.assertLess(took_s, _STOP_S)
+            with self.assertRaises(ConnectionRefusedError):
+                _connect(address).close()
+
+        self._run(scenario)
