Answer requests whose handling fails by a fault of ours

Cause: an exception that the handler did not expect ended the caller's connection. The caller saw a reset, with no word on whether its request may have run.

Change: with nothing sent yet the caller gets 502 and the code for an answer that was lost, which says that the request may have run. An answer that has begun is broken off visibly. Both are logged with the request's id and the trace. A caller that is gone keeps its meaning.

Two tests with a handler that raises fail before and pass after: the first got no answer, the second left no line that names the request.

--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import dataclasses
+import traceback
 from typing import TYPE_CHECKING, Protocol
 
 import h11
@@ -241,9 +242,30 @@
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 # Only sending to the caller raises these here.
                 writer.abort()
+            except Exception as error:  # noqa: BLE001
+                # The caller would see only a reset, with nothing to go by.
+                where = traceback.format_exception(error)
+                _LOG.write(
+                    f"A request failed: {error!r}.",
+                    request=call.id,
+                    trace="".join(where),
+                )
+                await self._answer_fault(call, writer)
             nursery.cancel_scope.cancel()
         return writer
 
+    async def _answer_fault(self, call: calls.Call, writer: _Writer) -> None:
+        """Say that the request may have run, or break off what has begun."""
+        if writer.has_started:
+            writer.abort()
+            return
+        code = results.ResultCode.UNKNOWN_ANSWER_LOST
+        answer = answers.create_own_answer(code, "the answer was lost here")
+        try:
+            await answers.send_own_answer(writer, self._codec, call.id, answer)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            writer.abort()
+
     async def _watch_caller(self, scope: trio.CancelScope) -> None:
         ahead = 0
         while ahead < _AHEAD_BYTES:
--- a/tests/test_forwarding/test_caller_connection.py
+++ b/tests/test_forwarding/test_caller_connection.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+import socket
 from typing import TYPE_CHECKING
 from unittest import mock
 
 import h11
+import msgspec
 import testtools
 import trio
 import trio.testing
 
+from martenquay_core import results
 from martenquay_core.serving import catalog
 from martenquay_daemon.forwarding import caller_connection
+from martenquay_platform import codec
 from martenquay_standins.ports.runner import Script
 from tests import serving_builders as builders
 from tests import serving_scene
@@ -19,6 +23,9 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from martenquay_core.serving import calls
+    from martenquay_daemon.forwarding import answers
+
 _HANG_S = 30.0
 _GOOD = Script(
     (b"HTTP/1.1 200 OK\r\nserver-seal: s\r\ncontent-length: 4\r\n\r\nfine",)
@@ -145,6 +152,73 @@
         self._run(scenario)
 
 
+class _FaultyHandler:
+    """Raise what nobody expects.
+
+    Attributes:
+        start_bytes: What of the answer's body is sent before.
+    """
+
+    def __init__(self, start_bytes: bytes) -> None:
+        self.start_bytes = start_bytes
+
+    async def handle(
+        self, call: calls.Call, received_at: float, writer: answers.AnswerWriter
+    ) -> None:
+        """Begin an answer or not, and fail."""
+        del call, received_at
+        if self.start_bytes:
+            await writer.start(200, [], 10)
+            await writer.write(self.start_bytes)
+        raise KeyError("a fault")
+
+
+class FaultTest(testtools.TestCase):
+    def _ask(self, start_bytes: bytes) -> serving_scene.Reply:
+        """Return the answer of a connection whose handler fails."""
+        rules = mock.Mock(is_closing=False, is_stopped=False)
+        rules.find_limits.return_value = catalog.CallerLimits()
+        replies: list[serving_scene.Reply] = []
+
+        async def scenario() -> None:
+            ours, theirs = socket.socketpair()
+            ours.setblocking(False)
+            theirs.setblocking(False)
+            stream = trio.SocketStream(trio.socket.from_stdlib_socket(ours))
+            caller = trio.SocketStream(trio.socket.from_stdlib_socket(theirs))
+            connection = caller_connection.CallerConnection(
+                stream,
+                codec.create_codec(),
+                _FaultyHandler(start_bytes),
+                rules,
+            )
+            with trio.fail_after(_HANG_S):
+                async with caller, trio.open_nursery() as nursery:
+                    nursery.start_soon(connection.serve)
+                    await caller.send_all(_CALL)
+                    replies.append(await serving_scene.read_reply(caller))
+                    nursery.cancel_scope.cancel()
+
+        trio.run(scenario)
+        return replies[0]
+
+    def test_a_fault_before_the_answer_says_that_it_may_have_run(self) -> None:
+        with mock.patch.object(caller_connection, "_LOG") as log:
+            reply = self._ask(b"")
+        self.assertEqual(502, reply.status)
+        self.assertTrue(reply.is_whole)
+        code = msgspec.json.decode(reply.body)["code"]
+        self.assertEqual(results.ResultCode.UNKNOWN_ANSWER_LOST, code)
+        self.assertIn("KeyError", log.write.call_args.args[0])
+
+    def test_a_fault_within_the_answer_breaks_it_off(self) -> None:
+        with mock.patch.object(caller_connection, "_LOG") as log:
+            reply = self._ask(b"half")
+        self.assertEqual((200, b"half"), (reply.status, reply.body))
+        self.assertFalse(reply.is_whole)
+        self.assertIn("KeyError", log.write.call_args.args[0])
+
+
 class CutPieceTest(testtools.TestCase):
     async def _begin(
         self, stream: trio.StapledStream
