Finish a planned stop whose announcement fails

Cause: an exception while the stop was announced ended the process, and every request in progress with it. The grace time was taken from the settings as they were when the stop began, so one that was lengthened meanwhile did not keep the last requests alive.

Change: the fault is logged with its trace and the stop goes on. The grace time is read from the settings watch in each round of the wait.

--- a/packages/daemon/src/martenquay_daemon/gateway.py
+++ b/packages/daemon/src/martenquay_daemon/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+import traceback
 from typing import TYPE_CHECKING
 
 import trio
@@ -84,7 +85,7 @@
             handler.stage = signals.Stage.SERVING
             await handler.stop.wait()
             handler.stage = signals.Stage.STOPPING
-            await _stop(watch.settings, parts)
+            await _stop(watch, parts)
         nursery.cancel_scope.cancel()
 
 
@@ -113,18 +114,29 @@
 
 
 async def _stop(
-    settings: gateway.GatewaySettings, parts: gateway_parts.GatewayParts
+    watch: settings_watch.SettingsWatch, parts: gateway_parts.GatewayParts
 ) -> None:
-    """Finish what is in progress, inside the grace time."""
+    """Finish what is in progress, inside the grace time in force."""
     started = trio.current_time()
     _LOG.write("Stopping: not ready any more.")
     with trio.move_on_after(_NOTICE_S):
-        await parts.begin_stop()
+        try:
+            await parts.begin_stop()
+        except Exception as error:  # noqa: BLE001
+            # What is in progress is worth more than what this hands over.
+            where = traceback.format_exception(error)
+            _LOG.write(
+                f"The stop was not announced in full: {error!r}.",
+                trace="".join(where),
+            )
     await trio.sleep_until(started + _NOTICE_S)
     parts.listener.stop_accepting()
-    with trio.move_on_at(started + settings.bounds.grace_s - _RESERVE_S):
-        while parts.listener.count_busy():
-            await trio.sleep(_POLL_S)
+    while parts.listener.count_busy():
+        # Operators may lengthen it while the last answers are under way.
+        end = started + watch.settings.bounds.grace_s - _RESERVE_S
+        if trio.current_time() >= end:
+            break
+        await trio.sleep(_POLL_S)
     _LOG.write(
         "Stopped.",
         cut_off=parts.listener.count_busy(),
