Drop announced peer addresses that are none

Cause: ZeroMQ refuses to connect to what has not the form of an address. The exception ended the task that keeps all links, and with it the daemon and every request in progress: one bad announcement ended each daemon that read it.

Change: the refusal is logged once, the address is forgotten and not taken again from those that go on telling of it. Other refusals, as for want of a descriptor, are logged and tried again in the next round. The socket of a refused connection is closed at once.

The new test in test_links.py ends by ZMQError before and passes after.

--- a/packages/core/src/martenquay_core/peers/sockets.py
+++ b/packages/core/src/martenquay_core/peers/sockets.py
@@ -113,6 +113,9 @@
         queue_length: Messages that wait for the peer before more are refused.
         waits_for_peer: Messages also wait while there is no connection;
             without, they are refused then, so that none comes late.
+
+    Raises:
+        zmq.ZMQError: The address is none, or no socket is free.
     """
     inner = context.socket(zmq.DEALER)
     inner.setsockopt(zmq.SNDHWM, queue_length)
@@ -121,7 +124,11 @@
     inner.setsockopt(zmq.CONNECT_TIMEOUT, _CONNECT_MS)
     inner.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MS)
     inner.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
-    inner.connect(f"tcp://{address}")
+    try:
+        inner.connect(f"tcp://{address}")
+    except zmq.ZMQError:
+        inner.close(_NO_LINGER)
+        raise
     return PeerSocket(inner)
 
 
--- a/packages/daemon/src/martenquay_daemon/fleet/links.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/links.py
@@ -100,6 +100,8 @@
         self._asked_at = -math.inf
         self._context = zmq.Context()
         self._known: dict[str, topology.PeerAddress] = {}
+        # What is no address at all; others may go on telling of it.
+        self._refused: set[str] = set()
         self._links: dict[str, _Link] = {}
         self._nursery: trio.Nursery | None = None
         self._wake = trio.Event()
@@ -126,6 +128,8 @@
         known = self._known.get(peer.address)
         if peer.address == self.address or (known and known.zone):
             return
+        if peer.address in self._refused:
+            return
         self._known[peer.address] = peer
 
     def count_links(self) -> int:
@@ -324,16 +328,24 @@
 
     def _choose_links(self) -> None:
         assert self._nursery is not None, "links are not running"
-        wanted = self._select_peers()
+        wanted = self._select_peers() - self._refused
         for address in set(self._links) - wanted:
             self._links[address].scope.cancel()
         for address in wanted - set(self._links):
-            socket = sockets.connect_dealer(
-                self._context,
-                address,
-                queue_length=_QUEUE_LENGTH,
-                waits_for_peer=False,
-            )
+            try:
+                socket = sockets.connect_dealer(
+                    self._context,
+                    address,
+                    queue_length=_QUEUE_LENGTH,
+                    waits_for_peer=False,
+                )
+            except zmq.ZMQError as error:
+                # Whatever a peer announces, the links to others go on.
+                _LOG.write(f"No link to {address!r}: {error}.")
+                if error.errno == zmq.EINVAL:
+                    self._refused.add(address)
+                    self._known.pop(address, None)
+                continue
             link = _Link(address, socket)
             self._links[address] = link
             self._nursery.start_soon(self._keep_link, link)
--- a/tests/test_fleet/test_links.py
+++ b/tests/test_fleet/test_links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from unittest import mock
 
 import testtools
 import trio
@@ -38,6 +39,7 @@
 )
 # The first ones have the best links.
 _MBPS = 100.0
+_NO_ADDRESSES = ("", "entry-1", "10.0.0.1:", "10.0.0.1:x")
 
 
 class _Daemon:
@@ -132,6 +134,26 @@
 
         self._run(scenario, 2)
 
+    def test_an_announced_address_that_is_none_is_dropped(self) -> None:
+        async def scenario(daemons: list[_Daemon]) -> None:
+            first, second = daemons
+            with mock.patch.object(links, "_LOG") as told:
+                for _ in range(3):
+                    for address in _NO_ADDRESSES:
+                        peer = topology.PeerAddress(address, "a", _MBPS)
+                        first.links.add_peer(peer)
+                    await trio.sleep(0.05)
+            lines = [call.args[0] for call in told.write.call_args_list]
+            self.assertEqual(len(_NO_ADDRESSES), len(lines), lines)
+            self.assertEqual(0, first.links.count_links())
+            # The links are still kept.
+            second.links.add_peer(first.find_place())
+            while not (first.view.list_fresh() and second.view.list_fresh()):
+                await trio.sleep(0.01)
+            self.assertEqual(1, first.links.count_links())
+
+        self._run(scenario, 2)
+
     def test_the_catalog_spreads_to_a_daemon_without_the_log(self) -> None:
         async def scenario(daemons: list[_Daemon]) -> None:
             first, second = daemons
