Pass over a topic's record that nobody can read

Cause: a follower told its sink of a record before it left the record's offset behind. With a record at which the sink or its decoding raises, each new start of the task read the same record again, and no record behind it was ever told.

Change: the offset is left behind first. The supervision of the task logs the fault once, and the new start reads on behind it.

The new test in test_followers.py fails before (the record behind the bad one never comes) and passes after.

--- a/packages/daemon/src/martenquay_daemon/discovery/keyed_follower.py
+++ b/packages/daemon/src/martenquay_daemon/discovery/keyed_follower.py
@@ -123,8 +123,10 @@
         for offset, payload in enumerate(found.records, found.start):
             # A peer may have told newer records while this read waited.
             if offset >= self.end:
-                self._sink.take(self._log.split_keyed(payload, offset))
+                # First, or a record that nobody can read would be read again
+                # by each new start of the task, and none behind it.
                 self.end = offset + 1
+                self._sink.take(self._log.split_keyed(payload, offset))
         return True
 
     async def _read_newest(self) -> bool:
--- a/tests/test_discovery/test_followers.py
+++ b/tests/test_discovery/test_followers.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from unittest import mock
+
 import trio
 
 from martenquay_core.serving import ports
+from martenquay_daemon import supervision
 from martenquay_daemon.discovery import (
     catalog_sink,
     catalog_store,
@@ -34,6 +37,20 @@
         self.records.append((record.offset, record.key))
 
 
+class _FaultySink(_Sink):
+    """Fail at one key's records."""
+
+    def __init__(self, bad: str) -> None:
+        super().__init__()
+        self._bad = bad
+
+    def take(self, record: ports.KeyedRecord) -> None:
+        """Remember a record, or raise."""
+        if record.key == self._bad:
+            raise ValueError("this is no record")
+        super().take(record)
+
+
 class KeyedFollowerTest(clocked.ClockedTestCase):
     def _run(self, scenario) -> None:
         async def run() -> None:
@@ -88,6 +105,28 @@
 
         self._run(scenario)
 
+    def test_a_record_that_nobody_can_read_is_passed_over_once(self) -> None:
+        async def scenario() -> None:
+            sink = _FaultySink("bad")
+            follower = keyed_follower.KeyedFollower(
+                self.log, self.contact, "members", sink, _PACE
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    supervision.keep_running, "members", follower.run
+                )
+                await trio.sleep(0.1)
+                with mock.patch.object(supervision, "_LOG") as told:
+                    for name in ("r-1", "bad", "r-2"):
+                        self.log.put("members", name, b"x")
+                    await trio.sleep(5.0)
+                nursery.cancel_scope.cancel()
+            self.assertEqual([(0, "r-1"), (2, "r-2")], sink.records)
+            self.assertEqual(1, told.write.call_count)
+            self.assertIn("no record", told.write.call_args.args[0])
+
+        self._run(scenario)
+
     def test_what_a_peer_has_told_is_not_told_again(self) -> None:
         async def scenario() -> None:
             await trio.sleep(0.1)
