Pass over records of the duties that cannot be read

Cause: a record of the lease's or the usage topic that cannot be decoded raised before its offset was left behind. Each new start of the task read it again: nobody could take the lease any more, and a new holder reported no usage.

Change: such a record is logged and passed over. For the lease its content counts as not known, so the lease is waited out in full, also when the record stands behind a release. For usage what can be read behind it counts as before.

Three tests in test_lease.py and test_usage_reporter.py fail before by DecodeError and pass after. That of the release fails if the last known record is kept instead (tried).

--- a/packages/daemon/src/martenquay_daemon/duties/lease_topic.py
+++ b/packages/daemon/src/martenquay_daemon/duties/lease_topic.py
@@ -122,9 +122,13 @@
                 self.end = found.start
                 continue
             for offset, payload in enumerate(found.records, found.start):
-                self._note(
-                    msgspec.msgpack.decode(payload, type=LeaseRecord), offset
-                )
+                try:
+                    record = msgspec.msgpack.decode(payload, type=LeaseRecord)
+                except msgspec.MsgspecError as error:
+                    _LOG.write(f"Record {offset} cannot be read: {error}.")
+                    self._pass_over(offset)
+                else:
+                    self._note(record, offset)
             if self.end < found.end and not found.records:
                 self.end = found.end
             if self.end >= found.end:
@@ -138,6 +142,13 @@
             kind, self._member, self._instance, fence, self._number
         )
 
+    def _pass_over(self, offset: int) -> None:
+        # Else it would be read for ever, and nobody could take the lease. It
+        # may be a holder's: what it did is not known.
+        self.end = offset + 1
+        self.last = None
+        self.changed_at = trio.current_time()
+
     def _note(self, record: LeaseRecord, offset: int) -> None:
         is_taken = record.kind is RecordKind.TAKEN
         self.end = offset + 1
--- a/packages/daemon/src/martenquay_daemon/duties/usage_reporter.py
+++ b/packages/daemon/src/martenquay_daemon/duties/usage_reporter.py
@@ -175,8 +175,13 @@
             if found.is_lost:
                 self._end = found.start
                 continue
-            for payload in found.records:
-                report = msgspec.msgpack.decode(payload, type=_Report)
+            for offset, payload in enumerate(found.records, found.start):
+                try:
+                    report = msgspec.msgpack.decode(payload, type=_Report)
+                except msgspec.MsgspecError as error:
+                    # Else it would be read for ever, and nothing reported.
+                    _LOG.write(f"Record {offset} cannot be read: {error}.")
+                    continue
                 self._written.setdefault(report.window, report.counts)
             self._end = max(self._end, found.start + len(found.records))
             if self._end >= found.end:
--- a/tests/test_duties/test_lease.py
+++ b/tests/test_duties/test_lease.py
@@ -5,12 +5,14 @@
 import contextlib
 import math
 from typing import TYPE_CHECKING
+from unittest import mock
 
+import msgspec
 import trio
 from expression import Error, Result
 
 from martenquay_core.platform import outcome
-from martenquay_daemon.duties import lease
+from martenquay_daemon.duties import lease, lease_topic
 from martenquay_daemon.fleet import messages, view
 from martenquay_standins.ports import log
 from tests import clocked
@@ -19,6 +21,13 @@
     from collections.abc import AsyncIterator
 
 _LENGTH_S = 3.0
+# Not of the encoding, of another form, and with a kind that is not known.
+_UNREADABLE = (
+    b"\xc1",
+    msgspec.msgpack.encode({"kind": 0}),
+    msgspec.msgpack.encode([9, "entry-9.aa", "entry-9", 0, 1]),
+    b"\x95\x00\xa1\xff\xa1a\x00\x01",
+)
 
 
 class _CutLog:
@@ -267,6 +276,44 @@
 
         self.run_clocked(scenario)
 
+    def test_records_that_cannot_be_read_are_passed_over(self) -> None:
+        async def scenario() -> None:
+            store = log.MemoryLog()
+            await store.append("lease", list(_UNREADABLE))
+            read_at = trio.current_time()
+            one, _ = self._create(store, "entry-1")
+            with mock.patch.object(lease_topic, "_LOG") as told:
+                async with _hold(one):
+                    # Somebody may have taken it by one of them.
+                    self.assertGreater(trio.current_time() - read_at, _LENGTH_S)
+                    self.assertEqual(len(_UNREADABLE) + 1, one.fence)
+                    # Nor does one that comes later end it.
+                    await store.append("lease", [_UNREADABLE[0]])
+                    for _ in range(200):
+                        await trio.sleep(0.1)
+                        self.assertTrue(one.is_held())
+            self.assertEqual(len(_UNREADABLE) + 1, told.write.call_count)
+
+        self.run_clocked(scenario)
+
+    def test_after_a_release_and_what_cannot_be_read_it_is_waited_for(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            store = log.MemoryLog()
+            first, _ = self._create(store, "entry-1")
+            async with _hold(first):
+                await first.release()
+            second, _ = self._create(store, "entry-2")
+            # So that its own first wait is over.
+            await trio.sleep(10.0)
+            await store.append("lease", [_UNREADABLE[0]])
+            read_at = trio.current_time()
+            async with _hold(second):
+                self.assertGreater(trio.current_time() - read_at, _LENGTH_S)
+
+        self.run_clocked(scenario)
+
     def test_a_log_that_forgot_the_records_still_gives_a_higher_fence(
         self,
     ) -> None:
--- a/tests/test_duties/test_usage_reporter.py
+++ b/tests/test_duties/test_usage_reporter.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from unittest import mock
+
+import msgspec
 import trio
 
 from martenquay_daemon.duties import lease, usage_counts, usage_reporter
@@ -137,6 +140,31 @@
 
         self.run_clocked(scenario)
 
+    def test_records_that_cannot_be_read_are_passed_over(self) -> None:
+        async def scenario() -> None:
+            store = log.MemoryLog()
+            platform = cloud.MemoryCloud()
+            one = _Daemon("entry-1", store, platform)
+            window = one.counts.find_window()
+            one.counts.note_begin("florists")
+            written = msgspec.msgpack.encode([window, {"drivers": 7}])
+            unreadable = [b"\xc1", msgspec.msgpack.encode(["x", 1])]
+            await store.append("usage", [*unreadable, written])
+            with mock.patch.object(usage_reporter, "_LOG") as told:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(one.run)
+                    await trio.sleep(2 * _WINDOW_S + 2.0)
+                    nursery.cancel_scope.cancel()
+            found = {r.window: r.counts for r in platform.list_reports()}
+            # What can be read behind them counts, and more is reported.
+            self.assertEqual({"drivers": 7}, found[window])
+            self.assertIn(window + 1, found)
+            lines = [call.args[0] for call in told.write.call_args_list]
+            unread = [line for line in lines if "cannot be read" in line]
+            self.assertEqual(len(unreadable), len(unread))
+
+        self.run_clocked(scenario)
+
     def test_nothing_is_sent_without_the_lease(self) -> None:
         async def scenario() -> None:
             store = log.MemoryLog()
