Make the moments and causes in the tests of signals certain

Change: a first SIGHUP comes without a change of the file, and each "Took SIGHUP." has to be followed directly by a line on the settings. The daemon waits amid its imports on a pipe until the signals were sent. The scene reads all output before it tells of the end. HeldSignals says in which order Python runs handlers. Shown: with SIGHUP doing nothing while stopping, the reload test passed before and fails now. With a pause of 0.5 s in the test's process, the test of a stop before serving failed before and passes now. With signals held after the imports only, both tests with the pipe fail.

--- a/packages/core/src/martenquay_core/util/held_signals.py
+++ b/packages/core/src/martenquay_core/util/held_signals.py
@@ -18,7 +18,10 @@
 
 
 class HeldSignals:
-    """Signals that wait, in the order they came."""
+    """Signals that wait, in the order that Python ran their handlers.
+
+    It runs pending ones by number and merges equal ones.
+    """
 
     def __init__(self) -> None:
         self._numbers: list[int] = []
--- a/tests/process_scene.py
+++ b/tests/process_scene.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import json
 import os
 import pathlib
@@ -55,8 +56,18 @@
     b"id: 2\n\n\n\n",
 )
 _STARTED = "Started; callers are served at "
-# Mapped once the interpreter has run some lines of the start script.
-_EARLY_LIBRARY = "/zmq/"
+# Found in the place of the first library that the daemon imports: it waits
+# until the test lets it go on, and then makes way for the library.
+_GATE_NAME = "trio.py"
+_GATE = """\
+import importlib
+import sys
+with open({pipe!r}) as pipe:
+    pipe.read()
+sys.path.remove({folder!r})
+del sys.modules[__name__]
+importlib.import_module(__name__)
+"""
 
 
 class ProcessScene:
@@ -75,17 +86,25 @@
         self.runner = scripted.ScriptedRunner([script])
         self.texts: list[str] = []
         self.program: programs.Program | None = None
+        self._folder = folder
+        self._gate: pathlib.Path | None = None
+        self._all_read = trio.Event()
         self._settings = folder / "settings.jsonc"
         self._slack = 52
         self._log_address = log_address
         self._write_settings()
 
-    async def start(self, nursery: trio.Nursery) -> None:
+    async def start(
+        self, nursery: trio.Nursery, *, holds_imports: bool
+    ) -> None:
         """Start the process."""
         env = {**os.environ, "MARTENQUAY_BOOT": str(self._settings)}
+        if holds_imports:
+            before = env.get("PYTHONPATH", "")
+            env["PYTHONPATH"] = f"{self._write_gate()}{os.pathsep}{before}"
         program = await programs.start_program("daemon", [str(_PROGRAM)], env)
         self.program = program
-        nursery.start_soon(program.read_lines, self._take)
+        nursery.start_soon(self._read_lines, program)
         nursery.start_soon(program.read_errors)
 
     def send(self, *numbers: signal.Signals) -> None:
@@ -108,13 +127,20 @@
             self._expect_running()
             await trio.sleep(_POLL_S)
 
-    async def wait_importing(self) -> None:
-        """Wait until the daemon's own lines run, long before it serves."""
-        assert self.program is not None, "the process is started"
-        maps = pathlib.Path(f"/proc/{self.program.process.pid}/maps")
-        while _EARLY_LIBRARY not in maps.read_text():
+    async def send_while_importing(self, *numbers: signal.Signals) -> None:
+        """Send signals while the daemon waits amid its imports.
+
+        Those that the daemon is sent stand before the end of its wait, so
+        no pause of the test's process lets it serve before they come.
+        """
+        assert self._gate is not None, "the scene holds imports"
+        while (pipe := _open_pipe(self._gate)) is None:
             self._expect_running()
             await trio.sleep(_POLL_S)
+        try:
+            self.send(*numbers)
+        finally:
+            os.close(pipe)
 
     async def wait_serving(self) -> None:
         """Wait until callers are served by the configuration."""
@@ -143,9 +169,11 @@
             return await serving_scene.read_reply(stream)
 
     async def wait_end(self) -> int:
-        """Return the exit status."""
+        """Return the exit status, once all that it wrote is read."""
         assert self.program is not None, "the process is started"
-        return await self.program.process.wait()
+        status = await self.program.process.wait()
+        await self._all_read.wait()
+        return status
 
     def describe(self) -> str:
         """Return what the daemon has told, for a failed test."""
@@ -153,6 +181,10 @@
         errors = self.program.errors.decode(errors="replace")
         return "\n".join([*self.texts, errors])
 
+    async def _read_lines(self, program: programs.Program) -> None:
+        await program.read_lines(self._take)
+        self._all_read.set()
+
     def _take(self, line: dict[str, Any]) -> None:
         self.texts.append(line.get("text", ""))
 
@@ -162,6 +194,16 @@
         if status is not None:
             raise AssertionError(f"ended with {status}: {self.describe()}")
 
+    def _write_gate(self) -> pathlib.Path:
+        """Write what holds imports; return the folder to be found first."""
+        folder = self._folder / "gate"
+        folder.mkdir()
+        self._gate = self._folder / "gate.pipe"
+        os.mkfifo(self._gate)
+        text = _GATE.format(pipe=str(self._gate), folder=str(folder))
+        (folder / _GATE_NAME).write_text(text)
+        return folder
+
     def _write_settings(self) -> None:
         content = builders.build_gateway_settings()
         content["platform"] = {"log": self._log_address}
@@ -170,8 +212,15 @@
 
 
 @contextlib.asynccontextmanager
-async def open_process_scene() -> AsyncIterator[ProcessScene]:
-    """Start a platform, a runner and a daemon; end them at the end."""
+async def open_process_scene(
+    *, holds_imports: bool = False
+) -> AsyncIterator[ProcessScene]:
+    """Start a platform, a runner and a daemon; end them at the end.
+
+    Args:
+        holds_imports: The daemon waits amid its imports for
+            `send_while_importing`.
+    """
     async with trio.open_nursery() as nursery:
         platform = store.StoreStandIn(lambda *_, **__: None)
         running = await host.start_stand_in(nursery, platform)
@@ -180,7 +229,7 @@
             await nursery.start(scene.runner.run)
             await _fill(platform, scene.runner.address)
             try:
-                await scene.start(nursery)
+                await scene.start(nursery, holds_imports=holds_imports)
                 yield scene
             finally:
                 if scene.program is not None:
@@ -204,3 +253,13 @@
     for topic, key, content in records:
         payload = wire.join_keyed(key, json.dumps(content).encode())
         await platform.log.append(topic, [payload])
+
+
+def _open_pipe(path: pathlib.Path) -> int | None:
+    """Open a pipe for writing, if somebody reads it."""
+    try:
+        return os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+    except OSError as error:
+        if error.errno == errno.ENXIO:
+            return None
+        raise
--- a/tests/test_core/test_signals.py
+++ b/tests/test_core/test_signals.py
@@ -68,11 +68,13 @@
         self.assertEqual(3, self.reloads)
         self.assertEqual(0, self.insisted)
 
-    def test_only_a_second_sigint_insists(self) -> None:
+    def test_a_sigint_after_a_stop_was_asked_for_insists(self) -> None:
         self._run(signal.SIGINT, signal.SIGTERM)
         self.assertEqual(0, self.insisted)
         self._run(signal.SIGTERM, signal.SIGINT)
         self.assertEqual(1, self.insisted)
+        self._run(signal.SIGINT, signal.SIGINT)
+        self.assertEqual(2, self.insisted)
 
     def test_after_the_handler_signals_are_held_again(self) -> None:
         self._run()
--- a/tests/test_platform/test_signals.py
+++ b/tests/test_platform/test_signals.py
@@ -21,6 +21,7 @@
 
 from __future__ import annotations
 
+import itertools
 import signal
 from typing import TYPE_CHECKING
 
@@ -37,6 +38,9 @@
 # Between two signals of a storm.
 _STORM_S = 0.002
 _STOPPING = "Stopping"
+_TOOK_HUP = "Took SIGHUP."
+# How a line begins that tells of the settings as they were read.
+_READ = ("Read the settings", "Took the settings")
 _TERM = signal.SIGTERM
 _HUP = signal.SIGHUP
 
@@ -45,10 +49,14 @@
     def _run(
         self,
         scenario: Callable[[process_scene.ProcessScene], Awaitable[None]],
+        *,
+        holds_imports: bool = False,
     ) -> None:
         async def run() -> None:
             with trio.fail_after(_HANG_S):
-                async with process_scene.open_process_scene() as scene:
+                async with process_scene.open_process_scene(
+                    holds_imports=holds_imports
+                ) as scene:
                     await scenario(scene)
 
         trio.run(run)
@@ -67,10 +75,22 @@
             stream = await scene.open_stream()
             scene.send(_TERM)
             await scene.wait_text(_STOPPING)
+            # Without a change no poll of the file reads it again: the line
+            # that follows can come of the signal alone.
+            scene.send(_HUP)
+            await scene.wait_text(_TOOK_HUP)
             scene.change_settings()
             scene.send(_HUP)
             await scene.wait_text("Took the settings")
             await self._expect_whole(scene, stream)
+            followers = [
+                after
+                for text, after in itertools.pairwise(scene.texts)
+                if text == _TOOK_HUP
+            ]
+            self.assertEqual(2, len(followers), scene.describe())
+            for text in followers:
+                self.assertTrue(text.startswith(_READ), scene.describe())
 
         self._run(scenario)
 
@@ -103,20 +123,18 @@
 
     def test_a_stop_before_it_serves_ends_it_at_once(self) -> None:
         async def scenario(scene: process_scene.ProcessScene) -> None:
-            await scene.wait_importing()
-            scene.send(_HUP, _TERM, _HUP)
+            await scene.send_while_importing(_HUP, _TERM, _HUP)
             self.assertEqual(0, await scene.wait_end(), scene.describe())
             self.assertIn("Stopped before callers were served.", scene.texts)
 
-        self._run(scenario)
+        self._run(scenario, holds_imports=True)
 
     def test_signals_in_series_while_it_starts_do_not_end_it(self) -> None:
         async def scenario(scene: process_scene.ProcessScene) -> None:
-            await scene.wait_importing()
-            scene.send(_HUP, _HUP)
+            await scene.send_while_importing(_HUP, _HUP)
             await scene.wait_serving()
             stream = await scene.open_stream()
             scene.send(_HUP, _TERM)
             await self._expect_whole(scene, stream)
 
-        self._run(scenario)
+        self._run(scenario, holds_imports=True)
