Tell by the exit status that an end cut requests off

Cause: the exit status looked at the requests in progress once the nursery was left; those cut off have left it too, so it was always 0. Change: the daemon keeps how many requests an end at once or the limit of the stop cuts off, and the exit status is 1 if there were any. Shown: of a real process amid a stream, SIGTERM and then SIGINT, or a stop whose limit is short, gave 0 before and 1 now.

--- a/packages/daemon/src/martenquay_daemon/daemon.py
+++ b/packages/daemon/src/martenquay_daemon/daemon.py
@@ -44,6 +44,7 @@
         settings: Its settings.
         readiness: Whether callers are welcome.
         member: The id under which other daemons know this process.
+        cut_off: How many requests the end did not wait for.
     """
 
     def __init__(self, settings: models.DaemonSettings) -> None:
@@ -52,6 +53,7 @@
         # A process that starts again is another member: it has forgotten
         # which calls it made.
         self.member = f"{settings.instance}.{secrets.token_hex(4)}"
+        self.cut_off = 0
         self._stop = trio.Event()
         self._close = trio.Event()
         self._stopped = trio.Event()
@@ -64,6 +66,12 @@
         """Begin a planned stop."""
         self._stop.set()
 
+    def note_cut_off(self) -> int:
+        """Return how many requests an end at once cuts off, and keep it."""
+        # Asked again while the end is under way, it finds fewer.
+        self.cut_off = max(self.cut_off, self.readiness.in_progress)
+        return self.cut_off
+
     async def run(
         self,
         *,
@@ -152,7 +160,7 @@
             while self._count_unfinished(parts):
                 await trio.sleep(_DRAIN_POLL_S)
         if limit.cancelled_caught:
-            cut = self._count_unfinished(parts)
+            cut = self.cut_off = self._count_unfinished(parts)
             _LOG.write(f"Stopped at the limit; cut off {cut} requests.")
         else:
             _LOG.write("Stopped; nothing was cut off.")
--- a/packages/daemon/src/martenquay_daemon/main.py
+++ b/packages/daemon/src/martenquay_daemon/main.py
@@ -51,7 +51,7 @@
     async with trio.open_nursery() as nursery:
 
         def cut_off() -> None:
-            cut = process.readiness.in_progress
+            cut = process.note_cut_off()
             _LOG.write(f"Cut off {cut} requests.", cut_off=cut)
             nursery.cancel_scope.cancel()
 
@@ -67,7 +67,8 @@
         process.stop()
         await process.wait_stopped()
         nursery.cancel_scope.cancel()
-    return 0 if process.readiness.in_progress == 0 else _EXIT_CUT_OFF
+    # By now nothing is in progress any more, whether it ended or was cut off.
+    return _EXIT_CUT_OFF if process.cut_off else 0
 
 
 def _print_addresses(addresses: daemon.Addresses, member: str) -> None:
--- a/tests/test_promises/test_leaving.py
+++ b/tests/test_promises/test_leaving.py
@@ -126,6 +126,47 @@
 
         self.run_scene(scenario)
 
+    def test_an_end_at_once_tells_that_it_cut_requests_off(self):
+        async def scenario(scene: scenarios.Scene) -> None:
+            await self._check_cut_off(
+                scene, [signal.SIGTERM, signal.SIGINT, signal.SIGINT]
+            )
+
+        self.run_scene(scenario)
+
+    def test_an_end_at_the_limit_tells_that_it_cut_requests_off(self):
+        async def scenario(scene: scenarios.Scene) -> None:
+            timing = {"drain_notice_s": 0.1, "drain_limit_s": 0.1}
+            await self._check_cut_off(scene, [signal.SIGTERM], timing=timing)
+
+        self.run_scene(scenario)
+
+    async def _check_cut_off(
+        self,
+        scene: scenarios.Scene,
+        numbers: list[signal.Signals],
+        **sections: Any,
+    ) -> None:
+        """Stop a daemon amid a stream that is longer than any stop."""
+        shape = engine.EngineShape(token_s=1.0)
+        await scene.world.add_engine(world.SERRANA, "serra-a", "model-1", shape)
+        (daemon,) = await scene.start_processes(world.SERRANA, 1, **sections)
+        replies: list[scenarios.CallerReply] = []
+
+        async def ask() -> None:
+            replies.append(
+                await scene.caller.chat(daemon, max_tokens=300, stream=True)
+            )
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await scene.wait_until(self._has_running, scene, daemon, 1)
+            for number in numbers:
+                daemon.send_signal(number)
+                await scene.wait_until(self._has_begun, scene, daemon)
+            self.assertEqual(1, await daemon.process.wait())
+        self.assertFalse(replies[0].is_unbroken())
+
     def test_deferrable_work_is_handed_over_at_a_stop(self):
         async def scenario(scene: scenarios.Scene) -> None:
             shape = engine.EngineShape(token_s=0.03)
