Let no odd answer of a runner end a daemon

Cause: decoding an answer's body raised, and the own interface's background tasks ran bare in the daemon's nursery: one load report that was none ended the process, and its requests with it. Change: a body that cannot be decoded is a failed call that was sent, also for the order of an instance, where it leaves the effect open. The tasks run under keep_running, by name; the feeds forget at each start which runners were watched, else none of them would be watched again after a fault.

--- a/packages/core/src/martenquay_core/platform/cloud.py
+++ b/packages/core/src/martenquay_core/platform/cloud.py
@@ -9,7 +9,7 @@
 import enum
 
 import msgspec
-from expression import Error, Ok, Result
+from expression import Error, Result
 
 from martenquay_core.platform import outcome
 from martenquay_core.util import http
@@ -97,8 +97,9 @@
             timeout_s=_TIMEOUT_S,
         )
         match answer:
-            case Result(tag="ok", ok=http.Answer(status=200, body=body)):
-                return Ok(msgspec.json.decode(body, type=Started))
+            case Result(tag="ok", ok=http.Answer(status=200)):
+                started = http.decode_json(answer, Started)
+                return started.map_error(outcome.describe_call_failure)
             case Result(tag="ok", ok=http.Answer(status=409 | 503)):
                 effect = outcome.Effect.NOT_DONE
                 return Error(outcome.PlatformFailure(effect, "refused"))
--- a/packages/core/src/martenquay_core/util/http.py
+++ b/packages/core/src/martenquay_core/util/http.py
@@ -203,10 +203,14 @@
 def decode_json(
     answer: Result[Answer, CallFailure], wanted: type[Content]
 ) -> Result[Content, CallFailure]:
-    """Return the typed content of a good answer."""
+    """Return the typed content of a good answer.
+
+    One that cannot be decoded is a failure like a lost answer: the call was
+    sent, and the other side may have acted on it.
+    """
     match answer:
         case Result(tag="ok", ok=Answer(status=200, body=body)):
-            return Ok(msgspec.json.decode(body, type=wanted))
+            return _decode_body(body, wanted)
         case Result(tag="ok", ok=whole):
             message = f"status {whole.status}"
             return Error(CallFailure(sent=True, message=message))
@@ -246,6 +250,17 @@
         await keeper.close()
 
 
+def _decode_body(
+    body: bytes, wanted: type[Content]
+) -> Result[Content, CallFailure]:
+    try:
+        return Ok(msgspec.json.decode(body, type=wanted))
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        # What another program answers must not end this one.
+        message = f"malformed answer: {_describe(error)}"
+        return Error(CallFailure(sent=True, message=message))
+
+
 def _limit_connect(timeout_s: float) -> dict[str, dict[str, float]]:
     return {"timeout": {"connect": min(timeout_s, 2.0)}}
 
--- a/packages/daemon/src/martenquay_daemon/daemon.py
+++ b/packages/daemon/src/martenquay_daemon/daemon.py
@@ -11,6 +11,7 @@
 from martenquay_core import logs
 from martenquay_core.util import http, server
 from martenquay_daemon import parts as parts_module
+from martenquay_daemon import supervision
 from martenquay_daemon.callers import app as caller_app
 
 if TYPE_CHECKING:
@@ -97,8 +98,8 @@
             parts.announce_address(peer_address)
             await nursery.start(parts.claims.run)
             await nursery.start(parts.worker.run, parts.chats.perform)
-            for task in parts.list_tasks():
-                nursery.start_soon(task)
+            for name, task in parts.list_tasks().items():
+                nursery.start_soon(supervision.keep_running, name, task)
             addresses = await self._start_servers(parts, nursery, peer_address)
             nursery.start_soon(self._note_started, parts)
             _LOG.write(f"Daemon {self.member} serves {addresses.callers}.")
--- a/packages/daemon/src/martenquay_daemon/parts.py
+++ b/packages/daemon/src/martenquay_daemon/parts.py
@@ -94,15 +94,15 @@
             )
         )
 
-    def list_tasks(self) -> list[Callable[[], Awaitable[None]]]:
-        """Return the tasks that run for as long as the daemon does."""
-        return [
-            self.config_follower.run,
-            self._publisher.run,
-            self._instance_follower.run,
-            self._notice_follower.run,
-            self._feeds.run,
-        ]
+    def list_tasks(self) -> dict[str, Callable[[], Awaitable[None]]]:
+        """Return the tasks, by name, that run as long as the daemon does."""
+        return {
+            "configuration": self.config_follower.run,
+            "snapshots": self._publisher.run,
+            "instances": self._instance_follower.run,
+            "notices": self._notice_follower.run,
+            "feeds": self._feeds.run,
+        }
 
     def _build_membership(self, member: str) -> None:
         settings = self._settings
--- a/packages/daemon/src/martenquay_daemon/routing/feeds.py
+++ b/packages/daemon/src/martenquay_daemon/routing/feeds.py
@@ -53,6 +53,9 @@
 
     async def run(self) -> None:
         """Start and stop a task a runner as runners come and go."""
+        # The tasks of a run that failed have ended with it; a runner that
+        # were still noted would never be watched again.
+        self._scopes.clear()
         async with trio.open_nursery() as nursery:
             while True:
                 self._review(nursery)
--- a/packages/standins/src/martenquay_standins/engine.py
+++ b/packages/standins/src/martenquay_standins/engine.py
@@ -69,6 +69,7 @@
         event_gap: Leave out every n-th cache event; 0 for none.
         event_lag_s: Seconds by which cache events are behind.
         load_lag_s: Seconds by which the load report is behind.
+        odd_load: Answer a load report that is none.
     """
 
     break_after: int = -1
@@ -78,6 +79,7 @@
     event_gap: int = 0
     event_lag_s: float = 0.0
     load_lag_s: float = 0.0
+    odd_load: bool = False
 
 
 def make_token(prompt: str, index: int) -> str:
@@ -138,11 +140,13 @@
         runs: How often each request was started here.
         prompt_tokens: Prompt tokens read in all.
         computed_tokens: Those of them that the cache did not hold.
+        reports: How often it was asked for its load.
     """
 
     def __init__(self, shape: EngineShape) -> None:
         super().__init__()
         self.faults: EngineFaults = EngineFaults()
+        self.reports = 0
         self.runs: collections.Counter[str] = collections.Counter()
         self.prompt_tokens = 0
         self.computed_tokens = 0
@@ -180,7 +184,7 @@
             case "/v1/blocks":
                 await self._list_blocks(request)
             case "/v1/load":
-                await web.reply_json(request.send, self._report_load())
+                await self._tell_load(request)
             case "/v1/orders":
                 await self._take_order(request)
             case _:
@@ -319,6 +323,12 @@
             request.send, orders.BlockList(len(self._events), list(self._cache))
         )
 
+    async def _tell_load(self, request: web.Request) -> None:
+        odd = {"running": "many"}
+        report = odd if self.faults.odd_load else self._report_load()
+        self.reports += 1
+        await web.reply_json(request.send, report)
+
     def _note_load(self) -> None:
         load = orders.Load(self._slots.running, self._slots.queued)
         self._loads.append((trio.current_time(), load))
--- a/tests/test_core/test_cloud.py
+++ b/tests/test_core/test_cloud.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from typing import Any
+from unittest import mock
+
+from expression import Ok
 
 from martenquay_core.platform import cloud, outcome
 from martenquay_core.util import http
@@ -58,6 +61,17 @@
 
         self._run(scenario)
 
+    def test_an_odd_answer_leaves_open_whether_an_instance_starts(self):
+        async def scenario(scene, app, client) -> None:
+            del scene, app, client
+            odd = http.Answer(200, [], b'{"name": 1}')
+            caller = mock.Mock(call=mock.AsyncMock(return_value=Ok(odd)))
+            asking = cloud.create_client(caller, "http://cloud")
+            failed = await asking.start_instance(_order())
+            self.assertEqual(outcome.Effect.UNKNOWN, failed.error.effect)
+
+        self._run(scenario)
+
     def test_a_refused_start_has_done_nothing(self):
         async def scenario(scene, app, client) -> None:
             del scene
--- a/tests/test_core/test_http.py
+++ b/tests/test_core/test_http.py
@@ -2,14 +2,43 @@
 
 from __future__ import annotations
 
+import msgspec
 import testtools
 import trio
+from expression import Ok
 
 from martenquay_core.util import http
 
 _HANG_S = 30.0
 
 
+class _Load(msgspec.Struct):
+    name: str
+
+
+class DecodeTest(testtools.TestCase):
+    def test_what_cannot_be_decoded_is_a_failure(self) -> None:
+        bodies = [
+            b"",
+            b"<html>",
+            b'{"name": 1}',
+            b"[]",
+            b'{"name": "\xff"}',
+            b'{"name": "\\ud800"}',
+            b'{"other": ' + b"[" * 100_000,
+        ]
+        for body in bodies:
+            answer = http.Answer(200, [], body)
+            decoded = http.decode_json(Ok(answer), _Load)
+            self.assertTrue(decoded.is_error(), body[:20])
+            self.assertTrue(decoded.error.sent)
+            self.assertIn("malformed answer", decoded.error.message)
+
+    def test_what_can_be_decoded_is_returned(self) -> None:
+        answer = http.Answer(200, [], b'{"name": "a"}')
+        self.assertEqual("a", http.decode_json(Ok(answer), _Load).ok.name)
+
+
 class GivenUpCallTest(testtools.TestCase):
     def _give_up_call(self, **options: bool) -> bool:
         """Give a call up; tell whether its server saw a reset."""
--- a/tests/test_daemon/test_feeds.py
+++ b/tests/test_daemon/test_feeds.py
@@ -2,9 +2,16 @@
 
 from __future__ import annotations
 
+from unittest import mock
+
 import testtools
+import trio
 
+from martenquay_core.config import objects
+from martenquay_core.platform import instances
+from martenquay_daemon import supervision
 from martenquay_daemon.routing import feeds
+from tests import clocked
 
 
 class WatchedTest(testtools.TestCase):
@@ -19,3 +26,48 @@
         ]
         self.assertEqual({feeds.MAX_WATCHED}, {len(part) for part in chosen})
         self.assertEqual(set(runners), set().union(*chosen))
+
+
+class RestartTest(clocked.ClockedTestCase):
+    def test_a_runner_is_watched_again_after_a_fault(self):
+        asked_again = trio.Event()
+        asked: list[str] = []
+
+        async def read_load(address: str) -> None:
+            asked.append(address)
+            if len(asked) == 1:
+                raise ValueError("fault")
+            asked_again.set()
+            await trio.sleep_forever()
+
+        async def read_events(*_: object) -> None:
+            await trio.sleep_forever()
+
+        client = mock.Mock(read_load=read_load, read_events=read_events)
+        runner = instances.Instance(
+            "model-1",
+            instances.InstanceKind.RUNNER,
+            "serrana",
+            "serra-a",
+            "127.0.0.1:1",
+            pool="chat",
+        )
+        directory = mock.Mock()
+        directory.list_all.return_value = [runner]
+        config = mock.Mock()
+        config.find_pool.return_value.kind = objects.PoolKind.MODEL
+        watching = feeds.RunnerFeeds(
+            client, directory, config, mock.Mock(), mock.Mock(), "d-1", 1.0
+        )
+
+        async def scenario() -> None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    supervision.keep_running, "feeds", watching.run
+                )
+                with trio.fail_after(60.0):
+                    await asked_again.wait()
+                nursery.cancel_scope.cancel()
+
+        self.run_clocked(scenario)
+        self.assertEqual(["127.0.0.1:1"] * 2, asked)
--- a/tests/test_promises/test_whole_path.py
+++ b/tests/test_promises/test_whole_path.py
@@ -34,6 +34,25 @@
 
         self.run_scene(scenario)
 
+    def test_a_runner_that_answers_oddly_ends_no_daemon(self):
+        async def scenario(scene: scenarios.Scene) -> None:
+            runner = await scene.world.add_engine(
+                world.SERRANA, "serra-a", "model-1"
+            )
+            (daemon,) = await scene.start_processes(world.SERRANA, 1)
+            runner.set_faults({"odd_load": True})
+            enough = runner.reports + 5
+
+            async def has_asked_or_ended() -> bool:
+                ended = daemon.process.poll() is not None
+                return ended or runner.reports >= enough
+
+            await scene.wait_until(has_asked_or_ended)
+            self.assertIsNone(daemon.process.poll())
+            self.assertEqual(200, (await scene.caller.chat(daemon)).status)
+
+        self.run_scene(scenario)
+
     def test_wrong_requests_get_their_numbered_answers(self):
         async def scenario(scene: scenarios.Scene) -> None:
             daemons = await scene.start_daemons(
