Count the grace time of a stop from its signal

Cause: a stop that was asked for while the daemon started counted its grace time from when it began, which is later by the rest of the start; what was still in progress then met the kill. Seen by reading, after a soak in which two stops in series took longer than the grace time; whether it was this there is not shown. Change: a held signal keeps its age, a stop knows when its signal came, and each signal's line tells its age.

--- a/packages/core/src/martenquay_core/util/held_signals.py
+++ b/packages/core/src/martenquay_core/util/held_signals.py
@@ -7,16 +7,30 @@
 from __future__ import annotations
 
 import signal
+import time
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from types import FrameType
 
-__all__ = ["HANDLED", "HeldSignals", "hold_signals"]
+__all__ = ["HANDLED", "HeldSignal", "HeldSignals", "hold_signals"]
 
 HANDLED = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
 
 
+class HeldSignal:
+    """A signal that came before anything could act on it.
+
+    Attributes:
+        number: Which one.
+        age_s: How long ago it came.
+    """
+
+    def __init__(self, number: int, age_s: float) -> None:
+        self.number = signal.Signals(number)
+        self.age_s = age_s
+
+
 class HeldSignals:
     """Signals that wait, in the order that Python ran their handlers.
 
@@ -24,16 +38,24 @@
     """
 
     def __init__(self) -> None:
+        # In pairs, for a handler has to be short.
         self._numbers: list[int] = []
+        self._came_at: list[float] = []
 
-    def take(self) -> list[signal.Signals]:
+    def take(self) -> list[HeldSignal]:
         """Return those that wait and forget them."""
         numbers, self._numbers = self._numbers, []
-        return [signal.Signals(number) for number in numbers]
+        came_at, self._came_at = self._came_at, []
+        now = time.monotonic()
+        return [
+            HeldSignal(number, now - at)
+            for number, at in zip(numbers, came_at, strict=True)
+        ]
 
     def hold(self, number: int, frame: FrameType | None) -> None:
         """Keep one; a handler as the signal module wants it."""
         del frame
+        self._came_at.append(time.monotonic())
         self._numbers.append(number)
 
 
--- a/packages/core/src/martenquay_core/util/signals.py
+++ b/packages/core/src/martenquay_core/util/signals.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 import signal
 from typing import TYPE_CHECKING
 
@@ -32,6 +33,7 @@
 
     Attributes:
         stop: Set at the first SIGTERM or SIGINT.
+        stopped_at: When that came, in trio's time.
         stage: Stands in each line.
     """
 
@@ -50,6 +52,7 @@
                 a person at the terminal wants the end now.
         """
         self.stop = trio.Event()
+        self.stopped_at = math.inf
         self.stage = Stage.STARTING
         self._held = held
         self._reload = reload
@@ -60,19 +63,23 @@
     ) -> None:
         """Handle signals until cancelled, which is to be at the very end."""
         with trio.open_signal_receiver(*held_signals.HANDLED) as received:
-            for number in self._held.take():
-                self._obey(number)
+            for held in self._held.take():
+                self._obey(held.number, held.age_s)
             task_status.started()
             async for number in received:
                 self._obey(signal.Signals(number))
 
-    def _obey(self, number: signal.Signals) -> None:
+    def _obey(self, number: signal.Signals, age_s: float = 0.0) -> None:
         # A stop or reload that nobody here asked for is told from one that
         # was by this line alone.
-        _LOG.write(f"Took {number.name}.", stage=self.stage)
+        _LOG.write(
+            f"Took {number.name}.", stage=self.stage, age_s=round(age_s, 3)
+        )
         if number is signal.SIGHUP:
             self._reload()
         elif not self.stop.is_set():
+            # The kill is due a grace time after the signal, not after this.
+            self.stopped_at = trio.current_time() - age_s
             self.stop.set()
         elif number is signal.SIGINT and self._insist is not None:
             self._insist()
--- a/packages/daemon/src/martenquay_daemon/gateway.py
+++ b/packages/daemon/src/martenquay_daemon/gateway.py
@@ -87,7 +87,7 @@
             handler.stage = signals.Stage.SERVING
             await handler.stop.wait()
             handler.stage = signals.Stage.STOPPING
-            await _stop(watch, parts)
+            await _stop(watch, parts, handler.stopped_at)
         nursery.cancel_scope.cancel()
 
 
@@ -116,9 +116,18 @@
 
 
 async def _stop(
-    watch: settings_watch.SettingsWatch, parts: gateway_parts.GatewayParts
+    watch: settings_watch.SettingsWatch,
+    parts: gateway_parts.GatewayParts,
+    asked_at: float,
 ) -> None:
-    """Finish what is in progress, inside the grace time in force."""
+    """Finish what is in progress, inside the grace time in force.
+
+    Args:
+        watch: Knows the grace time.
+        parts: What is to end.
+        asked_at: When the stop's signal came, in trio's time; the process may
+            have been starting then.
+    """
     started = trio.current_time()
     _LOG.write("Stopping: not ready any more.")
     with trio.move_on_after(_NOTICE_S):
@@ -135,7 +144,7 @@
     parts.listener.stop_accepting()
     while parts.listener.count_busy():
         # Operators may lengthen it while the last answers are under way.
-        end = started + watch.settings.bounds.grace_s - _RESERVE_S
+        end = asked_at + watch.settings.bounds.grace_s - _RESERVE_S
         if trio.current_time() >= end:
             break
         await trio.sleep(_POLL_S)
--- a/tests/test_core/test_signals.py
+++ b/tests/test_core/test_signals.py
@@ -4,6 +4,7 @@
 
 import os
 import signal
+import time
 
 import testtools
 import trio
@@ -24,6 +25,7 @@
         self.held = held_signals.hold_signals()
         self.reloads = 0
         self.insisted = 0
+        self.ended_at = 0.0
 
     def _reload(self) -> None:
         self.reloads += 1
@@ -45,6 +47,7 @@
                         os.kill(os.getpid(), number)
                         await trio.testing.wait_all_tasks_blocked(0.01)
                     nursery.cancel_scope.cancel()
+            self.ended_at = trio.current_time()
             return handler
 
         return trio.run(run)
@@ -52,9 +55,20 @@
     def test_held_signals_come_in_their_order_and_once(self) -> None:
         os.kill(os.getpid(), signal.SIGHUP)
         os.kill(os.getpid(), signal.SIGTERM)
-        self.assertEqual([signal.SIGHUP, signal.SIGTERM], self.held.take())
+        numbers = [held.number for held in self.held.take()]
+        self.assertEqual([signal.SIGHUP, signal.SIGTERM], numbers)
         self.assertEqual([], self.held.take())
 
+    def test_a_stop_counts_from_when_its_signal_came(self) -> None:
+        os.kill(os.getpid(), signal.SIGTERM)
+        time.sleep(0.2)
+        before = time.monotonic()
+        handler = self._run()
+        took_s = time.monotonic() - before
+        age_s = self.ended_at - handler.stopped_at
+        self.assertGreaterEqual(age_s, 0.2)
+        self.assertLess(age_s, 0.2 + took_s + 0.1)
+
     def test_signals_from_before_are_obeyed(self) -> None:
         os.kill(os.getpid(), signal.SIGHUP)
         os.kill(os.getpid(), signal.SIGTERM)
@@ -79,7 +93,8 @@
     def test_after_the_handler_signals_are_held_again(self) -> None:
         self._run()
         os.kill(os.getpid(), signal.SIGHUP)
-        self.assertEqual([signal.SIGHUP], self.held.take())
+        (held,) = self.held.take()
+        self.assertEqual(signal.SIGHUP, held.number)
 
     def test_ignored_signals_do_nothing(self) -> None:
         signals.ignore_signals()
--- a/tests/test_daemon/test_planned_stop.py
+++ b/tests/test_daemon/test_planned_stop.py
@@ -44,7 +44,7 @@
             parts.begin_stop.side_effect = ValueError("no lease to hand over")
             started_at = trio.current_time()
             with mock.patch.object(gateway, "_LOG") as log:
-                await gateway._stop(_build_watch(20.0), parts)
+                await gateway._stop(_build_watch(20.0), parts, started_at)
             self.assertTrue(listener.is_stopped)
             self.assertEqual(0, listener.count_busy())
             self.assertLess(trio.current_time() - started_at, 8.5)
@@ -53,8 +53,11 @@
 
         self.run_clocked(scenario)
 
-    def _stop(self, first_s: float, then_s: float) -> float:
-        """Return how long a stop takes whose grace time changes at 4 s."""
+    def _stop(self, first_s: float, then_s: float, age_s: float = 0.0) -> float:
+        """Return how long a stop takes whose grace time changes at 4 s.
+
+        Its signal came `age_s` before it begins.
+        """
         took: list[float] = []
 
         async def scenario() -> None:
@@ -69,7 +72,7 @@
             started_at = trio.current_time()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(change)
-                await gateway._stop(watch, parts)
+                await gateway._stop(watch, parts, started_at - age_s)
             took.append(trio.current_time() - started_at)
 
         self.run_clocked(scenario)
@@ -80,6 +83,13 @@
         self.assertGreater(took_s, 11.0)
         self.assertLess(took_s, 12.0)
 
+    def test_the_grace_time_counts_from_the_signal(self) -> None:
+        # A daemon that was asked to stop while it started would be killed
+        # with its last requests.
+        took_s = self._stop(8.0, 8.0, age_s=3.0)
+        self.assertGreater(took_s, 4.0)
+        self.assertLess(took_s, 5.0)
+
     def test_a_grace_time_that_is_shortened_counts(self) -> None:
         took_s = self._stop(12.0, 6.0)
         self.assertGreater(took_s, 5.0)
