Say that the waits of a stop are assumptions

Cause: the comments gave the length of a way in a region and the time in which a lost packet is sent again as if they had been measured; the second is wrong, since the kernel sends again after 0.2 s at the least.

Change: comments only. The tests of both files pass before and after.

--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
@@ -34,8 +34,9 @@
 # bytes now and then is live to the kernel, and would hold its answer for ever.
 _PIECE_BYTES = 65_536
 _PIECE_S = 5.0
-# A request may be on its way when a stop comes to a resting connection; in one
-# region it is there in milliseconds, and one lost packet is sent again by then.
+# A request may be on its way, or unread, when a stop comes to a resting
+# connection. An assumption: far above a way in one region, and with the
+# listener's wait below the 0.3 s that a stop may take longer for it.
 _LAST_LOOK_S = 0.2
 # A head line and the separators that h11 takes apart.
 _LINE_OVERHEAD = 4
--- a/packages/daemon/src/martenquay_daemon/forwarding/listener.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/listener.py
@@ -21,8 +21,8 @@
 _LOG = logs.create_log("callers")
 _BACKLOG = 1024
 # The last packet of a handshake may be on its way when accepting stops, and a
-# request right behind it. Half a way there and back in one region is 1 ms;
-# with the last look at resting connections it delays a stop by 0.25 s.
+# request right behind it. An assumption: far above a way in one region. With
+# the last look at resting connections it delays a stop by up to 0.25 s.
 _DRAIN_S = 0.05
 # Out of descriptors: wait for some connection to end.
 _ACCEPT_PAUSE_S = 0.05
