Keep the scene that speaks the platform's wire beside the platform's tests

Cause: a configuration in the platform's words stood outside the folder that holds them. Change: the scene moves to tests/test_platform; no assertion changes.

--- a/tests/process_scene.py
+++ b/tests/test_platform/process_scene.py
@@ -26,7 +26,7 @@
 
 __all__ = ["ProcessScene", "open_process_scene"]
 
-_PROGRAM = pathlib.Path(__file__).parents[1] / "platform" / "martenquayd.py"
+_PROGRAM = pathlib.Path(__file__).parents[2] / "platform" / "martenquayd.py"
 _POLL_S = 0.005
 _HOST = "desk.example"
 _CONFIG = {
--- a/tests/test_platform/test_signals.py
+++ b/tests/test_platform/test_signals.py
@@ -28,7 +28,7 @@
 import testtools
 import trio
 
-from tests import process_scene
+from tests.test_platform import process_scene
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
