Hold requests for a restarted daemon's first reads

Change: a request waits for the first reads, 0.25 s from the start at most, and an account begins as soon as the daemons are listed.

Ruled out: allowances that were used up (a third of the limit was free); the start of the process itself (0.48 s) is not touched.

The gateway's new test fails before (503).

--- a/packages/daemon/src/martenquay_daemon/allowances/ledger.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/ledger.py
@@ -49,7 +49,8 @@
 # The part of its share of the bucket that a daemon begins with when all have
 # started anew; the rest makes up for what was spent and not written down.
 _START_PART = 0.5
-# A daemon has read in the log who else there is so long after its start.
+# If nobody says that it is known who else there is, it is taken as known so
+# long after the start: reading it in the log takes 20 to 60 ms.
 _LISTED_S = 0.3
 # For one window after a common restart this part of the limit is kept back: the
 # sums that were written and what is assumed of the time after are not exact,
@@ -103,11 +104,13 @@
         count_daemons: Returns how many daemons share the allowances.
         find_silence: Returns after how many seconds a daemon is silent.
         hurry: Has this daemon's spending told soon.
+        is_listed: Tells whether it is known who else there is.
     """
 
     count_daemons: Callable[[], int]
     find_silence: Callable[[], float]
     hurry: Callable[[], None]
+    is_listed: Callable[[], bool] = lambda: False
 
 
 class AllowanceLedger:
@@ -353,7 +356,11 @@
 
     def _begin(self, account: accounts.Account, now: float) -> None:
         """Give a daemon that starts with all others its first part."""
-        if account.is_begun or now < self._listed_at:
+        if account.is_begun:
+            return
+        # Waiting the whole time refuses all that comes in the first 0.3 s
+        # after a common restart, when callers that waited come at once.
+        if now < self._listed_at and not self._fleet.is_listed():
             return
         account.is_begun = True
         daemons = max(1, self._fleet.count_daemons())
--- a/packages/daemon/src/martenquay_daemon/allowances/record.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/record.py
@@ -42,7 +42,11 @@
 
 
 class SpendingRecord:
-    """Write the sums as the lease's holder, or next one; read them once."""
+    """Write the sums as the lease's holder, or next one; read them once.
+
+    Attributes:
+        first_read: Set once they are read, or cannot be.
+    """
 
     def __init__(
         self,
@@ -52,6 +56,7 @@
         duty: lease.Lease,
         read_clock: Callable[[], float] = time.time,
     ) -> None:
+        self.first_read = trio.Event()
         self._log = log
         self._topic = topic
         self._ledger = accounts
@@ -61,6 +66,7 @@
     async def run(self) -> None:
         """Read at the start, then write until cancelled."""
         await self._read()
+        self.first_read.set()
         while True:
             await trio.sleep(_PERIOD_S)
             used = self._ledger.list_used()
--- a/packages/daemon/src/martenquay_daemon/discovery/keyed_follower.py
+++ b/packages/daemon/src/martenquay_daemon/discovery/keyed_follower.py
@@ -57,6 +57,7 @@
 
     Attributes:
         end: The offset up to which the sink has been told; -1 before that.
+        first_read: Set once the sink has been told what there is.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         is_needed: Callable[[], bool] = lambda: True,
     ) -> None:
         self.end = -1
+        self.first_read = trio.Event()
         self._is_crowded = is_crowded
         self._is_needed = is_needed
         self._log = log
@@ -105,6 +107,7 @@
     def skip_to(self, end: int) -> None:
         """Read on from `end`: a peer has told the sink all before it."""
         self.end = max(self.end, end)
+        self.first_read.set()
 
     async def _read_once(self) -> bool:
         if self.end < 0:
@@ -140,4 +143,5 @@
         if found.end >= self.end:
             self._sink.replace_all(found)
             self.end = found.end
+        self.first_read.set()
         return True
--- a/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Awaitable, Callable
 
     from martenquay_core.serving import calls, catalog, ports
     from martenquay_daemon.allowances import ledger
@@ -52,6 +53,7 @@
         metrics: Counts.
         codec: Names headers.
         rng: Chooses among the destinations of a route.
+        wait_until_read: Returns when enough is known to decide.
     """
 
     store: catalog_store.CatalogStore
@@ -64,6 +66,7 @@
     metrics: metrics.ForwardingMetrics
     codec: ports.CallCodec
     rng: random.Random
+    wait_until_read: Callable[[], Awaitable[None]]
 
 
 class Forwarder:
@@ -79,6 +82,7 @@
         writer: answers.AnswerWriter,
     ) -> None:
         """Answer one request."""
+        await self._parts.wait_until_read()
         admitted = self._admit(call, received_at, writer)
         match admitted:
             case answers.OwnAnswer():
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -14,6 +14,7 @@
     catalog_sink,
     catalog_store,
     contact,
+    first_reading,
     keyed_follower,
     runner_directory,
 )
@@ -97,6 +98,7 @@
         self._build_fleet()
         self._build_forwarding()
         self._build_duties()
+        self._first_reading = self._create_first_reading()
         self._share_state()
 
     def is_ready(self) -> bool:
@@ -217,6 +219,20 @@
             place,
         )
 
+    def _create_first_reading(self) -> first_reading.FirstReading:
+        sources = {
+            "catalog": self._catalog_follower.first_read,
+            "runners": self._runner_follower.first_read,
+            "members": self._member_follower.first_read,
+        }
+        if self._spending is not None:
+            sources["spending"] = self._spending.first_read
+        return first_reading.create_first_reading(sources)
+
+    async def _wait_until_read(self) -> None:
+        # What it waits for is built after the forwarder.
+        await self._first_reading.wait()
+
     def _is_crowded(self) -> bool:
         # The links are built after what they hand on.
         return not self.links.is_mesh()
@@ -242,6 +258,7 @@
             self._view,
         )
         self._duties: dict[str, Callable[[], Awaitable[None]]] = {}
+        self._spending: record.SpendingRecord | None = None
         if self._ports.cloud is not None and self._settings.platform.duties:
             self._build_cloud_duties(self._ports.cloud)
 
@@ -269,14 +286,14 @@
                 fleet=self._view,
             )
         )
-        spending = record.SpendingRecord(
+        self._spending = record.SpendingRecord(
             self._ports.log,
             self._ports.topics.spending,
             self._allowances,
             self._lease,
         )
         self._duties = {
-            "spending": spending.run,
+            "spending": self._spending.run,
             "lease": self._lease.run,
             "usage": reporter.run,
             "capacity": keeper.run,
@@ -323,6 +340,7 @@
                 count_daemons=self._view.count_daemons,
                 find_silence=lambda: self._view.silent_s,
                 hurry=self.links.hurry,
+                is_listed=self._member_follower.first_read.is_set,
             ),
         )
         codec = self._ports.calls
@@ -349,6 +367,7 @@
             metrics=self.metrics,
             codec=codec,
             rng=self._rng,
+            wait_until_read=self._wait_until_read,
         )
         self.listener = listener.CallerListener(
             self._settings.listen.callers,
--- a/tests/serving_scene.py
+++ b/tests/serving_scene.py
@@ -102,6 +102,7 @@
             metrics=metrics.create_metrics(),
             codec=header_codec,
             rng=rng,
+            wait_until_read=trio.lowlevel.checkpoint,
         )
         self.listener = listener.CallerListener(
             "127.0.0.1:0",
--- a/tests/test_allowances/test_ledger.py
+++ b/tests/test_allowances/test_ledger.py
@@ -264,6 +264,23 @@
 
         self.run_clocked(scenario)
 
+    def test_a_daemon_that_knows_the_others_serves_at_once_after_a_restart(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            listed = False
+            facts = ledger.FleetFacts(
+                lambda: 7, lambda: 1.2, lambda: None, lambda: listed
+            )
+            one = ledger.create_ledger(_BOUNDS, facts)
+            one.refill([_TEAM])
+            one.note_past({"florists": 0.5 * _ALLOWANCE}, 1.5, 1.0)
+            self.assertGreater(one.take(_TEAM, 1.0, reserve=1), 0.0)
+            listed = True
+            self.assertEqual(0.0, one.take(_TEAM, 1.0, reserve=1))
+
+        self.run_clocked(scenario)
+
     def test_sums_that_were_not_written_for_long_leave_less_room(self) -> None:
         async def scenario() -> None:
             used = []
--- a/tests/test_daemon/test_gateway.py
+++ b/tests/test_daemon/test_gateway.py
@@ -35,6 +35,16 @@
         self.cloud = cloud.MemoryCloud()
         self.records = builders.FakeRecords()
 
+    def slow_down(self, seconds: float) -> None:
+        """Have each first read of a topic take so long."""
+        read_newest = self.log.read_newest
+
+        async def read_late(topic: str):
+            await trio.sleep(seconds)
+            return await read_newest(topic)
+
+        self.log.read_newest = read_late
+
     def put_catalog(self, version: int, **changes: object) -> None:
         """Have operators put a version in force."""
         raw = b"catalog %d" % version
@@ -123,6 +133,26 @@
 
         self._run(scenario)
 
+    def test_a_call_that_comes_before_the_first_reads_waits_for_them(
+        self,
+    ) -> None:
+        async def run() -> None:
+            platform = _Platform()
+            runner = scripted.ScriptedRunner([_GOOD])
+            with trio.fail_after(_HANG_S):
+                async with trio.open_nursery() as nursery:
+                    await nursery.start(runner.run)
+                    platform.put_catalog(3)
+                    platform.put_runner(runner.address)
+                    platform.slow_down(0.05)
+                    one = _Daemon("entry-0", platform)
+                    one.address = await nursery.start(one.parts.listener.run)
+                    nursery.start_soon(one.parts.run)
+                    self.assertEqual(200, (await one.ask()).status)
+                    nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
     def test_a_fault_of_a_background_task_does_not_end_the_daemon(
         self,
     ) -> None:
--- /dev/null
+++ b/tests/test_discovery/test_first_reading.py
@@ -0,0 +1,45 @@
+"""Requests that come while a daemon reads the log are held, but not long."""
+
+from __future__ import annotations
+
+import trio
+
+from martenquay_daemon.discovery import first_reading
+from tests import clocked
+
+
+class FirstReadingTest(clocked.ClockedTestCase):
+    def test_requests_wait_until_all_is_read(self) -> None:
+        async def scenario() -> None:
+            sources = {"catalog": trio.Event(), "runners": trio.Event()}
+            reading = first_reading.create_first_reading(sources)
+            waited: list[float] = []
+
+            async def ask() -> None:
+                await reading.wait()
+                waited.append(trio.current_time() - started)
+
+            started = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                await trio.sleep(0.02)
+                sources["catalog"].set()
+                await trio.sleep(0.03)
+                self.assertEqual([], waited)
+                sources["runners"].set()
+            self.assertAlmostEqual(0.05, waited[0])
+
+        self.run_clocked(scenario)
+
+    def test_nobody_waits_for_a_log_that_is_away(self) -> None:
+        async def scenario() -> None:
+            sources = {"catalog": trio.Event()}
+            reading = first_reading.create_first_reading(sources)
+            started = trio.current_time()
+            await reading.wait()
+            self.assertLess(trio.current_time() - started, 0.3)
+            second = trio.current_time()
+            await reading.wait()
+            self.assertEqual(second, trio.current_time())
+
+        self.run_clocked(scenario)
