Learn how fast engines are; place and order by that and by their slots

Cause: engines were taken to read 30,000 tokens a second, everywhere. The placer took a home whose 24 slots were full for a good one, for its wait weighed 4 ms a request.

Change: engines/model.py learns reading speed and the time that a slot is taken from this daemon's own results, for placing and capacity alike. What is only assumed keeps what runs and buys nothing. Beyond the slots a request waits for another's end. Speed is reckoned with the request's own tokens, which are known; others' are told late, and their error halved the slope in a test. The log says what the need was reckoned from, the expected and the real first event, and where a team's refusal came from (window, bucket, part of the daemon).

Tests changed: the placer's runners have 128 slots, as its service says.

--- a/packages/daemon/src/martenquay_daemon/allowances/ledger.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/ledger.py
@@ -30,6 +30,7 @@
 __all__ = [
     "AllowanceLedger",
     "FleetFacts",
+    "Standing",
     "ToleranceBounds",
     "create_ledger",
 ]
@@ -113,6 +114,23 @@
     is_listed: Callable[[], bool] = lambda: False
 
 
+@dataclasses.dataclass(frozen=True)
+class Standing:
+    """A team's account as far as it decides on the next request.
+
+    Attributes:
+        used: Units spent in the window, by all daemons.
+        limit: What may be spent in it.
+        level: What is in the bucket.
+        grant: What this daemon may spend until it hears of others.
+    """
+
+    used: float = 0.0
+    limit: float = 0.0
+    level: float = 0.0
+    grant: float = 0.0
+
+
 class AllowanceLedger:
     """The teams' allowances as this daemon sees them.
 
@@ -176,9 +194,17 @@
         self._own[team.name] -= units
 
     def find_used(self, team: str) -> float:
-        """Return what a team has spent in the window, for the log."""
+        """Return what a team has spent in the window."""
+        return self.describe(team).used
+
+    def describe(self, team: str) -> Standing:
+        """Return what decides on a team's next request, for the log."""
         account = self._accounts.get(team)
-        return 0.0 if account is None else account.used.total
+        if account is None:
+            return Standing()
+        return Standing(
+            account.used.total, account.limit, account.level, account.grant
+        )
 
     def list_own(self) -> dict[str, float]:
         """Return what this daemon has spent since it started, by team."""
--- a/packages/daemon/src/martenquay_daemon/duties/capacity_keeper.py
+++ b/packages/daemon/src/martenquay_daemon/duties/capacity_keeper.py
@@ -17,7 +17,7 @@
     from martenquay_core.serving import catalog, runners
     from martenquay_daemon.discovery import catalog_store, runner_directory
     from martenquay_daemon.duties import lease
-    from martenquay_daemon.engines import demand, loads
+    from martenquay_daemon.engines import demand, loads, model
     from martenquay_daemon.fleet import view
 
 __all__ = ["CapacityKeeper", "CapacityParts"]
@@ -58,6 +58,7 @@
         directory: The runners.
         meter: What callers bring to this daemon.
         ledger: What runs at runners.
+        estimates: How fast they are.
         fleet: What other daemons tell.
     """
 
@@ -68,6 +69,7 @@
     directory: runner_directory.RunnerDirectory
     meter: demand.DemandMeter
     ledger: loads.LoadLedger
+    estimates: model.RunnerModel
     fleet: view.FleetView
 
 
@@ -144,6 +146,7 @@
         self._lines: dict[tuple[str, str, bool], _Line] = {}
         self._needs: dict[str, _SlowFall] = {}
         self._comforts: dict[str, _SlowFall] = {}
+        self._targets: dict[str, capacity_plan.CapacityTarget] = {}
         self._first_counts: dict[str, int] = {}
         self._fence = 0
         self._busy_since: float | None = None
@@ -239,6 +242,10 @@
         measured = self._measure(service.name)
         count = measured.count_needed(slots)
         comfortable = measured.count_busy(slots)
+        if not self._parts.estimates.find(service.name).is_learnt:
+            # What is only assumed of engines keeps what runs and buys nothing.
+            count = min(count, len(state.runners))
+            comfortable = min(comfortable, len(state.runners))
         if measured.tokens_per_s > 0 and self._busy_since is None:
             self._busy_since = now
         if self._busy_since is None or now - self._busy_since < _LEARN_S:
@@ -249,9 +256,31 @@
             comfortable = max(comfortable, first)
         needed = self._needs.setdefault(service.name, _SlowFall())
         spare = self._comforts.setdefault(service.name, _SlowFall())
-        return capacity_plan.CapacityTarget(
+        target = capacity_plan.CapacityTarget(
             needed.follow(now, count), spare.follow(now, comfortable)
         )
+        self._note_target(service.name, target, measured)
+        return target
+
+    def _note_target(
+        self,
+        service: str,
+        target: capacity_plan.CapacityTarget,
+        measured: capacity_plan.CapacityNeed,
+    ) -> None:
+        if self._targets.get(service) == target:
+            return
+        self._targets[service] = target
+        _LOG.write(
+            f"Needs {target.needed} engines, {target.comfortable} are comfort.",
+            service=service,
+            tokens_per_s=round(measured.tokens_per_s),
+            read_tokens_per_s=round(measured.read_tokens_per_s),
+            requests=measured.requests,
+            unread=measured.unread_tokens,
+            learnt=self._parts.estimates.find(service).is_learnt,
+            leads=self._parts.lease.is_held(),
+        )
 
     def _measure(self, service: str) -> capacity_plan.CapacityNeed:
         parts = self._parts
@@ -264,6 +293,7 @@
         return capacity_plan.CapacityNeed(
             rate,
             sum(load.requests for load in found),
+            parts.estimates.find(service).read_tokens_per_s,
             sum(load.unread_tokens for load in found),
         )
 
--- a/packages/daemon/src/martenquay_daemon/duties/capacity_plan.py
+++ b/packages/daemon/src/martenquay_daemon/duties/capacity_plan.py
@@ -26,10 +26,9 @@
     "plan_reclaimable",
 ]
 
-# What one engine reads in a second; the sites' engines read 32,400 alone.
-_READ_TOKENS_PER_S = 30_000.0
-# The part of that at which first tokens still come within their target:
-# prompts of 300 ms queue behind each other, and arrivals come in clumps.
+# The part of an engine's reading speed at which first tokens still come within
+# their target: prompts of 300 ms queue behind each other, and arrivals come in
+# clumps.
 _READ_LOAD = 0.5
 # The part of an engine's slots that may be in use on average.
 _SLOT_LOAD = 0.5
@@ -45,11 +44,13 @@
     Attributes:
         tokens_per_s: Prompt tokens that engines have to read.
         requests: Requests running or waiting at engines.
+        read_tokens_per_s: What one engine reads in a second.
         unread_tokens: Prompt tokens that wait at engines.
     """
 
     tokens_per_s: float
     requests: int
+    read_tokens_per_s: float
     unread_tokens: int = 0
 
     def count_needed(self, slots: int) -> int:
@@ -62,7 +63,7 @@
         return self._count(slots, self.tokens_per_s + backlog_per_s)
 
     def _count(self, slots: int, tokens_per_s: float) -> int:
-        for_reading = tokens_per_s / (_READ_TOKENS_PER_S * _READ_LOAD)
+        for_reading = tokens_per_s / (self.read_tokens_per_s * _READ_LOAD)
         for_slots = self.requests / (max(1, slots) * _SLOT_LOAD)
         return max(1, math.ceil(max(for_reading, for_slots)))
 
--- /dev/null
+++ b/packages/daemon/src/martenquay_daemon/engines/model.py
@@ -0,0 +1,151 @@
+"""Learn how fast the runners of a service are, from this daemon's results.
+
+Placing, waiting and capacity all go by what is learnt here. Results fade, so
+an estimate follows engines that turn slow; until there are enough of them it
+stays near an assumption that is slow enough to be safe for placing, and that
+`is_learnt` keeps from being acted on where a wrong guess costs money.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+import trio
+
+__all__ = ["Estimate", "FirstEvent", "RunnerModel"]
+
+# Results fade with this time: a daemon of a large fleet sees three first events
+# a second, so some 60 count; a runner that is ordered boots in a quarter of it.
+_MEMORY_S = 20.0
+# As many results as it takes for an estimate to be acted on.
+_FLOOR = 30.0
+# What is assumed of an engine before: slower than most, so that prompts are
+# spread rather than stacked. It counts like this many results with prompts
+# that differ by so many tokens.
+_ASSUMED_READ_TOKENS_PER_S = 30_000.0
+_ASSUMED_RESULTS = 10.0
+_ASSUMED_SPREAD_TOKENS = 2_000.0
+# No engine is slower or faster; noise may say so while prompts are alike.
+_SLOWEST_TOKENS_PER_S = 2_000.0
+_FASTEST_TOKENS_PER_S = 1_000_000.0
+# What a request is assumed to take at its runner: a short plain call. Longer
+# ones are learnt within the first few.
+_ASSUMED_HOLD_S = 0.02
+
+
+@dataclasses.dataclass(frozen=True)
+class FirstEvent:
+    """The first event of a stream, and what stood before it.
+
+    Attributes:
+        own_tokens: Prompt tokens that its engine had to read for it.
+        all_tokens: Those and the ones that the engine had still to read.
+        took_s: From the sending of the request.
+    """
+
+    own_tokens: int
+    all_tokens: int
+    took_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Estimate:
+    """What is believed of one runner of a service.
+
+    Attributes:
+        read_tokens_per_s: How fast it reads prompts beside its other work.
+        hold_s: How long a request takes one of its slots.
+        is_learnt: Whether enough results stand behind it.
+    """
+
+    read_tokens_per_s: float
+    hold_s: float
+    is_learnt: bool
+
+
+@dataclasses.dataclass
+class _Sums:
+    """Sums over results that fade; `x` is all tokens, `z` a result's own."""
+
+    at: float
+    count: float = 0.0
+    z: float = 0.0
+    x: float = 0.0
+    t: float = 0.0
+    zx: float = 0.0
+    zt: float = 0.0
+    held: float = 0.0
+    ended: float = 0.0
+
+    def fade(self, now: float) -> None:
+        """Let all results fade up to now."""
+        kept = math.exp(-(now - self.at) / _MEMORY_S)
+        self.at = now
+        for field in dataclasses.fields(self):
+            if field.name != "at":
+                setattr(self, field.name, kept * getattr(self, field.name))
+
+    def add(self, result: FirstEvent) -> None:
+        """Add one result."""
+        z, x, t = result.own_tokens, result.all_tokens, result.took_s
+        self.count += 1
+        self.z += z
+        self.x += x
+        self.t += t
+        self.zx += z * x
+        self.zt += z * t
+
+    def find_read_s(self) -> float:
+        """Return the seconds that one more token takes.
+
+        The tokens of others are known late and in part, and an error in them
+        would make an engine look faster than it is by half. A request's own
+        tokens are known; how times and all tokens change with them gives a
+        figure without that error.
+        """
+        spread = _ASSUMED_RESULTS * _ASSUMED_SPREAD_TOKENS**2
+        over = spread
+        under = spread / _ASSUMED_READ_TOKENS_PER_S
+        if self.count > 0:
+            over += self.zx - self.z * self.x / self.count
+            under += self.zt - self.z * self.t / self.count
+        slope = under / over if over > 0 else 0.0
+        slowest, fastest = 1 / _SLOWEST_TOKENS_PER_S, 1 / _FASTEST_TOKENS_PER_S
+        return min(max(slope, fastest), slowest)
+
+    def find_hold_s(self) -> float:
+        """Return how long a request takes a slot."""
+        return (self.held + _ASSUMED_HOLD_S) / (self.ended + 1)
+
+
+class RunnerModel:
+    """What is believed of runners, by service."""
+
+    def __init__(self) -> None:
+        self._sums: dict[str, _Sums] = {}
+
+    def note_first_event(self, service: str, result: FirstEvent) -> None:
+        """Learn from the first event of a stream."""
+        self._find(service).add(result)
+
+    def note_end(self, service: str, held_s: float) -> None:
+        """Learn from a request that was answered to its end."""
+        sums = self._find(service)
+        sums.held += held_s
+        sums.ended += 1
+
+    def find(self, service: str) -> Estimate:
+        """Return what is believed of a service's runners now."""
+        sums = self._find(service)
+        return Estimate(
+            1 / sums.find_read_s(), sums.find_hold_s(), sums.count >= _FLOOR
+        )
+
+    def _find(self, service: str) -> _Sums:
+        now = trio.current_time()
+        sums = self._sums.get(service)
+        if sums is None:
+            sums = self._sums[service] = _Sums(now)
+        sums.fade(now)
+        return sums
--- a/packages/daemon/src/martenquay_daemon/engines/placer.py
+++ b/packages/daemon/src/martenquay_daemon/engines/placer.py
@@ -13,7 +13,7 @@
 
     from martenquay_core.serving import calls, catalog, runners
     from martenquay_daemon.discovery import runner_directory
-    from martenquay_daemon.engines import loads
+    from martenquay_daemon.engines import loads, model
     from martenquay_daemon.limits import ejection
 
 __all__ = ["Placement", "Placer", "PlacerWeights"]
@@ -31,20 +31,15 @@
     """What each part of the estimate weighs.
 
     Attributes:
-        read_tokens_per_s: How fast an engine reads a prompt; engines of the
-            sites read 32 tokens a millisecond when alone.
-        slot_s: How much each request at work delays one more; the step of a
-            full batch of 128 is half again as long as an empty one's.
+        slot_s: How much each request at work delays one more, which shares
+            the engine's steps with it.
         other_zone_s: For a runner in another zone; a round trip there.
-        service_slot_s: The mean work of one request at a plain service.
         silent_zone_s: For a runner in a zone from which no daemon is heard:
             more than the time that a connection is waited for.
     """
 
-    read_tokens_per_s: float = 30_000.0
     slot_s: float = 0.004
     other_zone_s: float = 0.004
-    service_slot_s: float = 0.02
     silent_zone_s: float = 0.5
 
 
@@ -57,12 +52,16 @@
         expected_s: The estimate of its first event.
         uncached_tokens: Prompt tokens that it is expected to read.
         considered: How many runners there were to choose from.
+        unread_tokens: Prompt tokens that it had still to read before.
+        has_free_slot: Fewer requests than it has slots were there.
     """
 
     runner: runners.Runner
     expected_s: float
     uncached_tokens: int
     considered: int
+    unread_tokens: int = 0
+    has_free_slot: bool = True
 
 
 class Placer:
@@ -73,6 +72,7 @@
         zone: str,
         directory: runner_directory.RunnerDirectory,
         ledger: loads.LoadLedger,
+        estimates: model.RunnerModel,
         ejector: ejection.Ejector,
         rng: random.Random,
         is_zone_silent: Callable[[str], bool],
@@ -82,6 +82,7 @@
         self._is_zone_silent = is_zone_silent
         self._directory = directory
         self._ledger = ledger
+        self._model = estimates
         self._ejector = ejector
         self._rng = rng
         self._weights = weights or PlacerWeights()
@@ -104,20 +105,29 @@
         kept = set(self._ejector.keep_usable([r.id for r in usable]))
         candidates = [runner for runner in usable if runner.id in kept]
         if service is not None and service.engine is not None:
-            return self._choose_engine(call, candidates)
-        return self._choose_plain(candidates)
+            return self._choose_engine(name, call, candidates)
+        return self._choose_plain(name, candidates)
 
     def _choose_engine(
-        self, call: calls.Call, candidates: list[runners.Runner]
+        self, name: str, call: calls.Call, candidates: list[runners.Runner]
     ) -> Placement:
+        estimate = self._model.find(name)
         homes = _rank_homes(call, candidates)
         home = homes[0].id if homes else None
         best: Placement | None = None
         for runner in self._sample(homes, candidates):
             uncached = _estimate_uncached(call, is_home=runner.id == home)
-            expected_s = self._expect_engine(runner, uncached)
+            load = self._ledger.find(runner.id)
+            expected_s = self._expect_engine(runner, load, uncached, estimate)
             if best is None or expected_s < best.expected_s:
-                best = Placement(runner, expected_s, uncached, len(candidates))
+                best = Placement(
+                    runner,
+                    expected_s,
+                    uncached,
+                    len(candidates),
+                    load.unread_tokens,
+                    load.requests < runner.slots,
+                )
         assert best is not None, "there are candidates"
         return best
 
@@ -135,27 +145,36 @@
         rest = [runner for runner in candidates if runner not in chosen]
         return chosen + self._rng.sample(rest, _RANDOM)
 
-    def _choose_plain(self, candidates: list[runners.Runner]) -> Placement:
+    def _choose_plain(
+        self, name: str, candidates: list[runners.Runner]
+    ) -> Placement:
+        hold_s = self._model.find(name).hold_s
+
         def expect(runner: runners.Runner) -> float:
             load = self._ledger.find(runner.id)
             ahead = load.requests / max(1, runner.slots)
             jitter = self._rng.random() * self._weights.other_zone_s / 4
-            return (
-                ahead * self._weights.service_slot_s
-                + self._expect_way(runner)
-                + jitter
-            )
+            return ahead * hold_s + self._expect_way(runner) + jitter
 
         best = min(candidates, key=expect)
         return Placement(best, expect(best), 0, len(candidates))
 
-    def _expect_engine(self, runner: runners.Runner, uncached: int) -> float:
-        load = self._ledger.find(runner.id)
-        weights = self._weights
+    def _expect_engine(
+        self,
+        runner: runners.Runner,
+        load: loads.RunnerLoad,
+        uncached: int,
+        estimate: model.Estimate,
+    ) -> float:
         to_read = load.unread_tokens + uncached
+        # Beyond its slots an engine begins a request only when another ends;
+        # without this a home with a queue of seconds looked like a good one.
+        waiting = max(0, load.requests + 1 - runner.slots)
+        slot_wait_s = waiting * estimate.hold_s / max(1, runner.slots)
         return (
-            to_read / weights.read_tokens_per_s
-            + load.requests * weights.slot_s
+            to_read / estimate.read_tokens_per_s
+            + slot_wait_s
+            + load.requests * self._weights.slot_s
             + self._expect_way(runner)
         )
 
--- a/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
@@ -10,6 +10,7 @@
 
 from martenquay_core import logs
 from martenquay_core.serving import calls, catalog
+from martenquay_daemon.engines import model
 from martenquay_daemon.forwarding import (
     departure,
     event_stream,
@@ -62,11 +63,13 @@
         ledger: loads.LoadLedger,
         usage: usage_counts.UsageCounts,
         meter: demand.DemandMeter,
+        estimates: model.RunnerModel,
     ) -> None:
         self._codec = codec
         self._ledger = ledger
         self._usage = usage
         self._meter = meter
+        self._model = estimates
 
     async def make(
         self,
@@ -159,6 +162,8 @@
         request = self._create_request(current, placement)
         current.attempts += 1
         current.may_have_run = True
+        current.sent_at = trio.current_time()
+        current.first_event_s = None
         is_stream = current.route.kind is catalog.CallKind.STREAM
         with self._count_begin(current, is_counted=not is_stream) as begin:
             status, headers = await self._send(current, connection, request)
@@ -170,10 +175,17 @@
         if problem:
             return exchange.Broken(problem)
         if is_stream and status == _OK:
-            return await self._relay(current, head, connection, running)
-        running.note_first_event()
-        body = await connection.read_body()
-        return exchange.Whole(head, body)
+            result = await self._relay(
+                current, placement, head, connection, running
+            )
+        else:
+            running.note_first_event()
+            body = await connection.read_body()
+            result = exchange.Whole(head, body)
+        if isinstance(result, exchange.Delivered | exchange.Whole):
+            held_s = trio.current_time() - current.sent_at
+            self._model.note_end(current.service, held_s)
+        return result
 
     def _create_request(
         self, current: exchange.Exchange, placement: placer.Placement
@@ -236,6 +248,7 @@
     async def _relay(
         self,
         current: exchange.Exchange,
+        placement: placer.Placement,
         head: calls.AnswerHead,
         connection: connections.RunnerConnection,
         running: loads.Running,
@@ -249,6 +262,8 @@
                 is_begun = True
                 connection.has_begun = True
                 running.note_first_event()
+                took_s = trio.current_time() - current.sent_at
+                self._learn_first_event(current, placement, took_s)
                 _Begin(self._usage, current.team).note()
             problem = await self._pass_on(current, head, events)
             if problem:
@@ -260,6 +275,22 @@
         await current.writer.finish()
         return exchange.Delivered()
 
+    def _learn_first_event(
+        self,
+        current: exchange.Exchange,
+        placement: placer.Placement,
+        took_s: float,
+    ) -> None:
+        current.first_event_s = took_s
+        # A wait for a slot says nothing of reading, and a stream that goes on
+        # elsewhere reads what it has already sent as well.
+        if placement.has_free_slot and current.events == 0:
+            own = placement.uncached_tokens
+            result = model.FirstEvent(
+                own, own + placement.unread_tokens, took_s
+            )
+            self._model.note_first_event(current.service, result)
+
     async def _pass_on(
         self,
         current: exchange.Exchange,
--- a/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
@@ -49,6 +49,8 @@
         unsent: Runners that could not be reached or were not ours.
         fallback: A failed answer to give if no other comes.
         tried: Runners not to try again.
+        sent_at: When it was last sent to a runner, in trio's time.
+        first_event_s: From then to its first event; None before that.
     """
 
     call: calls.Call
@@ -66,6 +68,8 @@
     unsent: int = 0
     fallback: Whole | None = None
     tried: set[str] = dataclasses.field(default_factory=set)
+    sent_at: float = 0.0
+    first_event_s: float | None = None
 
     @property
     def units(self) -> float:
--- a/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
@@ -145,13 +145,18 @@
         )
         if short_s <= 0:
             return None
+        standing = self._parts.allowances.describe(team.name)
         _LOG.write(
             f"Team {team.name} has no room for {current.units:.0f} units.",
             request=current.call.id,
             team=team.name,
-            used=round(self._parts.allowances.find_used(team.name)),
+            used=round(standing.used),
+            limit=round(standing.limit),
+            level=round(standing.level),
+            grant=round(standing.grant),
             units=current.units,
             rate=team.rate,
+            burst=team.burst,
             spent=self._parts.allowances.list_own().get(team.name, 0.0),
         )
         return answers.create_own_answer(
@@ -365,7 +370,11 @@
             zone=placement.runner.zone,
             expected_ms=round(placement.expected_s * 1000, 1),
             considered=placement.considered,
+            first_event_ms=current.first_event_s
+            and round(current.first_event_s * 1000, 1),
             uncached=placement.uncached_tokens,
+            unread=placement.unread_tokens,
+            has_free_slot=placement.has_free_slot,
             events=current.events,
             detail=getattr(result, "reason", None)
             or getattr(result, "status", None),
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -24,7 +24,7 @@
     usage_counts,
     usage_reporter,
 )
-from martenquay_daemon.engines import demand, loads, placer
+from martenquay_daemon.engines import demand, loads, model, placer
 from martenquay_daemon.fleet import (
     announcements,
     links,
@@ -283,6 +283,7 @@
                 directory=self._directory,
                 meter=self._meter,
                 ledger=self._loads,
+                estimates=self._estimates,
                 fleet=self._view,
             )
         )
@@ -332,6 +333,7 @@
         bounds = self._settings.bounds
         self._loads = loads.LoadLedger()
         self._meter = demand.DemandMeter()
+        self._estimates = model.RunnerModel()
         self._usage = usage_counts.UsageCounts(bounds.window_s)
         self._ejector = ejection.Ejector()
         self._allowances = ledger.create_ledger(
@@ -355,12 +357,17 @@
                 self._settings.zone,
                 self._directory,
                 self._loads,
+                self._estimates,
                 self._ejector,
                 self._rng,
                 self._view.is_zone_silent,
             ),
             attempts=attempt.AttemptMaker(
-                codec, self._loads, self._usage, self._meter
+                codec,
+                self._loads,
+                self._usage,
+                self._meter,
+                self._estimates,
             ),
             retries=self._retries,
             ejector=self._ejector,
--- a/tests/serving_scene.py
+++ b/tests/serving_scene.py
@@ -18,7 +18,7 @@
     runner_directory,
 )
 from martenquay_daemon.duties import usage_counts
-from martenquay_daemon.engines import demand, loads, placer
+from martenquay_daemon.engines import demand, loads, model, placer
 from martenquay_daemon.forwarding import (
     attempt,
     forwarder,
@@ -81,6 +81,7 @@
         )
         self.usage = usage_counts.UsageCounts(_WINDOW_S, lambda: 2.0)
         self.ledger = loads.LoadLedger()
+        self.estimates = model.RunnerModel()
         ejector = ejection.Ejector()
         rng = random.Random(1)
         header_codec = codec.create_codec()
@@ -92,10 +93,20 @@
             directory=self.directory,
             allowances=ledger.create_ledger(tolerance, facts),
             placer=placer.Placer(
-                "a", self.directory, self.ledger, ejector, rng, lambda _: False
+                "a",
+                self.directory,
+                self.ledger,
+                self.estimates,
+                ejector,
+                rng,
+                lambda _: False,
             ),
             attempts=attempt.AttemptMaker(
-                header_codec, self.ledger, self.usage, demand.DemandMeter()
+                header_codec,
+                self.ledger,
+                self.usage,
+                demand.DemandMeter(),
+                self.estimates,
             ),
             retries=retry_window.RetryWindow(bounds, lambda: 1),
             ejector=ejector,
--- a/tests/test_duties/test_capacity.py
+++ b/tests/test_duties/test_capacity.py
@@ -133,16 +133,18 @@
 
 class NeedTest(testtools.TestCase):
     def test_the_larger_of_reading_and_slots_decides(self) -> None:
-        reading = capacity_plan.CapacityNeed(45_000.0, 1)
-        slots = capacity_plan.CapacityNeed(10.0, 200)
+        reading = capacity_plan.CapacityNeed(45_000.0, 1, 30_000.0)
+        slots = capacity_plan.CapacityNeed(10.0, 200, 30_000.0)
         self.assertEqual(3, reading.count_needed(128))
         self.assertEqual(4, slots.count_needed(128))
 
     def test_a_backlog_takes_runners_beside_what_comes_in(self) -> None:
-        need = capacity_plan.CapacityNeed(15_000.0, 1, unread_tokens=60_000)
+        need = capacity_plan.CapacityNeed(
+            15_000.0, 1, 30_000.0, unread_tokens=60_000
+        )
         self.assertEqual(1, need.count_needed(128))
         self.assertEqual(2, need.count_busy(128))
 
     def test_one_runner_is_always_needed(self) -> None:
-        need = capacity_plan.CapacityNeed(0.0, 0)
+        need = capacity_plan.CapacityNeed(0.0, 0, 30_000.0)
         self.assertEqual(1, need.count_needed(128))
--- a/tests/test_duties/test_capacity_keeper.py
+++ b/tests/test_duties/test_capacity_keeper.py
@@ -11,7 +11,7 @@
     runner_directory,
 )
 from martenquay_daemon.duties import capacity_keeper, lease
-from martenquay_daemon.engines import demand, loads
+from martenquay_daemon.engines import demand, loads, model
 from martenquay_daemon.fleet import view
 from martenquay_standins.ports import cloud, log
 from tests import clocked
@@ -38,6 +38,7 @@
             self.records, contact.LogContact()
         )
         self.meter = demand.DemandMeter()
+        self.estimates = model.RunnerModel()
         fleet = view.FleetView("entry-1")
         self.lease = lease.create_lease(
             log.MemoryLog(), "lease", "entry-1.aa", "entry-1", 3.0, fleet
@@ -51,6 +52,7 @@
                 directory=self.directory,
                 meter=self.meter,
                 ledger=loads.LoadLedger(),
+                estimates=self.estimates,
                 fleet=fleet,
             )
         )
@@ -205,6 +207,44 @@
 
         self._run(scenario)
 
+    async def _load(self, seconds: float, tokens_per_s: float) -> None:
+        """Have callers bring prompts for engines to read."""
+        for _ in range(int(seconds * 10)):
+            self.meter.note("model", round(tokens_per_s / 10))
+            await trio.sleep(0.1)
+
+    def _teach(self, tokens_per_s: float) -> None:
+        """Have results show how fast engines read."""
+        for number in range(100):
+            own = 500 + 90 * number
+            result = model.FirstEvent(own, own, 0.05 + own / tokens_per_s)
+            self.estimates.note_first_event("model", result)
+
+    def test_what_is_only_assumed_of_engines_buys_none(self) -> None:
+        async def scenario() -> None:
+            await self._load(25.0, 200_000.0)
+            wanted = [o.wanted for o in self.cloud.list_orders()]
+            # Five serve: with one zone's gone, two more than that remain.
+            self.assertEqual(3, max(wanted))
+
+        self._run(scenario)
+
+    def test_fast_engines_are_not_bought_as_if_they_were_slow(self) -> None:
+        async def find_most(tokens_per_s: float) -> int:
+            self.cloud.received.clear()
+            for _ in range(5):
+                self._teach(tokens_per_s)
+                await self._load(5.0, 120_000.0)
+            return max(o.wanted for o in self.cloud.list_orders())
+
+        async def scenario() -> None:
+            await self._load(16.0, 1000.0)
+            fast = await find_most(150_000.0)
+            slow = await find_most(20_000.0)
+            self.assertLess(fast, slow)
+
+        self._run(scenario)
+
     def test_without_the_lease_nothing_is_ordered(self) -> None:
         async def scenario() -> None:
             await self.lease.release()
--- /dev/null
+++ b/tests/test_engines/test_model.py
@@ -0,0 +1,99 @@
+"""How fast runners are is learnt from results, with noise and late news."""
+
+from __future__ import annotations
+
+import random
+
+import trio
+
+from martenquay_daemon.engines import model
+from tests import clocked
+
+_BASE_S = 0.05
+
+
+class RunnerModelTest(clocked.ClockedTestCase):
+    def _teach(
+        self,
+        learner: model.RunnerModel,
+        tokens_per_s: float,
+        *,
+        count: int = 100,
+        noise: float = 0.0,
+    ) -> None:
+        """Teach it results of an engine; what others have there is noisy."""
+        rng = random.Random(1)
+        for _ in range(count):
+            own = rng.choice([300, 600, 1800, 7000, 12_000])
+            ahead = rng.choice([0, 0, 1000, 9000])
+            took_s = _BASE_S + (own + ahead) / tokens_per_s
+            told = max(0.0, ahead + noise * rng.uniform(-1, 1))
+            learner.note_first_event(
+                "model", model.FirstEvent(own, own + int(told), took_s)
+            )
+
+    def test_before_any_result_it_says_that_it_only_assumes(self) -> None:
+        async def scenario() -> None:
+            found = model.RunnerModel().find("model")
+            self.assertFalse(found.is_learnt)
+            self.assertAlmostEqual(30_000.0, found.read_tokens_per_s, 3)
+
+        self.run_clocked(scenario)
+
+    def test_fast_and_slow_engines_are_told_apart(self) -> None:
+        async def scenario() -> None:
+            for speed in (12_000.0, 30_000.0, 150_000.0):
+                learner = model.RunnerModel()
+                self._teach(learner, speed)
+                found = learner.find("model")
+                self.assertTrue(found.is_learnt)
+                self.assertLess(abs(found.read_tokens_per_s / speed - 1), 0.1)
+
+        self.run_clocked(scenario)
+
+    def test_late_news_of_others_do_not_make_an_engine_look_faster(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            learner = model.RunnerModel()
+            self._teach(learner, 100_000.0, count=400, noise=20_000.0)
+            found = learner.find("model").read_tokens_per_s
+            self.assertLess(abs(found / 100_000.0 - 1), 0.25)
+
+        self.run_clocked(scenario)
+
+    def test_engines_that_turn_slow_are_noticed_within_a_boot_or_two(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            learner = model.RunnerModel()
+            self._teach(learner, 150_000.0, count=200)
+            for _ in range(10):
+                await trio.sleep(1.0)
+                self._teach(learner, 20_000.0, count=20)
+            found = learner.find("model").read_tokens_per_s
+            self.assertLess(found, 50_000.0)
+
+        self.run_clocked(scenario)
+
+    def test_prompts_that_are_all_alike_teach_nothing_wild(self) -> None:
+        async def scenario() -> None:
+            learner = model.RunnerModel()
+            for number in range(100):
+                took_s = 0.05 + (number % 7) * 0.01
+                learner.note_first_event(
+                    "model", model.FirstEvent(500, 500, took_s)
+                )
+            found = learner.find("model").read_tokens_per_s
+            self.assertLess(abs(found / 30_000.0 - 1), 0.1)
+
+        self.run_clocked(scenario)
+
+    def test_how_long_a_slot_is_taken_is_learnt(self) -> None:
+        async def scenario() -> None:
+            learner = model.RunnerModel()
+            for _ in range(50):
+                learner.note_end("desk", 0.09)
+            self.assertLess(abs(learner.find("desk").hold_s - 0.09), 0.005)
+
+        self.run_clocked(scenario)
--- a/tests/test_engines/test_placer.py
+++ b/tests/test_engines/test_placer.py
@@ -6,7 +6,7 @@
 
 from martenquay_core.serving import calls, catalog, ports
 from martenquay_daemon.discovery import contact, runner_directory
-from martenquay_daemon.engines import loads, placer
+from martenquay_daemon.engines import loads, model, placer
 from martenquay_daemon.limits import ejection
 from tests import clocked
 from tests import serving_builders as builders
@@ -14,6 +14,7 @@
 _SERVICE = builders.build_service(
     name="model", engine=catalog.EngineTraits(128, 260_000)
 )
+_RUNNER_SLOTS = 128
 
 
 def _build_prompt(shared: str, own: str) -> tuple[calls.PromptPart, ...]:
@@ -36,16 +37,19 @@
                 service="model",
                 zone=zone,
                 address=f"127.0.0.1:{number}",
+                slots=_RUNNER_SLOTS,
             )
             records.runners[b"%d" % number] = runner
             directory.take(ports.KeyedRecord(number, runner.id, b"%d" % number))
         self.ledger = loads.LoadLedger()
+        self.estimates = model.RunnerModel()
         self.silent: set[str] = set()
         self.ejector = ejection.Ejector()
         return placer.Placer(
             "a",
             directory,
             self.ledger,
+            self.estimates,
             self.ejector,
             random.Random(seed),
             self.silent.__contains__,
@@ -89,6 +93,20 @@
 
         self.run_clocked(scenario)
 
+    def test_a_home_without_a_free_slot_is_passed_over(self) -> None:
+        async def scenario() -> None:
+            chooser = self._build()
+            home = self._choose(chooser, "s-1", "own")
+            for _ in range(50):
+                self.estimates.note_end("model", 2.0)
+            full = loads.RunnerLoad(requests=_RUNNER_SLOTS + 10)
+            busy = loads.RunnerLoad(requests=_RUNNER_SLOTS - 2)
+            others = {f"r-{n}": busy for n in range(6)}
+            self.ledger.replace_source("entry-2.aa", others | {home: full})
+            self.assertNotEqual(home, self._choose(chooser, "s-1", "own"))
+
+        self.run_clocked(scenario)
+
     def test_what_other_daemons_have_there_counts_too(self) -> None:
         async def scenario() -> None:
             chooser = self._build()
