--- a/packages/daemon/src/martenquay_daemon/allowances/ledger.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/ledger.py
@@ -14,24 +14,20 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 from typing import TYPE_CHECKING
 
 import trio
 
-from martenquay_daemon.allowances import accounts, window
+from martenquay_daemon.allowances import accounts, terms, window
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping
+    from collections.abc import Iterable, Mapping
 
     from martenquay_core.serving import catalog
 
 __all__ = [
     "AllowanceLedger",
-    "FleetFacts",
-    "Standing",
-    "ToleranceBounds",
     "create_ledger",
 ]
 
@@ -39,17 +35,9 @@
 # assumed to have gone on spending since it was heard. What it then tells
 # takes the place of what was assumed, so a false alarm costs nothing.
 _SILENT_PART = 0.5
-# The parts of the tolerated overrun and slack that are given away. The rest
-# is for what daemons spend at the same moment without knowing of each other,
-# and for the last request, which may be larger than the room for it.
-_USED_OVERRUN = 0.5
-_USED_SLACK = 0.3
 # The bucket: a quarter more than the rate fills the window in 6 s.
 _BUCKET_RATE = 1.25
 _BUCKET_BURST = 1.5
-# The part of its share of the bucket that a daemon begins with when all have
-# started anew; the rest makes up for what was spent and not written down.
-_START_PART = 0.5
 # If nobody says that it is known who else there is, it is taken as known so
 # long after the start: reading it in the log takes 20 to 60 ms.
 _LISTED_S = 0.3
@@ -76,61 +64,6 @@
 _GUESS_S = 8.0
 
 
-@dataclasses.dataclass(frozen=True)
-class ToleranceBounds:
-    """How much more than its allowance a team may get.
-
-    Attributes:
-        window_s: The time over which its units are counted.
-        overrun: Tolerated in it, as a share of the allowance.
-        slack: Units tolerated beyond that.
-    """
-
-    window_s: float
-    overrun: float
-    slack: float
-
-    def find_limit(self, team: catalog.Team) -> float:
-        """Return the units that a team may spend in the window."""
-        allowance = team.rate * self.window_s + team.burst
-        overrun = _USED_OVERRUN * self.overrun * allowance
-        return allowance + overrun + _USED_SLACK * self.slack
-
-
-@dataclasses.dataclass(frozen=True)
-class FleetFacts:
-    """What a ledger asks of the fleet.
-
-    Attributes:
-        count_daemons: Returns how many daemons share the allowances.
-        find_silence: Returns after how many seconds a daemon is silent.
-        hurry: Has this daemon's spending told soon.
-        is_listed: Tells whether it is known who else there is.
-    """
-
-    count_daemons: Callable[[], int]
-    find_silence: Callable[[], float]
-    hurry: Callable[[], None]
-    is_listed: Callable[[], bool] = lambda: False
-
-
-@dataclasses.dataclass(frozen=True)
-class Standing:
-    """A team's account as far as it decides on the next request.
-
-    Attributes:
-        used: Units spent in the window, by all daemons.
-        limit: What may be spent in it.
-        level: What is in the bucket.
-        grant: What this daemon may spend until it hears of others.
-    """
-
-    used: float = 0.0
-    limit: float = 0.0
-    level: float = 0.0
-    grant: float = 0.0
-
-
 class AllowanceLedger:
     """The teams' allowances as this daemon sees them.
 
@@ -138,7 +71,9 @@
         bounds: What is tolerated; may be replaced.
     """
 
-    def __init__(self, bounds: ToleranceBounds, fleet: FleetFacts) -> None:
+    def __init__(
+        self, bounds: terms.ToleranceBounds, fleet: terms.FleetFacts
+    ) -> None:
         self.bounds = bounds
         self._fleet = fleet
         self._accounts: dict[str, accounts.Account] = {}
@@ -201,12 +136,12 @@
         """Return what a team has spent in the window."""
         return self.describe(team).used
 
-    def describe(self, team: str) -> Standing:
+    def describe(self, team: str) -> terms.Standing:
         """Return what decides on a team's next request, for the log."""
         account = self._accounts.get(team)
         if account is None:
-            return Standing()
-        return Standing(
+            return terms.Standing()
+        return terms.Standing(
             account.used.total, account.limit, account.level, account.grant
         )
 
@@ -248,7 +183,12 @@
                 self._fill_from_past(account, team)
 
     def note_spending(
-        self, source: str, totals: Mapping[str, float], daemons: int = 1
+        self,
+        source: str,
+        totals: Mapping[str, float],
+        daemons: int = 1,
+        *,
+        is_new: bool = False,
     ) -> None:
         """Take what others have spent.
 
@@ -256,15 +196,21 @@
             source: Who tells it: a daemon, or a zone's hub.
             totals: Units by team, since the source began to count.
             daemons: How many have spent that.
+            is_new: It began to count a moment ago.
         """
         now = trio.current_time()
         for team, account in self._accounts.items():
             total = totals.get(team, 0.0)
             known = account.others.get(source)
             if known is None:
-                # What was spent before this daemon knew of it is over.
+                # What was spent before this daemon knew of it is over, but
+                # for a source that started with this daemon: without its
+                # part a greedy team got 1% more than is tolerated.
                 known = accounts.Spending(total, heard_at=now)
                 account.others[source] = known
+                if is_new:
+                    excess = total - daemons * account.assumed_each
+                    account.charge(now, max(0.0, excess))
             else:
                 accounts.settle(account, known, total, now)
             known.daemons = daemons
@@ -376,8 +322,6 @@
         account.used.fill_evenly(past.written_at, past.sums[team])
         account.used.add(past.written_at + unwritten_s, most * unwritten_s)
         account.used.slide(now)
-        # Most teams' buckets are full; what was in this one is shared by all
-        # daemons that start now.
         account.is_guessed = False
         account.restarted_at = now
         # How many share it is known a moment later; one alone would take all.
@@ -394,7 +338,11 @@
             return
         account.is_begun = True
         daemons = max(1, self._fleet.count_daemons())
-        account.level = _START_PART * account.size / daemons
+        # Most teams' buckets are full. What others take from this one is
+        # charged when they are heard; until then the grant keeps this daemon
+        # to its part. With a part of the bucket as well, 140 to 230 requests
+        # were refused in the first 0.5 s, while half of the limit was free.
+        account.level = account.size
         account.renew_grant(now, daemons)
 
     def _replace_guess(
@@ -421,6 +369,7 @@
         heard = sum(known.daemons for known in account.others.values())
         unheard = max(0, daemons - 1 - heard)
         units = unheard * even * elapsed_s
+        account.assumed_each += even * elapsed_s
         for known in account.others.values():
             # Also between two reports: a greedy team spends much in that time.
             rate = known.rate
@@ -433,7 +382,7 @@
 
 
 def create_ledger(
-    bounds: ToleranceBounds, fleet: FleetFacts
+    bounds: terms.ToleranceBounds, fleet: terms.FleetFacts
 ) -> AllowanceLedger:
     """Return a ledger without accounts."""
     return AllowanceLedger(bounds, fleet)
--- a/packages/daemon/src/martenquay_daemon/duties/capacity_plan.py
+++ b/packages/daemon/src/martenquay_daemon/duties/capacity_plan.py
@@ -29,7 +29,7 @@
 # The part of an engine's reading speed at which first tokens still come within
 # their target: prompts of 300 ms queue behind each other, and arrivals come in
 # clumps.
-_READ_LOAD = 0.5
+_READ_LOAD = 0.65
 # The part of an engine's slots that may be in use on average.
 _SLOT_LOAD = 0.5
 # A backlog of prompts should be read within this time beside what comes in;
--- a/packages/daemon/src/martenquay_daemon/engines/placer.py
+++ b/packages/daemon/src/martenquay_daemon/engines/placer.py
@@ -21,9 +21,17 @@
 
 # Up to so many runners, each is looked at for each request.
 _LOOK_AT_ALL = 24
+# A first event that is expected within this part of its target is on time for
+# all that the estimate may be off; then the runner that has the prompt's shared
+# parts is chosen though another would be sooner.
+_CALM_PART = 0.4
 # Else so many homes of the prompt, and so many others at random.
 _HOMES = 2
 _RANDOM = 2
+# So many runners of a plain service, chosen at random, are looked at while
+# loads are told through hubs, up to a second late. Many calls end meanwhile,
+# and if all daemons took the runner that was idle then, it would have a queue.
+_PLAIN = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -78,9 +86,11 @@
         ejector: ejection.Ejector,
         rng: random.Random,
         is_zone_silent: Callable[[str], bool],
+        are_loads_fresh: Callable[[], bool],
         weights: PlacerWeights | None = None,
     ) -> None:
         self._zone = zone
+        self._are_loads_fresh = are_loads_fresh
         self._is_zone_silent = is_zone_silent
         self._directory = directory
         self._ledger = ledger
@@ -95,8 +105,17 @@
         name: str,
         call: calls.Call,
         excluded: set[str],
+        target_s: float = 0.0,
     ) -> Placement | None:
-        """Return the best runner of a service that is not excluded."""
+        """Return the best runner of a service that is not excluded.
+
+        Args:
+            service: The service; None if the catalog has none of the name.
+            name: Its name.
+            call: The request.
+            excluded: Runners that it is not to go to.
+            target_s: Within this its first event is on time.
+        """
         usable = [
             runner
             for runner in self._directory.list_usable(name)
@@ -107,11 +126,15 @@
         kept = set(self._ejector.keep_usable([r.id for r in usable]))
         candidates = [runner for runner in usable if runner.id in kept]
         if service is not None and service.engine is not None:
-            return self._choose_engine(name, call, candidates)
+            return self._choose_engine(name, call, candidates, target_s)
         return self._choose_plain(name, candidates)
 
     def _choose_engine(
-        self, name: str, call: calls.Call, candidates: list[runners.Runner]
+        self,
+        name: str,
+        call: calls.Call,
+        candidates: list[runners.Runner],
+        target_s: float,
     ) -> Placement:
         estimate = self._model.find(name)
         homes = _rank_homes(call, candidates)
@@ -121,16 +144,17 @@
             uncached = _estimate_uncached(call, is_home=runner.id == home)
             load = self._ledger.find(runner.id)
             expected_s = self._expect_engine(runner, load, uncached, estimate)
-            if best is None or expected_s < best.expected_s:
-                best = Placement(
-                    runner,
-                    expected_s,
-                    uncached,
-                    len(candidates),
-                    load.unread_tokens,
-                    load.requests < runner.slots,
-                    uncached / estimate.read_tokens_per_s,
-                )
+            found = Placement(
+                runner,
+                expected_s,
+                uncached,
+                len(candidates),
+                load.unread_tokens,
+                load.requests < runner.slots,
+                uncached / estimate.read_tokens_per_s,
+            )
+            if best is None or _rank(found, target_s) < _rank(best, target_s):
+                best = found
         assert best is not None, "there are candidates"
         return best
 
@@ -159,7 +183,10 @@
             jitter = self._rng.random() * self._weights.other_zone_s / 4
             return ahead * hold_s + self._expect_way(runner) + jitter
 
-        best = min(candidates, key=expect)
+        looked_at = candidates
+        if len(candidates) > _PLAIN and not self._are_loads_fresh():
+            looked_at = self._rng.sample(candidates, _PLAIN)
+        best = min(looked_at, key=expect)
         return Placement(best, expect(best), 0, len(candidates))
 
     def _expect_engine(
@@ -189,6 +216,12 @@
         return self._weights.other_zone_s
 
 
+def _rank(placement: Placement, target_s: float) -> tuple[float, int, float]:
+    """Return what is to be least: lateness, then reading, then time."""
+    late_s = max(0.0, placement.expected_s - _CALM_PART * target_s)
+    return late_s, placement.uncached_tokens, placement.expected_s
+
+
 def _rank_homes(
     call: calls.Call, candidates: list[runners.Runner]
 ) -> list[runners.Runner]:
--- a/packages/daemon/src/martenquay_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/shared_state.py
@@ -23,6 +23,10 @@
 
 # The source of loads that a hub has added up over all daemons.
 _FLEET = "fleet"
+# A source that has told so little yet began to count a few seconds ago, so all
+# that it tells was spent inside the allowances' window: news come at least
+# every 0.8 s.
+_FIRST_NEWS = 10
 # What a log that has never answered counts as.
 _LONGEST_AGE_S = 3600.0
 
@@ -125,7 +129,11 @@
             digest.member, digest.lease, is_leaving=digest.is_leaving
         )
         sources.allowances.note_used(digest.used)
-        sources.allowances.note_spending(digest.member, digest.spending)
+        sources.allowances.note_spending(
+            digest.member,
+            digest.spending,
+            is_new=digest.number <= _FIRST_NEWS,
+        )
         sources.loads.replace_source(digest.member, _list_loads(digest.loads))
 
     def take_report(self, report: messages.FleetReport) -> None:
@@ -137,6 +145,7 @@
                 summary.zone,
                 sources.fleet.zones.find_spending(summary.zone),
                 summary.daemons,
+                is_new=summary.number <= _FIRST_NEWS,
             )
         sources.loads.replace_source(_FLEET, _list_loads(report.loads))
 
--- a/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import math
 from typing import TYPE_CHECKING
 
 import trio
@@ -12,9 +11,11 @@
 from martenquay_core.serving import calls, catalog
 from martenquay_daemon.engines import model
 from martenquay_daemon.forwarding import (
+    begins,
     departure,
     event_stream,
     exchange,
+    patience,
     silence,
 )
 from martenquay_daemon.forwarding import runner_connection as connections
@@ -45,17 +46,6 @@
 # their next regular news, a quarter of a second later, it is mostly read, and
 # whoever was sent behind it meanwhile was late.
 _TELL_READ_S = 0.05
-# Events of a busy engine are up to 0.2 s apart, and a pause of 0.5 s makes an
-# answer late; a runner that is gone has to be found out in between.
-_QUIET_STREAM_S = 0.25
-# Longer than nearly all plain calls work (22 ms on average, 110 ms at most).
-_QUIET_CALL_S = 0.15
-# A connection may be silent for good while its runner takes others. Events of
-# a runner eight times slower than a busy one are up to 1.6 s apart.
-_LONGEST_PAUSE_S = 2.0
-# Before the answer has begun a runner may be silent for good reasons, so most
-# of the time is waited; what is left is enough for another to do the work.
-_LONGEST_PART = 2 / 3
 
 
 class AttemptMaker:
@@ -107,9 +97,11 @@
                     _CONNECT_S,
                     lasts_s=current.deadline - trio.current_time(),
                 ) as connection:
-                    patience = _find_patience(current, placement, may_move)
+                    bounds = patience.find_patience(
+                        current, placement, may_move
+                    )
                     result = await self._talk_while_there(
-                        current, placement, connection, running, patience
+                        current, placement, connection, running, bounds
                     )
             except connections.NotConnectedError as error:
                 result = exchange.NotSent(str(error))
@@ -135,7 +127,7 @@
         placement: placer.Placement,
         connection: connections.RunnerConnection,
         running: loads.Running,
-        patience: silence.Patience,
+        bounds: silence.Patience,
     ) -> exchange.AttemptResult:
         """Talk, but give a runner up that is gone if another may take over."""
         if not current.route.may_repeat:
@@ -147,7 +139,7 @@
             async def watch() -> None:
                 nonlocal result
                 verdict = await silence.wait_until_gone(
-                    connection, placement, patience
+                    connection, placement, bounds
                 )
                 if verdict is silence.Verdict.SILENT:
                     result = exchange.Silent()
@@ -255,12 +247,12 @@
     @contextlib.contextmanager
     def _count_begin(
         self, current: exchange.Exchange, *, is_counted: bool
-    ) -> Iterator[_Begin]:
+    ) -> Iterator[begins.Begin]:
         """Count a plain call as begun from its sending on.
 
         Its answer may be lost, and the work is done all the same.
         """
-        begin = _Begin(self._usage, current.team)
+        begin = begins.Begin(self._usage, current.team)
         if is_counted:
             begin.note()
         yield begin
@@ -284,7 +276,7 @@
                 running.note_first_event()
                 took_s = trio.current_time() - current.sent_at
                 self._learn_first_event(current, placement, took_s)
-                _Begin(self._usage, current.team).note()
+                begins.Begin(self._usage, current.team).note()
             problem = await self._pass_on(current, head, events)
             if problem:
                 return exchange.Broken(problem)
@@ -339,27 +331,6 @@
         return ""
 
 
-class _Begin:
-    """A request counted as begun."""
-
-    def __init__(
-        self, usage: usage_counts.UsageCounts, team: catalog.Team | None
-    ) -> None:
-        self._usage = usage
-        self._team = team
-        self._window: int | None = None
-
-    def note(self) -> None:
-        """Count it."""
-        if self._team is not None:
-            self._window = self._usage.note_begin(self._team.name)
-
-    def take_back(self) -> None:
-        """Take it back if it was counted."""
-        if self._team is not None and self._window is not None:
-            self._usage.take_back(self._team.name, self._window)
-
-
 def _check_head(call: calls.Call, head: calls.AnswerHead) -> str:
     """Return why an answer cannot be used, or nothing."""
     if head.call_id is not None and head.call_id != call.id:
@@ -371,27 +342,6 @@
     return ""
 
 
-def _find_patience(
-    current: exchange.Exchange,
-    placement: placer.Placement,
-    may_move: Callable[[], bool],
-) -> silence.Patience:
-    longest_s = longest_pause_s = math.inf
-    has_next = current.attempts + 1 < current.route.max_attempts
-    if has_next and placement.considered > 1:
-        # Another runner may do what this one seems not to.
-        longest_s = _LONGEST_PART * (current.deadline - trio.current_time())
-        longest_pause_s = _LONGEST_PAUSE_S
-    if current.route.kind is catalog.CallKind.STREAM:
-        first_s = _QUIET_STREAM_S + placement.expected_s
-        return silence.Patience(
-            first_s, _QUIET_STREAM_S, longest_s, longest_pause_s, may_move
-        )
-    return silence.Patience(
-        _QUIET_CALL_S, _QUIET_CALL_S, longest_s, may_move=may_move
-    )
-
-
 def _find_urgency(current: exchange.Exchange) -> int:
     team = current.team
     urgency = current.route.urgency
--- a/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
@@ -8,7 +8,12 @@
 import trio
 
 from martenquay_core import logs, results
-from martenquay_daemon.forwarding import answers, departure, exchange
+from martenquay_daemon.forwarding import (
+    answers,
+    departure,
+    exchange,
+    own_answers,
+)
 
 if TYPE_CHECKING:
     import random
@@ -25,17 +30,10 @@
 
 _LOG = logs.create_log("forwarding")
 _Code = results.ResultCode
-# When to come back: by then another runner may be known, the configuration
-# read, a slot free. Callers wait a third of their time at most, and plain
-# calls have 0.6 s.
-_NO_RUNNER_RETRY_S = 0.3
 _STARTING_RETRY_S = 0.5
-_FULL_RETRY_S = 0.25
 # Connections that do not come up are no attempts, but end somewhere.
 _MAX_UNSENT = 4
 _SERVER_ERROR = 500
-_GATEWAY_TIMEOUT = 504
-_UNAVAILABLE = 503
 
 
 @dataclasses.dataclass(frozen=True)
@@ -216,12 +214,12 @@
             current.stage = departure.Stage.QUEUED
             current.check_caller()
             if trio.current_time() >= current.deadline:
-                return current.fallback or self._describe_timeout(current)
+                return current.fallback or own_answers.describe_timeout(current)
             if current.attempts and not self._may_try_again(current):
-                return current.fallback or self._describe_failure(current)
+                return current.fallback or own_answers.describe_failure(current)
             placement = self._place(current)
             if placement is None:
-                return current.fallback or self._describe_failure(current)
+                return current.fallback or own_answers.describe_failure(current)
             had_run = current.may_have_run
             result = await parts.attempts.make(
                 current,
@@ -241,7 +239,7 @@
                 case exchange.NotRun():
                     current.may_have_run = had_run
                 case exchange.TimedOut():
-                    return self._describe_timeout(current)
+                    return own_answers.describe_timeout(current)
             self._learn(current, placement.runner.id, result)
 
     def _place(self, current: exchange.Exchange) -> placer.Placement | None:
@@ -254,6 +252,7 @@
             current.service,
             current.call,
             current.tried,
+            current.route.target_s,
         )
 
     def _learn(
@@ -293,42 +292,6 @@
             and current.attempts < current.route.max_attempts
         )
 
-    def _describe_failure(
-        self, current: exchange.Exchange
-    ) -> answers.OwnAnswer:
-        if current.may_have_run:
-            return answers.create_own_answer(
-                _Code.UNKNOWN_ANSWER_LOST, "the runner's answer was lost"
-            )
-        if current.attempts:
-            return answers.create_own_answer(
-                _Code.NOT_RUN_OVERLOADED,
-                "the runners are full",
-                status=_UNAVAILABLE,
-                retry_after_s=_FULL_RETRY_S,
-            )
-        return answers.create_own_answer(
-            _Code.NOT_RUN_NO_RUNNER,
-            f"no runner of {current.service} could be reached",
-            retry_after_s=_NO_RUNNER_RETRY_S,
-        )
-
-    def _describe_timeout(
-        self, current: exchange.Exchange
-    ) -> answers.OwnAnswer:
-        if current.may_have_run:
-            return answers.create_own_answer(
-                _Code.UNKNOWN_ANSWER_LOST,
-                "the time was over before the answer came",
-                status=_GATEWAY_TIMEOUT,
-            )
-        return answers.create_own_answer(
-            _Code.NOT_RUN_DEADLINE,
-            "the time was over before a runner took it",
-            status=_UNAVAILABLE,
-            retry_after_s=_NO_RUNNER_RETRY_S,
-        )
-
     def _refund(
         self, current: exchange.Exchange, final: answers.OwnAnswer
     ) -> None:
@@ -363,6 +326,11 @@
         if isinstance(result, exchange.Delivered | exchange.Whole):
             self._parts.ejector.note_success(placement.runner.id)
         self._parts.metrics.count_attempt(current.service, outcome)
+        first_event_s = current.first_event_s
+        if first_event_s is not None:
+            self._parts.metrics.note_first_event(
+                current.service, placement.expected_s, first_event_s
+            )
         _LOG.write(
             f"Attempt {current.attempts}: {outcome}.",
             request=current.call.id,
@@ -370,8 +338,7 @@
             zone=placement.runner.zone,
             expected_ms=round(placement.expected_s * 1000, 1),
             considered=placement.considered,
-            first_event_ms=current.first_event_s
-            and round(current.first_event_s * 1000, 1),
+            first_event_ms=first_event_s and round(first_event_s * 1000, 1),
             uncached=placement.uncached_tokens,
             unread=placement.unread_tokens,
             has_free_slot=placement.has_free_slot,
--- a/packages/daemon/src/martenquay_daemon/forwarding/metrics.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/metrics.py
@@ -40,6 +40,19 @@
             registry=registry,
         )
 
+        self._first_event_s = aioprometheus.Histogram(
+            "martenquay_first_event_seconds",
+            "From the sending of a stream's request to its first event.",
+            buckets=_BUCKETS_S,
+            registry=registry,
+        )
+        self._estimate_off_s = aioprometheus.Histogram(
+            "martenquay_first_event_later_than_expected_seconds",
+            "By how much first events came later than the estimate; 0 if not.",
+            buckets=_BUCKETS_S,
+            registry=registry,
+        )
+
     def count_own_answer(self, code: results.ResultCode) -> None:
         """Count an answer of the daemon itself."""
         self._own_answers.inc({"code": str(int(code))})
@@ -52,6 +65,14 @@
         """Note how long an answer took."""
         self._answer_s.observe({"service": service}, elapsed_s)
 
+    def note_first_event(
+        self, service: str, expected_s: float, took_s: float
+    ) -> None:
+        """Note a stream's first event and what was expected of it."""
+        labels = {"service": service}
+        self._first_event_s.observe(labels, took_s)
+        self._estimate_off_s.observe(labels, max(0.0, took_s - expected_s))
+
     def render(self) -> bytes:
         """Return all metrics in Prometheus' text form."""
         content, _ = renderer.render(self._registry, [])
--- /dev/null
+++ b/packages/daemon/src/martenquay_daemon/forwarding/own_answers.py
@@ -0,0 +1,62 @@
+"""Say what is true of a request that no runner answered."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from martenquay_core import results
+from martenquay_daemon.forwarding import answers
+
+if TYPE_CHECKING:
+    from martenquay_daemon.forwarding import exchange
+
+__all__ = ["describe_failure", "describe_timeout"]
+
+_Code = results.ResultCode
+# When to come back: by then another runner may be known, the configuration
+# read, a slot free. Callers wait a third of their time at most, and plain
+# calls have 0.6 s.
+_NO_RUNNER_RETRY_S = 0.3
+_FULL_RETRY_S = 0.25
+_GATEWAY_TIMEOUT = 504
+_UNAVAILABLE = 503
+
+
+def describe_failure(
+    current: exchange.Exchange,
+) -> answers.OwnAnswer:
+    """Return the answer if no runner is left to try."""
+    if current.may_have_run:
+        return answers.create_own_answer(
+            _Code.UNKNOWN_ANSWER_LOST, "the runner's answer was lost"
+        )
+    if current.attempts:
+        return answers.create_own_answer(
+            _Code.NOT_RUN_OVERLOADED,
+            "the runners are full",
+            status=_UNAVAILABLE,
+            retry_after_s=_FULL_RETRY_S,
+        )
+    return answers.create_own_answer(
+        _Code.NOT_RUN_NO_RUNNER,
+        f"no runner of {current.service} could be reached",
+        retry_after_s=_NO_RUNNER_RETRY_S,
+    )
+
+
+def describe_timeout(
+    current: exchange.Exchange,
+) -> answers.OwnAnswer:
+    """Return the answer if the time is over."""
+    if current.may_have_run:
+        return answers.create_own_answer(
+            _Code.UNKNOWN_ANSWER_LOST,
+            "the time was over before the answer came",
+            status=_GATEWAY_TIMEOUT,
+        )
+    return answers.create_own_answer(
+        _Code.NOT_RUN_DEADLINE,
+        "the time was over before a runner took it",
+        status=_UNAVAILABLE,
+        retry_after_s=_NO_RUNNER_RETRY_S,
+    )
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -9,7 +9,7 @@
 import trio
 
 from martenquay_daemon import supervision
-from martenquay_daemon.allowances import ledger, record
+from martenquay_daemon.allowances import ledger, record, terms
 from martenquay_daemon.discovery import (
     catalog_sink,
     catalog_store,
@@ -219,6 +219,12 @@
             place,
         )
 
+    def _tell_loads_soon(self) -> None:
+        # Hubs report at their own pace; news for them sooner than that would
+        # only cost bytes, which the control traffic of 400 daemons lacks.
+        if self.links.is_mesh():
+            self.links.hurry()
+
     def _create_first_reading(self) -> first_reading.FirstReading:
         sources = {
             "catalog": self._catalog_follower.first_read,
@@ -338,7 +344,7 @@
         self._ejector = ejection.Ejector()
         self._allowances = ledger.create_ledger(
             _find_tolerance(bounds),
-            ledger.FleetFacts(
+            terms.FleetFacts(
                 count_daemons=self._view.count_daemons,
                 find_silence=lambda: self._view.silent_s,
                 hurry=self.links.hurry,
@@ -361,6 +367,7 @@
                 self._ejector,
                 self._rng,
                 self._view.is_zone_silent,
+                lambda: self._view.is_mesh,
             ),
             attempts=attempt.AttemptMaker(
                 codec,
@@ -368,7 +375,7 @@
                 self._usage,
                 self._meter,
                 self._estimates,
-                self.links.hurry,
+                self._tell_loads_soon,
             ),
             retries=self._retries,
             ejector=self._ejector,
@@ -400,8 +407,8 @@
     )
 
 
-def _find_tolerance(bounds: gateway.BoundSettings) -> ledger.ToleranceBounds:
-    return ledger.ToleranceBounds(
+def _find_tolerance(bounds: gateway.BoundSettings) -> terms.ToleranceBounds:
+    return terms.ToleranceBounds(
         bounds.allowance_window_s,
         bounds.allowance_overrun,
         bounds.allowance_slack,
