--- a/packages/daemon/src/martenquay_daemon/duties/capacity_plan.py
+++ b/packages/daemon/src/martenquay_daemon/duties/capacity_plan.py
@@ -30,10 +30,11 @@
 # their target: prompts of 300 ms queue behind each other, and arrivals come in
 # clumps.
 _READ_LOAD = 0.65
-# The part of an engine's slots that may be in use on average: of the engines that
-# have to be there at any price, and of those worth having of the cheap kind. With
-# one figure for both, 0.5, on-demand runners cost a fifth more and served nobody
-# better, for reclaimable ones are there as well until their zone goes.
+# The part of an engine's slots that may be in use on average: of the engines
+# that have to be there at any price, and of those worth having of the cheap
+# kind. With 0.5 for both, runners cost a fifth more on a day on which reclaimable
+# ones were refused, and nobody was served better: those that there are serve on
+# until their zone goes.
 _SLOT_LOAD = 0.65
 _EASY_SLOT_LOAD = 0.5
 # A backlog of prompts should be read within this time beside what comes in;
