--- a/packages/daemon/src/martenquay_daemon/duties/capacity_plan.py
+++ b/packages/daemon/src/martenquay_daemon/duties/capacity_plan.py
@@ -32,9 +32,9 @@
 _READ_LOAD = 0.65
 # The part of an engine's slots that may be in use on average: of the engines
 # that have to be there at any price, and of those worth having of the cheap
-# kind. With 0.5 for both, runners cost a fifth more on a day on which reclaimable
-# ones were refused, and nobody was served better: those that there are serve on
-# until their zone goes.
+# kind. With 0.5 for both, runners cost a fifth more on a day on which cheap
+# ones were refused, and nobody was served better: those that there are serve
+# on until their zone goes.
 _SLOT_LOAD = 0.65
 _EASY_SLOT_LOAD = 0.5
 # A backlog of prompts should be read within this time beside what comes in;
