--- a/tests/test_platform/test_soak_stops.py
+++ b/tests/test_platform/test_soak_stops.py
@@ -31,10 +31,22 @@
         """Start a program and wait until it is past its first moments."""
         end = (_WORK, _SAY.format("{}"), "time.sleep(60)")
         program = await self._start(*lines, *end)
-        assert program.process.stdout is not None, "it has a pipe"
-        await program.process.stdout.receive_some()
+        await self._read_word(program)
         return program
 
+    async def _read_word(self, program: programs.Program) -> None:
+        """Wait for one line of a program, which may come in two pieces.
+
+        An interpreter that does not buffer writes the end of a line by itself;
+        taken for the next word, it had the next signal come too early.
+        """
+        assert program.process.stdout is not None, "it has a pipe"
+        said = b""
+        while not said.endswith(b"\n"):
+            piece = await program.process.stdout.receive_some()
+            assert piece, "it has ended"
+            said += piece
+
     async def _stop(self, program: programs.Program) -> list[str]:
         """Stop it as a daemon; return what the fleet tells of that."""
         seen = history.History()
@@ -130,10 +142,9 @@
                 _SAY.format("{}"),
                 "time.sleep(60)",
             )
-            assert program.process.stdout is not None, "it has a pipe"
-            await program.process.stdout.receive_some()
+            await self._read_word(program)
             program.send_early_or_late(signal.SIGHUP)
-            await program.process.stdout.receive_some()
+            await self._read_word(program)
             program.send_early_or_late(signal.SIGHUP)
             self.assertEqual(-1, await program.process.wait())
             self.assertFalse(program.is_excused())
