Tell how old the runners' entries and others' spending are at each decision

The lines of requests could not tell the hypotheses on leaving runners and allowances apart: lines of admitted requests lacked what the daemon believed, and no entry of a runner had an age.

- A copy of a topic knows when it was complete for the last time: by a read, by a hub's report or by a peer's copy, counted on this daemon's own clock from the message that the other one answered.
- Each attempt's line has entries_age_ms; each end's line and each refusal used, grant, news_age_ms.
Histogram martenquay_runner_entries_age_seconds{step}.

No decision changes.

--- a/packages/daemon/src/martenquay_daemon/allowances/accounts.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/accounts.py
@@ -91,6 +91,12 @@
     assumed_each: float = 0.0
     others: dict[str, Spending] = dataclasses.field(default_factory=dict)
 
+    def find_news_age(self, now: float) -> float:
+        """Return the seconds since the one heard longest ago was heard."""
+        return max(
+            (now - one.heard_at for one in self.others.values()), default=0.0
+        )
+
     def charge(self, now: float, units: float) -> None:
         """Note units spent, here or elsewhere."""
         self.used.add(now, units)
--- a/packages/daemon/src/martenquay_daemon/allowances/ledger.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/ledger.py
@@ -142,7 +142,11 @@
         if account is None:
             return terms.Standing()
         return terms.Standing(
-            account.used.total, account.limit, account.level, account.grant
+            account.used.total,
+            account.limit,
+            account.level,
+            account.grant,
+            account.find_news_age(trio.current_time()),
         )
 
     def list_own(self) -> dict[str, float]:
--- a/packages/daemon/src/martenquay_daemon/allowances/terms.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/terms.py
@@ -66,9 +66,11 @@
         limit: What may be spent in it.
         level: What is in the bucket.
         grant: What this daemon may spend until it hears of others.
+        news_age_s: Since the daemon that was heard longest ago was heard.
     """
 
     used: float = 0.0
     limit: float = 0.0
     level: float = 0.0
     grant: float = 0.0
+    news_age_s: float = 0.0
--- a/packages/daemon/src/martenquay_daemon/discovery/keyed_follower.py
+++ b/packages/daemon/src/martenquay_daemon/discovery/keyed_follower.py
@@ -8,6 +8,8 @@
 import trio
 from expression import Result
 
+from martenquay_daemon.discovery import copy_age
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -58,6 +60,7 @@
     Attributes:
         end: The offset up to which the sink has been told; -1 before that.
         first_read: Set once the sink has been told what there is.
+        copy_age: How old the sink's copy is.
     """
 
     def __init__(
@@ -72,6 +75,7 @@
     ) -> None:
         self.end = -1
         self.first_read = trio.Event()
+        self.copy_age = copy_age.CopyAge()
         self._is_crowded = is_crowded
         self._is_needed = is_needed
         self._log = log
@@ -112,9 +116,9 @@
     async def _read_once(self) -> bool:
         if self.end < 0:
             return await self._read_newest()
-        page = await self._log.read(
-            self._topic, self.end, wait_s=self._find_wait()
-        )
+        started_at = trio.current_time()
+        wait_s = self._find_wait()
+        page = await self._log.read(self._topic, self.end, wait_s=wait_s)
         match page:
             case Result(tag="ok", ok=found):
                 self._contact.note_answer()
@@ -130,9 +134,15 @@
                 # by each new start of the task, and none behind it.
                 self.end = offset + 1
                 self._sink.take(self._log.split_keyed(payload, offset))
+        if self.end >= found.end:
+            # Without a record the log has waited as long as it was asked to.
+            waited_s = 0.0 if found.records else wait_s
+            complete_at = min(started_at + waited_s, trio.current_time())
+            self.copy_age.confirm(complete_at, copy_age.Step.READ)
         return True
 
     async def _read_newest(self) -> bool:
+        started_at = trio.current_time()
         snapshot = await self._log.read_newest(self._topic)
         match snapshot:
             case Result(tag="ok", ok=found):
@@ -143,5 +153,6 @@
         if found.end >= self.end:
             self._sink.replace_all(found)
             self.end = found.end
+            self.copy_age.confirm(started_at, copy_age.Step.READ)
         self.first_read.set()
         return True
--- a/packages/daemon/src/martenquay_daemon/fleet/hub.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/hub.py
@@ -25,11 +25,13 @@
     Attributes:
         catalog_version: The version in force here.
         runners_changed: Up to where the runners' entries are known here.
+        runners_age_ms: Since all of them were known here.
         log_age_ms: Since the log last answered.
     """
 
     catalog_version: int
     runners_changed: int
+    runners_age_ms: int
     log_age_ms: int
 
 
@@ -104,7 +106,7 @@
             # Duties are candidates' work, and those are hubs.
             is_full = digest.lease is not None or digest is self._own
             reports[address] = self._create_report(
-                part, others, facts, is_full=is_full
+                part, others, facts, digest.number, is_full=is_full
             )
         return reports
 
@@ -113,6 +115,7 @@
         part: zone_sum.ZonePart,
         others: list[zones.KnownSummary],
         facts: HubFacts,
+        heard: int,
         *,
         is_full: bool,
     ) -> messages.FleetReport:
@@ -124,7 +127,7 @@
             zone_sum.add_loads(loads, known.loads, 1)
         if not is_full:
             summaries = [_shorten(summary) for summary in summaries]
-        return messages.FleetReport(self._own.member, summaries, loads)
+        return messages.FleetReport(self._own.member, summaries, loads, heard)
 
     def _summarize(
         self, part: zone_sum.ZonePart, facts: HubFacts
@@ -141,6 +144,7 @@
             daemons=part.daemons,
             catalog_version=facts.catalog_version,
             runners_changed=facts.runners_changed,
+            runners_age_ms=facts.runners_age_ms,
             log_age_ms=facts.log_age_ms,
             lease=part.lease,
             lease_member=part.lease_member,
--- a/packages/daemon/src/martenquay_daemon/fleet/messages.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/messages.py
@@ -105,6 +105,7 @@
         daemons: How many it heard and added up.
         catalog_version: The version in force at the hub.
         runners_changed: As in the hub's digest.
+        runners_age_ms: Since the hub had all of the runners' entries.
         log_age_ms: Since the log last answered the hub.
         lease: What the lease's holder tells, if it is one of them.
         lease_member: That holder.
@@ -125,6 +126,7 @@
     daemons: int
     catalog_version: int
     runners_changed: int
+    runners_age_ms: int
     log_age_ms: int
     lease: LeaseNews | None
     lease_member: str
@@ -165,11 +167,14 @@
         zones: Summaries of all zones; that of their own does not count the
             receiver in.
         loads: What all other daemons have at runners, by runner id.
+        heard: The number of the receiver's last digest that the hub had; 0
+            if it had none.
     """
 
     hub: str
     zones: list[ZoneSummary]
     loads: dict[str, LoadLine]
+    heard: int
 
 
 class PeerLine(msgspec.Struct, frozen=True, array_like=True):
@@ -192,10 +197,12 @@
     Attributes:
         catalog_version: The version that the sender has.
         runners_end: How far it knows the runners' entries.
+        number: Counts the sender's questions.
     """
 
     catalog_version: int
     runners_end: int
+    number: int
 
 
 class StateCopy(msgspec.Struct, frozen=True, array_like=True, tag="s"):
@@ -208,6 +215,8 @@
         runners: The entries that have changed since.
         runner_ids: The ids of all runners that there are.
         peers: Other daemons.
+        runners_age_ms: Since the sender had all of the runners' entries.
+        number: Of the question.
     """
 
     catalog: bytes
@@ -215,6 +224,8 @@
     runners: list[runner_directory.RunnerCopy]
     runner_ids: list[str]
     peers: list[PeerLine]
+    runners_age_ms: int
+    number: int
 
 
 FleetMessage = DigestNote | ZoneExchange | FleetReport | WantState | StateCopy
--- a/packages/daemon/src/martenquay_daemon/fleet/state_copies.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/state_copies.py
@@ -5,7 +5,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from martenquay_daemon.fleet import messages
+from martenquay_daemon.discovery import copy_age
+from martenquay_daemon.fleet import messages, send_times
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -22,6 +23,8 @@
 # A log that has been silent this long is asked of peers instead.
 _STALE_LOG_S = 0.9
 _MS = 1000
+# What a copy that was never complete counts as.
+_LONGEST_AGE_S = 3600.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -40,6 +43,11 @@
     runner_follower: keyed_follower.KeyedFollower
     contact: contact.LogContact
 
+    def find_runners_age_ms(self) -> int:
+        """Return for how long the runners' entries may lack something."""
+        age_s = self.runner_follower.copy_age.age_s
+        return int(min(age_s, _LONGEST_AGE_S) * _MS)
+
 
 @dataclasses.dataclass(frozen=True)
 class PeerState:
@@ -63,6 +71,8 @@
 
     def __init__(self, state: FleetState) -> None:
         self._state = state
+        self._asked = send_times.SendTimes()
+        self._questions = 0
 
     def create_copy(
         self, want: messages.WantState, peers: list[messages.PeerLine]
@@ -80,13 +90,17 @@
             ],
             [copy.key for copy in state.directory.list_copies()],
             peers,
+            state.find_runners_age_ms(),
+            want.number,
         )
 
     def create_want(self) -> messages.WantState:
         """Return a question for all that is new."""
         state = self._state
+        self._questions += 1
+        self._asked.note(self._questions)
         return messages.WantState(
-            state.store.version, state.runner_follower.end
+            state.store.version, state.runner_follower.end, self._questions
         )
 
     def take(self, copy: messages.StateCopy) -> None:
@@ -97,6 +111,11 @@
         if copy.runners_end > state.runner_follower.end:
             state.directory.take_copies(copy.runners, set(copy.runner_ids))
             state.runner_follower.skip_to(copy.runners_end)
+        asked_at = self._asked.find(copy.number)
+        if asked_at is not None:
+            state.runner_follower.copy_age.confirm(
+                asked_at - copy.runners_age_ms / _MS, copy_age.Step.COPIED
+            )
 
     def choose_source(
         self, peers: Iterable[PeerState], *, reads_log: bool
--- a/packages/daemon/src/martenquay_daemon/fleet/zone_mode.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/zone_mode.py
@@ -8,7 +8,14 @@
 
 import trio
 
-from martenquay_daemon.fleet import hub, messages, state_copies, topology
+from martenquay_daemon.discovery import copy_age
+from martenquay_daemon.fleet import (
+    hub,
+    messages,
+    send_times,
+    state_copies,
+    topology,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -76,6 +83,7 @@
         self._foreign_hubs: list[str] = []
         self._served: dict[str, _Served] = {}
         self._reported_at = -math.inf
+        self._told = send_times.SendTimes()
 
     def move_to(self, address: str) -> None:
         """Note where this daemon can be reached, once that is known."""
@@ -114,9 +122,23 @@
             return False
         if not self.is_hub and own.log_age_ms <= _FRESH_LOG_MS:
             self._state.contact.note_relayed(own.log_age_ms / _MS)
+        if not self.is_hub:
+            self._confirm_runners(own, report.heard)
         news = [self._view.zones.take(s, {}, now) for s in report.zones]
         return news[0]
 
+    def _confirm_runners(
+        self, summary: messages.ZoneSummary, heard: int
+    ) -> None:
+        """Note how old the entries are if they are the hub's."""
+        follower = self._state.runner_follower
+        told_at = self._told.find(heard)
+        if told_at is None or follower.end < summary.runners_changed:
+            return
+        follower.copy_age.confirm(
+            told_at - summary.runners_age_ms / _MS, copy_age.Step.REPORTED
+        )
+
     def select_peers(self, known: Iterable[topology.PeerAddress]) -> set[str]:
         """Decide who this daemon's hubs are and whether it is one.
 
@@ -146,6 +168,7 @@
     def create_notes(self, digest: messages.Digest) -> list[Outgoing]:
         """Return what to tell the hubs of this daemon."""
         raw = messages.encode_message(messages.DigestNote(digest))
+        self._told.note(digest.number)
         return [Outgoing(address, raw) for address in self._own_hubs]
 
     def note_sent(self, address: str) -> None:
@@ -233,5 +256,6 @@
         return hub.HubFacts(
             state.store.version,
             state.directory.changed_end,
+            state.find_runners_age_ms(),
             int(age_s * _MS),
         )
--- a/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
@@ -5,6 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from martenquay_daemon.allowances import terms
 from martenquay_daemon.forwarding import departure
 
 if TYPE_CHECKING:
@@ -51,6 +52,9 @@
         tried: Runners not to try again.
         sent_at: When it was last sent to a runner, in trio's time.
         first_event_s: From then to its first event; None before that.
+        entries_age_ms: How old the runners' entries were that the present
+            attempt's runner was chosen from.
+        standing: Of the team's allowance when the request was let in.
     """
 
     call: calls.Call
@@ -70,6 +74,8 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     sent_at: float = 0.0
     first_event_s: float | None = None
+    entries_age_ms: int | None = None
+    standing: terms.Standing = dataclasses.field(default_factory=terms.Standing)
 
     @property
     def units(self) -> float:
--- a/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
@@ -21,7 +21,11 @@
 
     from martenquay_core.serving import calls, catalog, ports
     from martenquay_daemon.allowances import ledger
-    from martenquay_daemon.discovery import catalog_store, runner_directory
+    from martenquay_daemon.discovery import (
+        catalog_store,
+        copy_age,
+        runner_directory,
+    )
     from martenquay_daemon.engines import placer
     from martenquay_daemon.forwarding import attempt, metrics, retry_window
     from martenquay_daemon.limits import ejection
@@ -46,6 +50,7 @@
     Attributes:
         store: The catalog in force.
         directory: The runners.
+        entries_age: How old what is known of the runners is.
         allowances: What teams may still spend.
         placer: Chooses runners.
         attempts: Sends to them.
@@ -59,6 +64,7 @@
 
     store: catalog_store.CatalogStore
     directory: runner_directory.RunnerDirectory
+    entries_age: copy_age.CopyAge
     allowances: ledger.AllowanceLedger
     placer: placer.Placer
     attempts: attempt.AttemptMaker
@@ -144,9 +150,10 @@
         short_s = self._parts.allowances.take(
             team, current.units, self._find_reserve(current)
         )
+        standing = self._parts.allowances.describe(team.name)
         if short_s <= 0:
+            current.standing = standing
             return None
-        standing = self._parts.allowances.describe(team.name)
         _LOG.write(
             f"Team {team.name} has no room for {current.units:.0f} units.",
             request=current.call.id,
@@ -155,6 +162,7 @@
             limit=round(standing.limit),
             level=round(standing.level),
             grant=round(standing.grant),
+            news_age_ms=round(standing.news_age_s * 1000),
             units=current.units,
             rate=team.rate,
             burst=team.burst,
@@ -253,6 +261,7 @@
             return None
         parts = self._parts
         services = parts.store.table.catalog.services
+        current.entries_age_ms = parts.entries_age.note_use()
         return parts.placer.choose(
             services.get(current.service),
             current.service,
@@ -348,6 +357,7 @@
             uncached=placement.uncached_tokens,
             unread=placement.unread_tokens,
             has_free_slot=placement.has_free_slot,
+            entries_age_ms=current.entries_age_ms,
             events=current.events,
             detail=getattr(result, "reason", None)
             or getattr(result, "status", None),
@@ -376,6 +386,9 @@
             team=current.team and current.team.name,
             status=status,
             units=current.units,
+            used=round(current.standing.used),
+            grant=round(current.standing.grant),
+            news_age_ms=round(current.standing.news_age_s * 1000),
             attempts=current.attempts,
             events=current.events,
             elapsed_ms=round(elapsed_s * 1000, 1),
--- a/packages/daemon/src/martenquay_daemon/forwarding/metrics.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/metrics.py
@@ -12,9 +12,11 @@
 
 if TYPE_CHECKING:
     from martenquay_core import results
+    from martenquay_daemon.discovery import copy_age
 
 __all__ = ["ForwardingMetrics", "create_metrics"]
 
+_AGE_BUCKETS_S = [0.1, 0.25, 0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0, 8.0]
 _BUCKETS_S = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0]
 
 
@@ -53,6 +55,13 @@
             registry=registry,
         )
 
+        self._copy_age_s = aioprometheus.Histogram(
+            "martenquay_runner_entries_age_seconds",
+            "Age of what is known of the runners, by step on its way.",
+            buckets=_AGE_BUCKETS_S,
+            registry=registry,
+        )
+
     def count_own_answer(self, code: results.ResultCode) -> None:
         """Count an answer of the daemon itself."""
         self._own_answers.inc({"code": str(int(code))})
@@ -73,6 +82,10 @@
         self._first_event_s.observe(labels, took_s)
         self._estimate_off_s.observe(labels, max(0.0, took_s - expected_s))
 
+    def note_copy_age(self, step: copy_age.Step, age_s: float) -> None:
+        """Note how old the runners' entries were at a step."""
+        self._copy_age_s.observe({"step": step.value}, age_s)
+
     def render(self) -> bytes:
         """Return all metrics in Prometheus' text form."""
         content, _ = renderer.render(self._registry, [])
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -178,6 +178,7 @@
             self._reads_seldom,
             self._needs_log,
         )
+        self._runner_follower.copy_age.observe = self.metrics.note_copy_age
 
     def _build_fleet(self) -> None:
         settings = self._settings
@@ -358,6 +359,7 @@
         parts = forwarder.ForwarderParts(
             store=self._store,
             directory=self._directory,
+            entries_age=self._runner_follower.copy_age,
             allowances=self._allowances,
             placer=placer.Placer(
                 self._settings.zone,
--- a/tests/serving_builders.py
+++ b/tests/serving_builders.py
@@ -142,6 +142,7 @@
         "daemons": 3,
         "catalog_version": 3,
         "runners_changed": 0,
+        "runners_age_ms": 0,
         "log_age_ms": 0,
         "lease": None,
         "lease_member": "",
--- a/tests/serving_scene.py
+++ b/tests/serving_scene.py
@@ -15,6 +15,7 @@
 from martenquay_daemon.discovery import (
     catalog_store,
     contact,
+    copy_age,
     runner_directory,
 )
 from martenquay_daemon.duties import usage_counts
@@ -67,6 +68,7 @@
         listener: Serves callers.
         address: Where it does.
         runners: The scripted runners.
+        entries_age: How old the runners' entries are.
         usage: Requests begun.
         meter: Tokens that engines have to read.
         hurries: How often others were to be told soon.
@@ -81,6 +83,7 @@
         self.directory = runner_directory.RunnerDirectory(
             records, contact.LogContact()
         )
+        self.entries_age = copy_age.CopyAge()
         self.usage = usage_counts.UsageCounts(_WINDOW_S, lambda: 2.0)
         self.ledger = loads.LoadLedger()
         self.estimates = model.RunnerModel()
@@ -95,6 +98,7 @@
         self.parts = forwarder.ForwarderParts(
             store=self.store,
             directory=self.directory,
+            entries_age=self.entries_age,
             allowances=ledger.create_ledger(tolerance, facts),
             placer=placer.Placer(
                 "a",
--- a/tests/test_fleet/test_zone_mode.py
+++ b/tests/test_fleet/test_zone_mode.py
@@ -60,7 +60,7 @@
             log_age_ms=age_ms,
         )
         return one.take_report(
-            messages.FleetReport("entry-1.aa", [summary], {})
+            messages.FleetReport("entry-1.aa", [summary], {}, 0)
         )
 
     def test_the_second_hub_leads_when_the_first_has_lost_the_log(self) -> None:
