--- a/tests/serving_scene.py
+++ b/tests/serving_scene.py
@@ -15,7 +15,7 @@
 from martenquay_daemon.discovery import (
     catalog_store,
     contact,
-    copy_age,
+    keyed_follower,
     runner_directory,
 )
 from martenquay_daemon.duties import usage_counts
@@ -29,6 +29,7 @@
 )
 from martenquay_daemon.limits import ejection
 from martenquay_platform import codec
+from martenquay_standins.ports import log
 from martenquay_standins.ports import runner as scripted
 from tests import serving_builders as builders
 
@@ -68,7 +69,9 @@
         listener: Serves callers.
         address: Where it does.
         runners: The scripted runners.
-        entries_age: How old the runners' entries are.
+        log: The platform's log.
+        follower: Follows the runners' topic there; nobody runs it, as if a
+            hub read for this daemon.
         usage: Requests begun.
         meter: Tokens that engines have to read.
         hurries: How often others were to be told soon.
@@ -80,10 +83,17 @@
         self._records = records
         self.store = catalog_store.create_store(records)
         self.store.offer(b"catalog", "the test")
-        self.directory = runner_directory.RunnerDirectory(
-            records, contact.LogContact()
+        log_contact = contact.LogContact()
+        self.directory = runner_directory.RunnerDirectory(records, log_contact)
+        self.log = log.MemoryLog()
+        self.follower = keyed_follower.KeyedFollower(
+            self.log,
+            log_contact,
+            builders.TOPICS.runners,
+            self.directory,
+            keyed_follower.FollowPace(wait_s=1.0),
+            is_needed=lambda: False,
         )
-        self.entries_age = copy_age.CopyAge()
         self.usage = usage_counts.UsageCounts(_WINDOW_S, lambda: 2.0)
         self.ledger = loads.LoadLedger()
         self.estimates = model.RunnerModel()
@@ -98,7 +108,7 @@
         self.parts = forwarder.ForwarderParts(
             store=self.store,
             directory=self.directory,
-            entries_age=self.entries_age,
+            entries_age=self.follower.copy_age,
             allowances=ledger.create_ledger(tolerance, facts),
             placer=placer.Placer(
                 "a",
@@ -146,7 +156,18 @@
             **(fields | changes)
         )
         key = self._records.runners[value].id
-        self.directory.take(ports.KeyedRecord(number, key, value))
+        offset = self.log.put(builders.TOPICS.runners, key, value)
+        self.directory.take(ports.KeyedRecord(offset, key, value))
+        self.follower.skip_to(offset + 1)
+
+    def let_leave(self, number: int) -> None:
+        """Have a runner say in the log, and there alone, that it leaves."""
+        found = self._records.runners[b"runner %d" % number]
+        value = b"runner %d leaves" % number
+        self._records.runners[value] = dataclasses.replace(
+            found, is_leaving=True
+        )
+        self.log.put(builders.TOPICS.runners, found.id, value)
 
     async def ask(self, raw: bytes) -> Reply:
         """Send bytes on a connection of their own and read one answer."""
