Read the runners' entries before they are used too old

Cause: a copy that is used without knowing how old it is. Any sum of waits on the way of an entry (a read that hangs, a rest, a report, a question, a copy) was used up unseen; a hub that had lost the log used entries of 3.96 s while its other reads were answered.

Each choice of a runner looks at how old the copy is. Above the bound on leaving runners less 1 s the log is read first; a request waits 0.15 s at most, one read serves all that wait, and a log that does not answer holds up nobody for 0.5 s. A daemon for which a hub reads takes the newest of each key, not all records.

Ruled out: asking hubs to report more often, which costs bytes at 400 daemons and leaves all other steps as they are.

--- a/packages/core/src/martenquay_core/settings/gateway.py
+++ b/packages/core/src/martenquay_core/settings/gateway.py
@@ -82,6 +82,8 @@
         retry_ratio: Repeats as a share of requests, over all daemons.
         retry_window_s: The time over which both are counted.
         retry_slack: Repeats beyond the ratio, over all daemons.
+        drain_ms: A runner that has said that it leaves may get work for so
+            long.
         allowance_window_s: The time over which a team's units are counted.
         allowance_overrun: Units beyond the allowance that are tolerated in
             it, as a share of the allowance.
@@ -95,6 +97,7 @@
     retry_ratio: NotNegative = 0.2
     retry_window_s: Seconds = 10.0
     retry_slack: NotNegative = 0.0
+    drain_ms: Milliseconds = 2000.0
     allowance_window_s: Seconds = 8.0
     allowance_overrun: NotNegative = 0.0
     allowance_slack: NotNegative = 0.0
--- a/packages/daemon/src/martenquay_daemon/discovery/keyed_follower.py
+++ b/packages/daemon/src/martenquay_daemon/discovery/keyed_follower.py
@@ -90,7 +90,7 @@
         while True:
             if self.end >= 0 and not self._is_needed():
                 await trio.sleep(_IDLE_S)
-            elif await self._read_once():
+            elif await self._read_once(self._find_wait()):
                 retry_s = _FIRST_RETRY_S
                 await self._rest()
             else:
@@ -113,11 +113,20 @@
         self.end = max(self.end, end)
         self.first_read.set()
 
-    async def _read_once(self) -> bool:
+    async def read_now(self) -> bool:
+        """Read what there is, beside the following; tell whether it could.
+
+        A daemon for which others read may be far behind in the records; the
+        newest of each key are fewer.
+        """
+        if self._is_needed():
+            return await self._read_once(0.0)
+        return await self._read_newest()
+
+    async def _read_once(self, wait_s: float) -> bool:
         if self.end < 0:
             return await self._read_newest()
         started_at = trio.current_time()
-        wait_s = self._find_wait()
         page = await self._log.read(self._topic, self.end, wait_s=wait_s)
         match page:
             case Result(tag="ok", ok=found):
--- a/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
@@ -23,7 +23,7 @@
     from martenquay_daemon.allowances import ledger
     from martenquay_daemon.discovery import (
         catalog_store,
-        copy_age,
+        refresher,
         runner_directory,
     )
     from martenquay_daemon.engines import placer
@@ -50,7 +50,7 @@
     Attributes:
         store: The catalog in force.
         directory: The runners.
-        entries_age: How old what is known of the runners is.
+        entries: Has what is known of the runners read if it is too old.
         allowances: What teams may still spend.
         placer: Chooses runners.
         attempts: Sends to them.
@@ -64,7 +64,7 @@
 
     store: catalog_store.CatalogStore
     directory: runner_directory.RunnerDirectory
-    entries_age: copy_age.CopyAge
+    entries: refresher.CopyRefresher
     allowances: ledger.AllowanceLedger
     placer: placer.Placer
     attempts: attempt.AttemptMaker
@@ -228,6 +228,9 @@
                 return current.fallback or own_answers.describe_timeout(current)
             if current.attempts and not self._may_try_again(current):
                 return current.fallback or own_answers.describe_failure(current)
+            # Else a runner that has said that it leaves may get work for as
+            # long as the news of it are under way: 3.1 s with 2 to 3 allowed.
+            await parts.entries.refresh()
             placement = self._place(current)
             if placement is None:
                 return current.fallback or own_answers.describe_failure(current)
@@ -261,7 +264,7 @@
             return None
         parts = self._parts
         services = parts.store.table.catalog.services
-        current.entries_age_ms = parts.entries_age.note_use()
+        current.entries_age_ms = parts.entries.age.note_use()
         return parts.placer.choose(
             services.get(current.service),
             current.service,
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -16,6 +16,7 @@
     contact,
     first_reading,
     keyed_follower,
+    refresher,
     runner_directory,
 )
 from martenquay_daemon.duties import (
@@ -68,6 +69,14 @@
     wait_s=30.0, rest_s=1.0, crowded_rest_s=5.0
 )
 
+_MS = 1000
+# What is left of the bound on leaving runners when entries are read before
+# use: for that read (0.15 s), for choosing again after a runner that takes no
+# connection (0.1 s each), and for packets that are sent a second time (0.2 s).
+_DRAIN_RESERVE_S = 1.0
+# Reads come every 0.5 s in a small fleet.
+_LEAST_AGE_S = 0.7
+
 
 class GatewayParts:
     """The connected parts.
@@ -150,6 +159,7 @@
             "catalog": self._catalog_follower.run,
             "runners": self._runner_follower.run,
             "members": self._member_follower.run,
+            "entries": self._entries.run,
             **self._duties,
         }
 
@@ -179,6 +189,12 @@
             self._needs_log,
         )
         self._runner_follower.copy_age.observe = self.metrics.note_copy_age
+        drain_s = self._settings.bounds.drain_ms / _MS
+        self._entries = refresher.create_refresher(
+            self._runner_follower,
+            "runners' entries",
+            max(_LEAST_AGE_S, drain_s - _DRAIN_RESERVE_S),
+        )
 
     def _build_fleet(self) -> None:
         settings = self._settings
@@ -359,7 +375,7 @@
         parts = forwarder.ForwarderParts(
             store=self._store,
             directory=self._directory,
-            entries_age=self._runner_follower.copy_age,
+            entries=self._entries,
             allowances=self._allowances,
             placer=placer.Placer(
                 self._settings.zone,
--- a/tests/serving_scene.py
+++ b/tests/serving_scene.py
@@ -16,6 +16,7 @@
     catalog_store,
     contact,
     keyed_follower,
+    refresher,
     runner_directory,
 )
 from martenquay_daemon.duties import usage_counts
@@ -42,6 +43,7 @@
 
 _RECEIVE_BYTES = 65_536
 _WINDOW_S = 5.0
+_OLDEST_S = 1.0
 
 
 @dataclasses.dataclass
@@ -72,6 +74,7 @@
         log: The platform's log.
         follower: Follows the runners' topic there; nobody runs it, as if a
             hub read for this daemon.
+        entries: Has the runners' entries read if they are too old.
         usage: Requests begun.
         meter: Tokens that engines have to read.
         hurries: How often others were to be told soon.
@@ -94,6 +97,9 @@
             keyed_follower.FollowPace(wait_s=1.0),
             is_needed=lambda: False,
         )
+        self.entries = refresher.create_refresher(
+            self.follower, "runners' entries", _OLDEST_S
+        )
         self.usage = usage_counts.UsageCounts(_WINDOW_S, lambda: 2.0)
         self.ledger = loads.LoadLedger()
         self.estimates = model.RunnerModel()
@@ -108,7 +114,7 @@
         self.parts = forwarder.ForwarderParts(
             store=self.store,
             directory=self.directory,
-            entries_age=self.follower.copy_age,
+            entries=self.entries,
             allowances=ledger.create_ledger(tolerance, facts),
             placer=placer.Placer(
                 "a",
@@ -195,6 +201,7 @@
             await nursery.start(runner.run)
             scene.runners.append(runner)
             scene.add_runner(runner.address)
+        nursery.start_soon(scene.entries.run)
         scene.address = await nursery.start(scene.listener.run)
         yield scene
         nursery.cancel_scope.cancel()
