--- /dev/null
+++ b/packages/daemon/src/martenquay_daemon/allowances/escrow.py
@@ -0,0 +1,430 @@
+"""Keep each team's allowance by units that exist once.
+
+Each daemon mints its part of a team's rate; the parts of all daemons add up to
+no more than the rate. A unit may be spent for a short time after it was minted
+and then ends, wherever it is. A daemon that has more than it is asked for hands
+units to others: it takes them out of its own first, and a unit keeps its end.
+So all that is spent within a window was minted in it or one lifetime before it,
+whatever daemons believe of each other: messages that are late or lost, cuts,
+kills and freezes can only lose units.
+
+Estimates decide how units are shared out, never how many there are. When every
+daemon took what all had spent from what the others told, two sides of a cut or
+a join took each other for slower than they were, and a greedy team got up to
+12% more than is tolerated on 15 of 52 days with trouble.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from typing import TYPE_CHECKING
+
+import trio
+
+from martenquay_daemon.allowances import sharing, terms, tokens
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from martenquay_core.serving import catalog
+
+__all__ = ["EscrowLedger", "Gift", "create_escrow"]
+
+# Over this time the demand at a daemon is measured.
+_DEMAND_MEMORY_S = 1.0
+# Plain calls, which cost next to nothing, may use up the whole of what may be
+# owed; each step of less urgency leaves this part of it and of the units.
+_RESERVE = 0.1
+_MOST_RESERVE = 0.3
+# A caller that is told to come back sooner only meets the same refusal.
+_LEAST_WAIT_S = 0.1
+# Promises to more refused callers than come back within this time are not
+# worth telling apart.
+_LONGEST_WAIT_S = 4.0
+# What was told longer ago is no ground for gifts: its receiver is cut off.
+_FRESH_S = 1.2
+# A request that cannot be on time any more leaves this part of the units for
+# those that can.
+_LATE_PART = 0.5
+# Below this part of its part of the units, a daemon tells the others soon.
+_LOW = 0.3
+
+
+@dataclasses.dataclass(frozen=True)
+class Gift:
+    """Units for one daemon.
+
+    Attributes:
+        heard: The number of the receiver's last message that the giver had
+            when it gave; lifetimes count from when that one was sent.
+        parcels: Units and how much longer they may be spent, in seconds, by
+            team.
+    """
+
+    heard: int
+    parcels: dict[str, list[tuple[float, float]]]
+
+
+@dataclasses.dataclass
+class _Other:
+    """What another daemon has told.
+
+    Attributes:
+        heard: The number of its last message.
+        heard_at: In trio's time.
+        holdings: By team.
+        given: Units given to it since, by team.
+    """
+
+    heard: int
+    heard_at: float
+    holdings: dict[str, sharing.Holding]
+    given: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Pace:
+    """What a team's rate and the bounds come to.
+
+    Attributes:
+        team: It was reckoned for.
+        bounds: It was reckoned from.
+        rate: Units a second that all daemons together mint.
+        life_s: How long a unit may be spent.
+    """
+
+    team: catalog.Team
+    bounds: terms.ToleranceBounds
+    rate: float
+    life_s: float
+
+
+@dataclasses.dataclass
+class _Account:
+    """One team's units at this daemon.
+
+    Attributes:
+        pace: How units are minted.
+        pile: What may be spent here.
+        minted_at: Up to when units are minted, in trio's time.
+        part: Of the rate that this daemon minted then.
+        asked: Units a second that callers asked for, lately.
+        asked_at: When that was last brought up to date.
+        needed: Units that requests which wait here lack.
+        minted: Units that were minted since some were given away.
+        promised: Units that refused callers were told to come back for.
+    """
+
+    pace: _Pace
+    pile: tokens.TokenPile
+    minted_at: float
+    part: float
+    asked: float = 0.0
+    asked_at: float = 0.0
+    needed: float = 0.0
+    minted: float = 0.0
+    promised: float = 0.0
+
+    def find_asked(self, now: float) -> float:
+        """Return the units a second that callers ask for."""
+        kept = math.exp((self.asked_at - now) / _DEMAND_MEMORY_S)
+        return kept * self.asked
+
+    def hold(self, now: float, may_owe: float) -> sharing.Holding:
+        """Return what there is, for others and for reckoning with them."""
+        asked = self.find_asked(now)
+        return sharing.Holding(self.pile.level, asked, self.needed, may_owe)
+
+
+class EscrowLedger:
+    """The teams' units at one daemon of a small fleet.
+
+    Attributes:
+        bounds: What is tolerated; may be replaced.
+        news: Set when units have come from others; then another one is made.
+    """
+
+    def __init__(
+        self, bounds: terms.ToleranceBounds, fleet: terms.EscrowFacts
+    ) -> None:
+        self.bounds = bounds
+        self.news = trio.Event()
+        self._fleet = fleet
+        self._started_at = trio.current_time()
+        self._accounts: dict[str, _Account] = {}
+        self._others: dict[str, _Other] = {}
+
+    def take(
+        self, team: catalog.Team, wish: terms.Wish, *, is_again: bool = False
+    ) -> terms.Verdict:
+        """Spend units if they are there.
+
+        Args:
+            team: Who spends.
+            wish: What for.
+            is_again: The request has waited for units.
+        """
+        account = self._refill(team)
+        if not is_again:
+            self._note_asked(account, wish.units)
+        return self._decide(team, account, wish)
+
+    def refuse(self, team: catalog.Team, units: float) -> float:
+        """Return when a caller that is refused should come back, in seconds.
+
+        Callers that are refused together are called back one after the
+        other; all at once they would mostly be refused again.
+        """
+        account = self._refill(team)
+        account.promised += units
+        even = 1 / max(1, self._fleet.count_daemons())
+        rate = account.pace.rate * max(account.part, even)
+        wait_s = (account.promised - account.pile.level) / rate
+        return min(_LONGEST_WAIT_S, max(_LEAST_WAIT_S, wait_s))
+
+    def note_need(self, team: catalog.Team, units: float) -> None:
+        """Note that a request waits for units; less than 0 if no more."""
+        account = self._refill(team)
+        account.needed = max(0.0, account.needed + units)
+        if units > 0:
+            self._fleet.hurry()
+
+    def refill(self, teams: Iterable[catalog.Team]) -> None:
+        """Bring the units of all teams up to now."""
+        for team in teams:
+            if team.rate > 0:
+                self._refill(team)
+
+    def describe(self, team: str) -> terms.Units:
+        """Return what decides on a team's next request, for the log."""
+        account = self._accounts.get(team)
+        if account is None:
+            return terms.Units()
+        return terms.Units(
+            account.pile.total,
+            account.pile.debt,
+            account.part,
+            account.find_asked(trio.current_time()),
+        )
+
+    def list_holdings(self) -> dict[str, sharing.Holding]:
+        """Return what this daemon has, by team."""
+        now = trio.current_time()
+        return {
+            team: account.hold(now, self._find_most_owed(account))
+            for team, account in self._accounts.items()
+        }
+
+    def give(self, teams: Iterable[catalog.Team]) -> dict[str, Gift]:
+        """Take out what others lack more; return it by receiver."""
+        gifts: dict[str, Gift] = {}
+        now = trio.current_time()
+        for team in teams:
+            if team.rate <= 0:
+                continue
+            account = self._refill(team)
+            for member, units in self._find_gifts(team, account).items():
+                other = self._others[member]
+                parcels = account.pile.take_away(now, units)
+                other.given[team.name] = other.given.get(team.name, 0.0) + units
+                gift = gifts.setdefault(member, Gift(other.heard, {}))
+                gift.parcels[team.name] = [
+                    (parcel.units, parcel.ends_at - now) for parcel in parcels
+                ]
+        return gifts
+
+    def hear(
+        self, member: str, number: int, holdings: dict[str, sharing.Holding]
+    ) -> None:
+        """Take what another daemon has told of its units."""
+        self._others[member] = _Other(number, trio.current_time(), holdings)
+        if any(self._is_to_give(team) for team in holdings):
+            self._fleet.hurry()
+
+    def accept(self, gift: Gift, told_at: float) -> None:
+        """Take units that another daemon has given.
+
+        Args:
+            gift: The units.
+            told_at: When the message was sent that the gift answers, in
+                trio's time. The gift was made later, so units do not live
+                longer by their way, however long that took.
+        """
+        now = trio.current_time()
+        for team, parcels in gift.parcels.items():
+            account = self._accounts.get(team)
+            if account is None:
+                continue
+            account.pile.expire(now)
+            for units, life_s in parcels:
+                account.pile.add(now, tokens.Parcel(units, told_at + life_s))
+        self.news.set()
+        self.news = trio.Event()
+
+    def forget(self, member: str) -> None:
+        """Drop a daemon that is gone for good."""
+        self._others.pop(member, None)
+
+    def forget_all(self) -> None:
+        """Drop all others; those who come next are new."""
+        self._others.clear()
+
+    def _decide(
+        self, team: catalog.Team, account: _Account, wish: terms.Wish
+    ) -> terms.Verdict:
+        pile = account.pile
+        units = wish.units
+        if wish.is_late and pile.level - units < _LATE_PART * self._find_full(
+            account
+        ):
+            return terms.Refused()
+        kept = min(_MOST_RESERVE, _RESERVE * wish.reserve)
+        owed = (1 - kept) * self._find_most_owed(account)
+        # Whether a request passes hardly depends on its size, or the large
+        # ones would starve while small ones use up what comes.
+        has_some = wish.reserve == 0 or pile.level > 0
+        missing = units - pile.level - owed
+        if has_some and missing <= 0:
+            pile.spend(units)
+            self._note_low(team, account)
+            return terms.Admitted()
+        missing = max(missing, 1.0 - pile.level)
+        if self._is_elsewhere(team, missing):
+            return terms.Elsewhere(missing)
+        return terms.Refused()
+
+    def _find_most_owed(self, account: _Account) -> float:
+        """Return what this daemon may owe.
+
+        The process before this one may have owed as much when it ended. Until
+        that has left the window this one owes no more than it has let end
+        unspent, which is as good as paying it.
+        """
+        most = self.bounds.find_most_owed() * self._fleet.find_part()
+        age_s = trio.current_time() - self._started_at
+        if age_s < self.bounds.window_s:
+            return min(most, account.pile.unspent)
+        return most
+
+    def _is_elsewhere(self, team: catalog.Team, missing: float) -> bool:
+        """Tell whether others have what is missing here."""
+        there = 0.0
+        for one in self._list_others(team).values():
+            if one.needed <= 0:
+                there += one.spendable
+        return there >= missing
+
+    def _note_low(self, team: catalog.Team, account: _Account) -> None:
+        full = self._find_full(account)
+        is_low = account.pile.level < _LOW * full
+        if is_low and self._is_elsewhere(team, full):
+            self._fleet.hurry()
+
+    def _find_full(self, account: _Account) -> float:
+        """Return an even part of all units that there may be at once."""
+        full = account.pace.rate * account.pace.life_s
+        return full / max(1, self._fleet.count_daemons())
+
+    def _is_to_give(self, team: str) -> bool:
+        """Tell whether another daemon waits for units that are here."""
+        account = self._accounts.get(team)
+        if account is None:
+            return False
+        if account.pile.level + self._find_most_owed(account) <= 0:
+            return False
+        return any(
+            other.holdings[team].needed > other.given.get(team, 0.0)
+            for other in self._others.values()
+            if team in other.holdings
+        )
+
+    def _find_gifts(
+        self, team: catalog.Team, account: _Account
+    ) -> dict[str, float]:
+        own = account.hold(trio.current_time(), self._find_most_owed(account))
+        others = self._list_others(team)
+        rate = account.pace.rate
+        gifts = sharing.find_gifts(own, others, rate)
+        if not gifts:
+            gifts = sharing.find_flow_gifts(own, others, account.minted, rate)
+        account.minted = 0.0
+        return gifts
+
+    def _list_others(self, team: catalog.Team) -> dict[str, sharing.Holding]:
+        """Return what others have, with what was given to them since."""
+        oldest = trio.current_time() - _FRESH_S
+        found = {}
+        for member, other in self._others.items():
+            holding = other.holdings.get(team.name)
+            if holding is None or other.heard_at < oldest:
+                continue
+            given = other.given.get(team.name, 0.0)
+            found[member] = sharing.Holding(
+                holding.level + given,
+                holding.asked,
+                max(0.0, holding.needed - given),
+                holding.may_owe,
+            )
+        return found
+
+    def _refill(self, team: catalog.Team) -> _Account:
+        now = trio.current_time()
+        account = self._accounts.get(team.name)
+        part = self._fleet.find_part()
+        if account is None:
+            pace = self._find_pace(team)
+            account = _Account(
+                pace, tokens.TokenPile(pace.life_s), self._started_at, 0.0
+            )
+            self._accounts[team.name] = account
+        elif account.pace.team is not team or account.pace.bounds is not (
+            self.bounds
+        ):
+            self._change_pace(account, self._find_pace(team))
+        account.pile.expire(now)
+        minted = self._mint(account, now, part)
+        account.minted += minted
+        account.promised = max(0.0, account.promised - minted)
+        account.minted_at = now
+        account.part = part
+        return account
+
+    def _mint(self, account: _Account, now: float, part: float) -> float:
+        """Mint what has come since the last time; return how much."""
+        start = account.minted_at
+        kept = min(account.part, part)
+        if account.part == 0.0:
+            # The log told only now of a part that was this instance's before.
+            kept = part
+            start = max(start, self._fleet.find_part_since())
+        # While the part grew or fell, others may have had the difference.
+        rate = account.pace.rate * kept
+        account.pile.mint(start, now, rate)
+        return rate * max(0.0, now - start)
+
+    def _find_pace(self, team: catalog.Team) -> _Pace:
+        bounds = self.bounds
+        rate = bounds.find_mint_rate(team)
+        return _Pace(team, bounds, rate, bounds.find_life(team))
+
+    def _change_pace(self, account: _Account, pace: _Pace) -> None:
+        """Go on by another rate or other bounds."""
+        if not math.isclose(account.pace.life_s, pace.life_s):
+            # Units with another length of life are worth less than a mistake.
+            owed = account.pile.debt
+            account.pile = tokens.TokenPile(pace.life_s)
+            account.pile.debt = owed
+        account.pace = pace
+
+    def _note_asked(self, account: _Account, units: float) -> None:
+        now = trio.current_time()
+        account.asked = account.find_asked(now) + units / _DEMAND_MEMORY_S
+        account.asked_at = now
+
+
+def create_escrow(
+    bounds: terms.ToleranceBounds, fleet: terms.EscrowFacts
+) -> EscrowLedger:
+    """Return a ledger without units."""
+    return EscrowLedger(bounds, fleet)
--- a/packages/daemon/src/martenquay_daemon/allowances/ledger.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/ledger.py
@@ -118,6 +118,19 @@
             self._fleet.hurry()
         return 0.0
 
+    def has_room(self, team: catalog.Team, reserve: int = 0) -> bool:
+        """Tell whether the window leaves room for a request."""
+        account = self._refill(team)
+        kept = min(_MOST_RESERVE, _RESERVE * reserve)
+        return account.used.total < (1 - kept) * account.limit
+
+    def note_spent(self, team: catalog.Team, units: float) -> None:
+        """Count units that were spent here on another ground."""
+        if team.rate <= 0:
+            return
+        self._refill(team).spend(trio.current_time(), units)
+        self._own[team.name] = self._own.get(team.name, 0.0) + units
+
     def refill(self, teams: Iterable[catalog.Team]) -> None:
         """Bring the accounts of all teams up to now."""
         for team in teams:
--- /dev/null
+++ b/packages/daemon/src/martenquay_daemon/allowances/sharing.py
@@ -0,0 +1,140 @@
+"""Decide which units a daemon hands to others.
+
+Units are worth most where they are asked for. Each daemon knows what the
+others had and were asked for when they last told; what it has beyond its part
+goes to those that have less than theirs. All reckon alike, so that what is
+given adds up to what is missing without anybody asking.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+__all__ = ["Holding", "find_flow_gifts", "find_gifts"]
+
+# Each daemon keeps a part of the units as if it were asked for so much of an
+# even part of the rate besides: the next request may come to any of them.
+_BASE_DEMAND = 0.3
+# Less than this part of an even share is not worth a message.
+_LEAST_GIFT = 0.05
+# A daemon that a request waits at is given no more than this part of what
+# another one has.
+_MOST_FOR_NEED = 0.8
+
+
+@dataclasses.dataclass(frozen=True)
+class Holding:
+    """What a daemon has of one team's units.
+
+    Attributes:
+        level: Units that it may spend; less than 0 if it owes some.
+        asked: Units a second that callers ask it for, lately.
+        needed: Units that it lacks for a request that waits there.
+        may_owe: How far below 0 its level may come.
+    """
+
+    level: float
+    asked: float
+    needed: float = 0.0
+    may_owe: float = 0.0
+
+    @property
+    def spendable(self) -> float:
+        """What it may spend, or give for a request that waits."""
+        return max(0.0, self.level + self.may_owe)
+
+
+def find_gifts(
+    own: Holding, others: Mapping[str, Holding], rate: float
+) -> dict[str, float]:
+    """Return the units to be given away, by receiver.
+
+    Args:
+        own: What this daemon has.
+        others: What the others have, by name.
+        rate: Units a second that come to all daemons together.
+    """
+    if not others:
+        return {}
+    for_need = _find_for_need(own, others)
+    rest = dataclasses.replace(own, level=own.level - sum(for_need.values()))
+    gifts = _find_excess(rest, others, rate) if rest.level > 0 else {}
+    for name, units in for_need.items():
+        gifts[name] = gifts.get(name, 0.0) + units
+    return gifts
+
+
+def find_flow_gifts(
+    own: Holding, others: Mapping[str, Holding], minted: float, rate: float
+) -> dict[str, float]:
+    """Return what is passed on of what was minted while units are scarce.
+
+    Then nobody has more than it is asked for, and what there is says nothing
+    of who is asked for most: a zone with one daemon and a quarter of the
+    callers would get a sixth of the units.
+
+    Args:
+        own: What this daemon has.
+        others: What the others have, by name.
+        minted: Units that this daemon minted since it last gave.
+        rate: Units a second that come to all daemons together.
+    """
+    asked = own.asked + sum(one.asked for one in others.values())
+    even = asked / (1 + len(others))
+    if asked <= rate or own.asked >= even:
+        return {}
+    more = {
+        name: one.asked - even
+        for name, one in others.items()
+        if one.asked > even
+    }
+    passed = min(minted * (1 - own.asked / even), own.spendable)
+    total = sum(more.values())
+    if passed <= 0 or total <= 0:
+        return {}
+    return {name: passed * units / total for name, units in more.items()}
+
+
+def _find_for_need(
+    own: Holding, others: Mapping[str, Holding]
+) -> dict[str, float]:
+    """Return what goes to waiting requests, each daemon a part of it."""
+    needs = {name: one.needed for name, one in others.items() if one.needed > 0}
+    if not needs:
+        return {}
+    there = own.spendable + sum(
+        one.spendable for one in others.values() if one.needed <= 0
+    )
+    if own.spendable <= 0 or own.needed > 0:
+        return {}
+    total = sum(needs.values())
+    given = min(_MOST_FOR_NEED, total / there) * own.spendable
+    return {name: given * units / total for name, units in needs.items()}
+
+
+def _find_excess(
+    own: Holding, others: Mapping[str, Holding], rate: float
+) -> dict[str, float]:
+    """Return what evens out holdings by what they are asked for."""
+    count = 1 + len(others)
+    base = _BASE_DEMAND * rate / count
+    weight = sum(one.asked + base for one in (own, *others.values()))
+    total = own.level + sum(one.level for one in others.values())
+    if total <= 0 or weight <= 0:
+        return {}
+    excess = own.level - total * (own.asked + base) / weight
+    missing = {
+        name: total * (one.asked + base) / weight - one.level
+        for name, one in others.items()
+    }
+    missing = {name: units for name, units in missing.items() if units > 0}
+    if excess <= 0 or not missing:
+        return {}
+    part = min(1.0, excess / sum(missing.values()))
+    least = _LEAST_GIFT * total / count
+    gifts = {name: part * units for name, units in missing.items()}
+    return {name: units for name, units in gifts.items() if units >= least}
--- a/packages/daemon/src/martenquay_daemon/allowances/terms.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/terms.py
@@ -10,13 +10,36 @@
 
     from martenquay_core.serving import catalog
 
-__all__ = ["FleetFacts", "Standing", "ToleranceBounds"]
+__all__ = [
+    "Admitted",
+    "Elsewhere",
+    "EscrowFacts",
+    "FleetFacts",
+    "Refused",
+    "Standing",
+    "ToleranceBounds",
+    "Units",
+    "Verdict",
+    "Wish",
+]
 
 # The parts of the tolerated overrun and slack that are given away. The rest
 # is for what daemons spend at the same moment without knowing of each other,
 # and for the last request, which may be larger than the room for it.
 _USED_OVERRUN = 0.5
 _USED_SLACK = 0.3
+# Units reach a runner so much later than they are spent here, at the most but
+# for connections that take several tries; a window may seem longer by that.
+_DELAY_S = 0.25
+# Of the slack, this part may be owed, for requests larger than what is there.
+_OWED_SLACK = 0.9
+# How long a minted unit may be spent follows from the steady rate, which is so
+# many times the team's own; what is tolerated beyond that may be spent at once.
+# A longer life is for arrivals in clumps and for the way to another daemon (0.1
+# to 0.3 s), a higher rate for teams that always ask for more than they may.
+_STEADY = 1.05
+_LONGEST_LIFE_S = 4.0
+_SHORTEST_LIFE_S = 0.4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -39,6 +62,30 @@
         overrun = _USED_OVERRUN * self.overrun * allowance
         return allowance + overrun + _USED_SLACK * self.slack
 
+    def find_life(self, team: catalog.Team) -> float:
+        """Return for how many seconds a unit may be spent."""
+        steady_s = self._find_minted(team) / (_STEADY * team.rate)
+        life_s = steady_s - self.window_s - _DELAY_S
+        return min(_LONGEST_LIFE_S, max(_SHORTEST_LIFE_S, life_s))
+
+    def find_mint_rate(self, team: catalog.Team) -> float:
+        """Return the units a second that all daemons together may mint.
+
+        What is spent in a window was minted in it or one lifetime before it,
+        or is owed.
+        """
+        span_s = self.window_s + self.find_life(team) + _DELAY_S
+        return self._find_minted(team) / span_s
+
+    def find_most_owed(self) -> float:
+        """Return what all daemons together may spend before it is minted."""
+        return _OWED_SLACK * self.slack
+
+    def _find_minted(self, team: catalog.Team) -> float:
+        allowance = team.rate * self.window_s + team.burst
+        tolerated = allowance * (1 + self.overrun) + self.slack
+        return tolerated - self.find_most_owed()
+
 
 @dataclasses.dataclass(frozen=True)
 class FleetFacts:
@@ -57,6 +104,81 @@
     is_listed: Callable[[], bool] = lambda: False
 
 
+@dataclasses.dataclass(frozen=True)
+class EscrowFacts:
+    """What a ledger of units asks of the fleet.
+
+    Attributes:
+        find_part: Returns the part of each team's rate that this daemon
+            mints; those of all daemons add up to 1 at the most.
+        find_part_since: Returns since when that is its part, in trio's time.
+        count_daemons: Returns how many daemons share the allowances.
+        hurry: Has this daemon's units told soon.
+    """
+
+    find_part: Callable[[], float]
+    find_part_since: Callable[[], float]
+    count_daemons: Callable[[], int]
+    hurry: Callable[[], None]
+
+
+@dataclasses.dataclass(frozen=True)
+class Wish:
+    """What a request asks of its team's allowance.
+
+    Attributes:
+        units: What it costs.
+        reserve: Steps of urgency to leave room for; 0 for the most urgent.
+        is_late: Its caller has tried before, and its answer cannot be on time
+            any more.
+    """
+
+    units: float
+    reserve: int = 0
+    is_late: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Admitted:
+    """The units are spent."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Refused:
+    """The units are not there, here or elsewhere."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Elsewhere:
+    """Other daemons likely have what is missing here.
+
+    Attributes:
+        missing: Units that this daemon lacks.
+    """
+
+    missing: float
+
+
+Verdict = Admitted | Refused | Elsewhere
+
+
+@dataclasses.dataclass(frozen=True)
+class Units:
+    """A team's units at this daemon, for the log.
+
+    Attributes:
+        there: Units that may be spent.
+        owed: Units that were spent before they were there.
+        part: Of the team's rate that this daemon mints.
+        asked: Units a second that callers ask for.
+    """
+
+    there: float = 0.0
+    owed: float = 0.0
+    part: float = 0.0
+    asked: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True)
 class Standing:
     """A team's account as far as it decides on the next request.
@@ -67,6 +189,7 @@
         level: What is in the bucket.
         grant: What this daemon may spend until it hears of others.
         news_age_s: Since the daemon that was heard longest ago was heard.
+        units: What this daemon has of its own, in a small fleet.
     """
 
     used: float = 0.0
@@ -74,3 +197,4 @@
     level: float = 0.0
     grant: float = 0.0
     news_age_s: float = 0.0
+    units: Units = dataclasses.field(default_factory=Units)
--- a/packages/daemon/src/martenquay_daemon/fleet/messages.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/messages.py
@@ -12,9 +12,12 @@
     "DigestNote",
     "FleetMessage",
     "FleetReport",
+    "GiftLine",
     "LeaseNews",
     "LoadLine",
+    "ParcelLine",
     "PeerLine",
+    "PoolLine",
     "StateCopy",
     "WantState",
     "ZoneExchange",
@@ -50,6 +53,47 @@
     left_ms: int
 
 
+class PoolLine(msgspec.Struct, frozen=True, array_like=True):
+    """What a daemon has of one team's units.
+
+    Attributes:
+        level: Units that it may spend; less than 0 if it owes some.
+        asked: Units a second that callers ask it for.
+        needed: Units that it lacks for requests that wait there.
+        may_owe: How far below 0 its level may come.
+    """
+
+    level: int
+    asked: int
+    needed: int
+    may_owe: int
+
+
+class ParcelLine(msgspec.Struct, frozen=True, array_like=True):
+    """Units that one daemon hands to another.
+
+    Attributes:
+        units: How many.
+        life_ms: How much longer they may be spent.
+    """
+
+    units: float
+    life_ms: int
+
+
+class GiftLine(msgspec.Struct, frozen=True, array_like=True):
+    """What one daemon hands to another.
+
+    Attributes:
+        heard: The number of the receiver's last digest that the giver had;
+            lifetimes count from when that one was sent.
+        parcels: Units by team.
+    """
+
+    heard: int
+    parcels: dict[str, list[ParcelLine]]
+
+
 class Digest(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """What one daemon says of itself; a later one replaces it.
 
@@ -69,6 +113,9 @@
         window: The usage window that is now, by its clock.
         spending: Units spent since it started, by team.
         used: Units spent by all daemons in the allowances' window, by team.
+        pools: Units that it may spend, by team; told in a small fleet.
+        gifts: Units that it hands to others, by member.
+        members_end: Up to where it has read who announced themselves.
         loads: What it has at runners, by runner id.
         begun: Requests begun, by window and team.
         demand: Prompt tokens a second for engines to read, by service.
@@ -88,6 +135,9 @@
     window: int
     spending: dict[str, float]
     used: dict[str, float]
+    pools: dict[str, PoolLine]
+    gifts: dict[str, GiftLine]
+    members_end: int
     loads: dict[str, LoadLine]
     begun: dict[int, dict[str, int]]
     demand: dict[str, float]
--- /dev/null
+++ b/packages/daemon/src/martenquay_daemon/fleet/roster.py
@@ -0,0 +1,112 @@
+"""Know which part of what is shared is this daemon's.
+
+All daemons read in one log who there is. A daemon that has read of N instances
+takes one N-th. One that is new takes nothing until all others that are listed
+have told that they have read its announcement, and so take less; then it says
+so in the log, for its next process. Daemons need not agree at any moment, and
+still their parts add up to one at the most.
+"""
+
+from __future__ import annotations
+
+import math
+
+import trio
+
+from martenquay_core import logs
+
+__all__ = ["Roster"]
+
+_LOG = logs.create_log("fleet")
+
+
+class Roster:
+    """The instances that are listed in the log.
+
+    Attributes:
+        counted: Set once all others reckon with this instance.
+        part_since: Since when this daemon has a part, in trio's time.
+        removed: Set when this instance was taken off the list; then another
+            one is made.
+    """
+
+    def __init__(self, instance: str) -> None:
+        self.counted = trio.Event()
+        self.removed = trio.Event()
+        self.part_since = math.inf
+        self._instance = instance
+        self._listed: set[str] = set()
+        self._told: dict[str, int] = {}
+        self._heard_at: dict[str, float] = {}
+        # Others have to have read up to here to reckon with this instance.
+        self._needed_end: int | None = None
+
+    def list_instances(self) -> set[str]:
+        """Return the instances that this daemon has read of."""
+        return set(self._listed)
+
+    def note_listed(
+        self, instance: str, offset: int, *, is_counted: bool
+    ) -> None:
+        """Note an announcement that was read in the log.
+
+        Args:
+            instance: Who announced itself.
+            offset: Of the record.
+            is_counted: It says that all others reckon with it.
+        """
+        self._listed.add(instance)
+        self._heard_at.setdefault(instance, trio.current_time())
+        if instance != self._instance:
+            return
+        self._needed_end = offset + 1
+        if is_counted and not self.counted.is_set():
+            # Also while no process of this instance ran.
+            self.part_since = -math.inf
+            self.counted.set()
+
+    def note_removed(self, instance: str) -> None:
+        """Note that an instance was taken off the list."""
+        self._listed.discard(instance)
+        self._told.pop(instance, None)
+        self._heard_at.pop(instance, None)
+        if instance == self._instance:
+            self.counted = trio.Event()
+            self._needed_end = None
+            self.part_since = math.inf
+            self.removed.set()
+            self.removed = trio.Event()
+
+    def note_told(self, instance: str, end: int) -> None:
+        """Note how far another daemon has read the announcements."""
+        self._told[instance] = max(end, self._told.get(instance, 0))
+        self._heard_at[instance] = trio.current_time()
+
+    def forget_times(self) -> None:
+        """Count silence from now on: others could not be heard until now."""
+        now = trio.current_time()
+        self._heard_at = dict.fromkeys(self._listed, now)
+
+    def list_silent(self, silent_s: float) -> list[str]:
+        """Return the other instances that were not heard for so long."""
+        oldest = trio.current_time() - silent_s
+        others = sorted(self._listed - {self._instance})
+        return [one for one in others if self._heard_at[one] < oldest]
+
+    def find_part(self) -> float:
+        """Return this daemon's part; 0 while others do not reckon with it."""
+        if self._needed_end is None:
+            return 0.0
+        if not self.counted.is_set() and self._is_read(self._needed_end):
+            self.part_since = trio.current_time()
+            self.counted.set()
+            _LOG.write(
+                "All others reckon with this daemon.",
+                listed=len(self._listed),
+                end=self._needed_end,
+            )
+        return 1 / len(self._listed) if self.counted.is_set() else 0.0
+
+    def _is_read(self, end: int) -> bool:
+        others = self._listed - {self._instance}
+        return all(self._told.get(one, 0) >= end for one in others)
--- a/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
@@ -54,6 +54,7 @@
         first_event_s: From then to its first event; None before that.
         entries_age_ms: How old the runners' entries were that the present
             attempt's runner was chosen from.
+        tried_s: How long its caller has likely been trying before.
         standing: Of the team's allowance when the request was let in.
     """
 
@@ -75,6 +76,7 @@
     sent_at: float = 0.0
     first_event_s: float | None = None
     entries_age_ms: int | None = None
+    tried_s: float = 0.0
     standing: terms.Standing = dataclasses.field(default_factory=terms.Standing)
 
     @property
--- /dev/null
+++ b/packages/daemon/src/martenquay_daemon/forwarding/first_tries.py
@@ -0,0 +1,39 @@
+"""Tell which requests come for the second time, by the time they have left."""
+
+from __future__ import annotations
+
+import trio
+
+__all__ = ["FirstTries"]
+
+# The longest time of a route's callers is learnt anew after so long, for
+# operators may shorten it.
+_MEMORY_S = 60.0
+
+
+class FirstTries:
+    """How long the callers of each route wait in all.
+
+    Each attempt of a caller has an id of its own, but the time that it says it
+    will wait grows less.
+    """
+
+    def __init__(self) -> None:
+        self._longest: dict[str, tuple[float, float]] = {}
+
+    def find_elapsed(self, route: str, left_s: float | None) -> float:
+        """Return for how long a caller has likely been trying, in seconds.
+
+        Args:
+            route: The request's route.
+            left_s: The time that the caller says it will wait; None if it
+                does not say.
+        """
+        if left_s is None:
+            return 0.0
+        now = trio.current_time()
+        longest_s, noted_at = self._longest.get(route, (0.0, now))
+        if left_s >= longest_s or now - noted_at > _MEMORY_S:
+            longest_s = left_s
+            self._longest[route] = (left_s, now)
+        return max(0.0, longest_s - left_s)
--- a/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
@@ -8,10 +8,12 @@
 import trio
 
 from martenquay_core import logs, results
+from martenquay_daemon.allowances import terms
 from martenquay_daemon.forwarding import (
     answers,
     departure,
     exchange,
+    first_tries,
     own_answers,
 )
 
@@ -20,7 +22,7 @@
     from collections.abc import Awaitable, Callable
 
     from martenquay_core.serving import calls, catalog, ports
-    from martenquay_daemon.allowances import ledger
+    from martenquay_daemon.allowances import gate
     from martenquay_daemon.discovery import (
         catalog_store,
         refresher,
@@ -65,7 +67,7 @@
     store: catalog_store.CatalogStore
     directory: runner_directory.RunnerDirectory
     entries: refresher.CopyRefresher
-    allowances: ledger.AllowanceLedger
+    allowances: gate.AllowanceGate
     placer: placer.Placer
     attempts: attempt.AttemptMaker
     retries: retry_window.RetryWindow
@@ -81,6 +83,7 @@
 
     def __init__(self, parts: ForwarderParts) -> None:
         self._parts = parts
+        self._first_tries = first_tries.FirstTries()
 
     async def handle(
         self,
@@ -90,14 +93,14 @@
     ) -> None:
         """Answer one request."""
         await self._parts.wait_until_read()
-        admitted = self._admit(call, received_at, writer)
+        admitted = await self._admit(call, received_at, writer)
         match admitted:
             case answers.OwnAnswer():
                 await self._answer(call, writer, admitted)
             case exchange.Exchange():
                 await self._forward_while_wanted(admitted)
 
-    def _admit(
+    async def _admit(
         self,
         call: calls.Call,
         received_at: float,
@@ -129,8 +132,9 @@
             deadline=received_at + budget_s,
             writer=writer,
             last_event=call.resume_after,
+            tried_s=self._first_tries.find_elapsed(route.name, call.budget_s),
         )
-        return self._refuse_excess(current) or current
+        return await self._refuse_excess(current) or current
 
     def _choose_service(self, route: catalog.Route) -> str:
         if len(route.destinations) == 1:
@@ -141,15 +145,18 @@
         chosen = self._parts.rng.choices(route.destinations, weights)
         return chosen[0].service
 
-    def _refuse_excess(
+    async def _refuse_excess(
         self, current: exchange.Exchange
     ) -> answers.OwnAnswer | None:
         team = current.team
         if team is None:
             return None
-        short_s = self._parts.allowances.take(
-            team, current.units, self._find_reserve(current)
+        wish = terms.Wish(
+            current.units,
+            self._find_reserve(current),
+            current.tried_s > current.route.target_s > 0,
         )
+        short_s = await self._parts.allowances.take(team, wish)
         standing = self._parts.allowances.describe(team.name)
         if short_s <= 0:
             current.standing = standing
@@ -163,6 +170,11 @@
             level=round(standing.level),
             grant=round(standing.grant),
             news_age_ms=round(standing.news_age_s * 1000),
+            there=round(standing.units.there),
+            owed=round(standing.units.owed),
+            part=round(standing.units.part, 3),
+            asked=round(standing.units.asked),
+            tried_ms=round(current.tried_s * 1000),
             units=current.units,
             rate=team.rate,
             burst=team.burst,
@@ -392,6 +404,8 @@
             used=round(current.standing.used),
             grant=round(current.standing.grant),
             news_age_ms=round(current.standing.news_age_s * 1000),
+            there=round(current.standing.units.there),
+            owed=round(current.standing.units.owed),
             attempts=current.attempts,
             events=current.events,
             elapsed_ms=round(elapsed_s * 1000, 1),
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -9,7 +9,13 @@
 import trio
 
 from martenquay_daemon import supervision
-from martenquay_daemon.allowances import ledger, record, terms
+from martenquay_daemon.allowances import (
+    escrow,
+    gate,
+    ledger,
+    record,
+    terms,
+)
 from martenquay_daemon.discovery import (
     catalog_sink,
     catalog_store,
@@ -29,6 +35,7 @@
 from martenquay_daemon.fleet import (
     announcements,
     links,
+    roster,
     shared_state,
     state_copies,
     topology,
@@ -122,6 +129,7 @@
         bounds = settings.bounds
         self._retries.bounds = _find_retry_bounds(bounds)
         self._allowances.bounds = _find_tolerance(bounds)
+        self._units.bounds = _find_tolerance(bounds)
         if settings.platform.log:
             self._ports.log.move_to(settings.platform.log)
         if self._ports.cloud is not None and settings.platform.cloud:
@@ -200,6 +208,7 @@
         settings = self._settings
         listen = settings.listen
         self._view = view.FleetView(settings.instance)
+        self._roster = roster.Roster(settings.instance)
         place = topology.PeerAddress(
             f"{listen.ip}:{listen.peer_port}",
             settings.zone,
@@ -225,7 +234,7 @@
             self._ports.log,
             self._contact,
             self._ports.topics.members,
-            announcements.MemberSink(self._view, self.links),
+            announcements.MemberSink(self._view, self.links, self._roster),
             _MEMBER_PACE,
             self._is_crowded,
         )
@@ -234,6 +243,8 @@
             self._ports.topics.members,
             settings.instance,
             place,
+            self._roster,
+            self._member_follower.first_read,
         )
 
     def _tell_loads_soon(self) -> None:
@@ -310,6 +321,12 @@
                 fleet=self._view,
             )
         )
+        remover = announcements.Remover(
+            self._ports.log,
+            self._ports.topics.members,
+            self._roster,
+            lambda: self._lease.is_held() and self.links.is_mesh(),
+        )
         self._spending = record.SpendingRecord(
             self._ports.log,
             self._ports.topics.spending,
@@ -321,6 +338,7 @@
             "lease": self._lease.run,
             "usage": reporter.run,
             "capacity": keeper.run,
+            "list": remover.run,
         }
 
     def _share_state(self) -> None:
@@ -337,6 +355,9 @@
                 directory=self._directory,
                 contact=self._contact,
                 allowances=self._allowances,
+                units=self._units,
+                members=self._member_follower,
+                listed=self._roster,
                 loads=self._loads,
                 usage=self._usage,
                 meter=self._meter,
@@ -368,6 +389,15 @@
                 is_listed=self._member_follower.first_read.is_set,
             ),
         )
+        self._units = escrow.create_escrow(
+            _find_tolerance(bounds),
+            terms.EscrowFacts(
+                find_part=self._roster.find_part,
+                find_part_since=lambda: self._roster.part_since,
+                count_daemons=self._view.count_daemons,
+                hurry=self.links.hurry,
+            ),
+        )
         codec = self._ports.calls
         self._retries = retry_window.RetryWindow(
             _find_retry_bounds(bounds), self._view.count_daemons
@@ -376,7 +406,9 @@
             store=self._store,
             directory=self._directory,
             entries=self._entries,
-            allowances=self._allowances,
+            allowances=gate.create_gate(
+                self._units, self._allowances, self.links.is_mesh
+            ),
             placer=placer.Placer(
                 self._settings.zone,
                 self._directory,
--- a/tests/allowance_days.py
+++ b/tests/allowance_days.py
@@ -145,6 +145,9 @@
             name: self._rng.uniform(0.0, _TELL_S) for name in day.shares
         }
         self._read: set[str] = set()
+        self._kinds: dict[str, list[Trouble]] = collections.defaultdict(list)
+        for trouble in day.troubles:
+            self._kinds[trouble.kind].append(trouble)
         self.played = Played([], [])
 
     def play(self) -> None:
@@ -156,6 +159,7 @@
             now = trio.current_time() - self._started_at
             self._change_fleet(now)
             self._deliver(now)
+            self._let_in_late(now)
             self._ask(now)
             self._tell(now, step)
 
@@ -172,21 +176,19 @@
                 self._change(trouble, instance, now)
 
     def _change(self, trouble: Trouble, instance: str, now: float) -> None:
-        is_killed = any(
-            one.hits("kill", instance, now) for one in self._day.troubles
-        )
-        if is_killed:
+        if self._is_hit("kill", instance, now):
             self._daemons.pop(instance, None)
         elif instance not in self._daemons and trouble.has_started(now):
             self._start(instance)
 
     def _is_hit(self, kind: str, instance: str, now: float) -> bool:
-        return any(one.hits(kind, instance, now) for one in self._day.troubles)
+        kinds = self._kinds.get(kind, ())
+        return any(one.hits(kind, instance, now) for one in kinds)
 
     def _are_cut(self, one: str, other: str, now: float) -> bool:
         return any(
             trouble.hits("cut", one, now) != trouble.hits("cut", other, now)
-            for trouble in self._day.troubles
+            for trouble in self._kinds.get("cut", ())
         )
 
     def _list_awake(self, now: float) -> list[allowance_fleet.FleetDaemon]:
@@ -212,6 +214,12 @@
             if daemon.ask(units):
                 self.played.spent.append((now, units))
 
+    def _let_in_late(self, now: float) -> None:
+        """Let in requests whose units have come from other daemons."""
+        for daemon in self._list_awake(now):
+            for units in daemon.take_late():
+                self.played.spent.append((now, units))
+
     def _tell(self, now: float, step: int) -> None:
         has_written = False
         for daemon in self._list_awake(now):
@@ -225,7 +233,7 @@
                         has_written = True
                         daemon.write_log()
             since_s = (now + self._offsets[instance]) % _TELL_S
-            if since_s < _STEP_S:
+            if since_s < _STEP_S or daemon.is_hurried:
                 self._send(daemon, now)
 
     def _send(self, daemon: allowance_fleet.FleetDaemon, now: float) -> None:
--- a/tests/allowance_fleet.py
+++ b/tests/allowance_fleet.py
@@ -3,19 +3,29 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 import trio
 
-from martenquay_daemon.allowances import ledger, terms
+from martenquay_daemon.allowances import escrow, sharing, terms
+from martenquay_daemon.fleet import roster, send_times
 from tests import serving_builders as builders
 
-__all__ = ["BOUNDS", "TEAM", "FleetDaemon", "FleetLog", "News", "find_bound"]
+__all__ = [
+    "BOUNDS",
+    "TEAM",
+    "FleetDaemon",
+    "FleetLog",
+    "News",
+    "build_escrow",
+    "find_bound",
+]
 
 # One team of a small site, in tokens a second and tokens.
 TEAM = builders.build_team(rate=46_000.0, burst=46_000.0)
 BOUNDS = terms.ToleranceBounds(8.0, 0.1, 72_000.0)
-_SILENT_S = 1.2
-_FIRST_NEWS = 10
+# A request waits so long for units of other daemons.
+_WAIT_S = 0.2
 
 
 def find_bound() -> float:
@@ -24,19 +34,35 @@
     return allowance * (1 + BOUNDS.overrun) + BOUNDS.slack
 
 
+def build_escrow(
+    part: float = 1.0, count: int = 1, hurries: list[float] | None = None
+) -> escrow.EscrowLedger:
+    """Return the units of one daemon with a part of the rate."""
+    noted = [] if hurries is None else hurries
+    facts = terms.EscrowFacts(
+        lambda: part,
+        lambda: -math.inf,
+        lambda: count,
+        lambda: noted.append(trio.current_time()),
+    )
+    return escrow.create_escrow(BOUNDS, facts)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Announcement:
+    instance: str
+    is_counted: bool
+
+
 @dataclasses.dataclass
 class FleetLog:
     """What daemons find in the platform's log.
 
     Attributes:
-        listed: The instances that have announced themselves.
-        sums: Units spent, as they were last written.
-        sums_at: When that was, in trio's time.
+        announcements: Of instances, in their order.
     """
 
-    listed: list[str] = dataclasses.field(default_factory=list)
-    sums: dict[str, float] = dataclasses.field(default_factory=dict)
-    sums_at: float = 0.0
+    announcements: list[_Announcement] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -44,16 +70,27 @@
     """What one daemon tells the others.
 
     Attributes:
+        instance: Its instance.
         member: The process that tells it.
         number: Counts its news.
-        spent: Units by team since it started.
-        used: Units by team that it knows of.
+        members_end: Up to where it has read the announcements.
+        holdings: Its units by team.
+        gifts: Units that it hands to others, by member.
     """
 
+    instance: str
     member: str
     number: int
-    spent: dict[str, float]
-    used: dict[str, float]
+    members_end: int
+    holdings: dict[str, sharing.Holding]
+    gifts: dict[str, escrow.Gift]
+
+
+@dataclasses.dataclass(frozen=True)
+class _Waiting:
+    units: float
+    missing: float
+    until: float
 
 
 class FleetDaemon:
@@ -62,49 +99,92 @@
     Attributes:
         instance: Its instance.
         member: Its process.
+        is_hurried: It has news that cannot wait.
     """
 
     def __init__(self, instance: str, process: int, log: FleetLog) -> None:
         self.instance = instance
         self.member = f"{instance}.{process}"
+        self.is_hurried = False
         self._number = 0
         self._heard: dict[str, int] = {}
-        self._listed: set[str] = {instance}
         self._log = log
-        facts = terms.FleetFacts(
-            lambda: len(self._listed), lambda: _SILENT_S, lambda: None
+        self._end = 0
+        self._has_announced = False
+        self._has_told = False
+        self._roster = roster.Roster(instance)
+        self._told = send_times.SendTimes()
+        self._waiting: list[_Waiting] = []
+        facts = terms.EscrowFacts(
+            self._roster.find_part,
+            lambda: self._roster.part_since,
+            lambda: max(1, len(self._roster.list_instances())),
+            self._hurry,
         )
-        self._ledger = ledger.create_ledger(BOUNDS, facts)
-        self._ledger.refill([TEAM])
+        self._units = escrow.create_escrow(BOUNDS, facts)
+        self._units.refill([TEAM])
+
+    def _hurry(self) -> None:
+        self.is_hurried = True
 
     def read_log(self) -> None:
         """Read the log at the start, and what is new in it later."""
-        if self.instance not in self._log.listed:
-            self._log.listed.append(self.instance)
-        is_first = len(self._listed) == 1
-        self._listed |= set(self._log.listed)
-        if is_first and self._log.sums:
-            age_s = trio.current_time() - self._log.sums_at
-            self._ledger.note_past(self._log.sums, age_s, 1.0)
+        found = self._log.announcements
+        for offset in range(self._end, len(found)):
+            one = found[offset]
+            self._roster.note_listed(
+                one.instance, offset, is_counted=one.is_counted
+            )
+        self._end = len(found)
+        is_counted = self._roster.counted.is_set()
+        if not self._has_announced or (is_counted and not self._has_told):
+            self._has_announced = True
+            self._has_told = is_counted
+            found.append(_Announcement(self.instance, is_counted))
 
     def write_log(self) -> None:
-        """Write the sums, as the daemon whose duty that is."""
-        self._log.sums = dict(self._ledger.list_used())
-        self._log.sums_at = trio.current_time()
+        """Write what lasts besides: nothing."""
 
     def ask(self, units: float) -> bool:
         """Ask for units for the team; tell whether they may be spent."""
-        return self._ledger.take(TEAM, units) == 0.0
+        match self._units.take(TEAM, terms.Wish(units)):
+            case terms.Admitted():
+                return True
+            case terms.Elsewhere(missing=missing):
+                self._units.note_need(TEAM, missing)
+                until = trio.current_time() + _WAIT_S
+                self._waiting.append(_Waiting(units, missing, until))
+        return False
+
+    def take_late(self) -> list[float]:
+        """Return the units of requests that were let in after a wait."""
+        admitted = []
+        for one in list(self._waiting):
+            verdict = self._units.take(
+                TEAM, terms.Wish(one.units), is_again=True
+            )
+            is_admitted = isinstance(verdict, terms.Admitted)
+            if is_admitted:
+                admitted.append(one.units)
+            if is_admitted or trio.current_time() >= one.until:
+                self._units.note_need(TEAM, -one.missing)
+                self._waiting.remove(one)
+        return admitted
 
     def tell(self) -> News:
         """Return news for the others."""
-        self._ledger.refill([TEAM])
+        self._units.refill([TEAM])
+        self.is_hurried = False
         self._number += 1
+        self._told.note(self._number)
+        gifts = self._units.give([TEAM])
         return News(
+            self.instance,
             self.member,
             self._number,
-            dict(self._ledger.list_own()),
-            self._ledger.list_known(),
+            self._end,
+            self._units.list_holdings(),
+            gifts,
         )
 
     def hear(self, news: News) -> None:
@@ -112,6 +192,9 @@
         if news.number <= self._heard.get(news.member, 0):
             return
         self._heard[news.member] = news.number
-        self._ledger.note_used(news.used)
-        is_new = news.number <= _FIRST_NEWS
-        self._ledger.note_spending(news.member, news.spent, is_new=is_new)
+        self._roster.note_told(news.instance, news.members_end)
+        self._units.hear(news.member, news.number, news.holdings)
+        gift = news.gifts.get(self.member)
+        told_at = self._told.find(gift.heard) if gift is not None else None
+        if gift is not None and told_at is not None:
+            self._units.accept(gift, told_at)
--- a/tests/serving_scene.py
+++ b/tests/serving_scene.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import dataclasses
+import math
 import random
 from typing import TYPE_CHECKING, Any
 
@@ -11,7 +12,7 @@
 import trio
 
 from martenquay_core.serving import ports
-from martenquay_daemon.allowances import ledger, terms
+from martenquay_daemon.allowances import escrow, gate, ledger, terms
 from martenquay_daemon.discovery import (
     catalog_store,
     contact,
@@ -115,7 +116,19 @@
             store=self.store,
             directory=self.directory,
             entries=self.entries,
-            allowances=ledger.create_ledger(tolerance, facts),
+            allowances=gate.create_gate(
+                escrow.create_escrow(
+                    tolerance,
+                    terms.EscrowFacts(
+                        lambda: 1.0,
+                        lambda: -math.inf,
+                        lambda: 1,
+                        lambda: None,
+                    ),
+                ),
+                ledger.create_ledger(tolerance, facts),
+                lambda: True,
+            ),
             placer=placer.Placer(
                 "a",
                 self.directory,
--- a/tests/test_allowances/test_bound.py
+++ b/tests/test_allowances/test_bound.py
@@ -17,16 +17,22 @@
 from tests import allowance_days, allowance_fleet
 
 _SEEDS = 1000
+# So that test runners can spread them over several workers.
+_PARTS = 4
 
 
-class BoundTest(testtools.TestCase):
+class _DrawnDays:
+    """A part of the thousand days."""
+
+    part = 0
+
     def test_no_order_of_cuts_kills_freezes_joins_and_late_news_exceeds_it(
         self,
     ) -> None:
         window_s = allowance_fleet.BOUNDS.window_s
         bound = allowance_fleet.find_bound()
         broken = {}
-        for seed in range(_SEEDS):
+        for seed in range(self.part, _SEEDS, _PARTS):
             day = allowance_days.draw_day(seed)
             played = allowance_days.play_day(day)
             most = allowance_days.find_most_spent(played.spent, window_s)
@@ -35,6 +41,22 @@
         self.assertEqual({}, broken)
 
 
+class BoundTest(_DrawnDays, testtools.TestCase):
+    part = 0
+
+
+class SecondBoundTest(_DrawnDays, testtools.TestCase):
+    part = 1
+
+
+class ThirdBoundTest(_DrawnDays, testtools.TestCase):
+    part = 2
+
+
+class FourthBoundTest(_DrawnDays, testtools.TestCase):
+    part = 3
+
+
 class UsedRoomTest(testtools.TestCase):
     """The bound is not kept by refusing what the team is owed."""
 
--- /dev/null
+++ b/tests/test_allowances/test_escrow.py
@@ -0,0 +1,245 @@
+"""A daemon spends what is there, and says what others may have."""
+
+from __future__ import annotations
+
+import math
+
+import trio
+
+from martenquay_daemon.allowances import escrow, gate, ledger, sharing, terms
+from tests import allowance_fleet, clocked
+from tests import serving_builders as builders
+
+_TEAM = allowance_fleet.TEAM
+_BOUNDS = allowance_fleet.BOUNDS
+_RATE = _BOUNDS.find_mint_rate(_TEAM)
+_LIFE_S = _BOUNDS.find_life(_TEAM)
+
+
+async def _fill(units: escrow.EscrowLedger) -> None:
+    """Let a lifetime pass, in which the units come that there may be."""
+    units.refill([_TEAM])
+    await trio.sleep(_LIFE_S)
+    units.refill([_TEAM])
+
+
+def _count_admitted(units: escrow.EscrowLedger, wish: terms.Wish) -> int:
+    """Ask until it is refused; return how often it was not."""
+    count = 0
+    while isinstance(units.take(_TEAM, wish), terms.Admitted):
+        count += 1
+    return count
+
+
+class EscrowLedgerTest(clocked.ClockedTestCase):
+    def test_no_more_is_spent_than_a_lifetime_has_minted(self) -> None:
+        async def scenario() -> None:
+            units = allowance_fleet.build_escrow()
+            await _fill(units)
+            count = _count_admitted(units, terms.Wish(100.0))
+            self.assertLessEqual(100.0 * count, _RATE * _LIFE_S)
+            self.assertGreater(100.0 * count, 0.8 * _RATE * _LIFE_S)
+
+        self.run_clocked(scenario)
+
+    def test_a_steady_rate_is_never_less_than_the_teams(self) -> None:
+        for rate, burst in ((46_000.0, 46_000.0), (100.0, 10.0), (5.0, 500.0)):
+            team = builders.build_team(rate=rate, burst=burst)
+            for overrun, slack in ((0.1, 72_000.0), (0.1, 0.0)):
+                bounds = terms.ToleranceBounds(8.0, overrun, slack)
+                minted = bounds.find_mint_rate(team)
+                self.assertGreater(minted, 0.95 * rate)
+                span_s = 8.0 + bounds.find_life(team)
+                most = minted * span_s + bounds.find_most_owed()
+                allowance = rate * 8.0 + burst
+                self.assertLess(most, allowance * (1 + overrun) + slack)
+
+    def test_a_process_that_starts_anew_owes_nothing_for_a_window(self) -> None:
+        async def scenario() -> None:
+            units = allowance_fleet.build_escrow()
+            await _fill(units)
+            _count_admitted(units, terms.Wish(100.0))
+            self.assertIsInstance(
+                units.take(_TEAM, terms.Wish(8_000.0)), terms.Refused
+            )
+            await trio.sleep(_BOUNDS.window_s)
+            units.refill([_TEAM])
+            large = terms.Wish(_RATE * _LIFE_S + 20_000.0)
+            self.assertIsInstance(units.take(_TEAM, large), terms.Admitted)
+            self.assertGreater(units.describe(_TEAM.name).owed, 10_000.0)
+
+        self.run_clocked(scenario)
+
+    def test_a_request_that_is_late_leaves_units_to_those_on_time(self) -> None:
+        async def scenario() -> None:
+            units = allowance_fleet.build_escrow()
+            await _fill(units)
+            late = _count_admitted(units, terms.Wish(500.0, is_late=True))
+            on_time = _count_admitted(units, terms.Wish(500.0))
+            self.assertGreater(late, 10)
+            self.assertGreater(on_time, 0.8 * late)
+
+        self.run_clocked(scenario)
+
+    def test_what_is_given_is_gone_here_and_ends_there_in_time(self) -> None:
+        async def scenario() -> None:
+            giver = allowance_fleet.build_escrow(0.5, 2)
+            receiver = allowance_fleet.build_escrow(0.0, 2)
+            receiver.refill([_TEAM])
+            await _fill(giver)
+            told_at = trio.current_time()
+            there = giver.describe(_TEAM.name).there
+            holding = sharing.Holding(0.0, 20_000.0)
+            giver.hear("b", 7, {_TEAM.name: holding})
+            gift = giver.give([_TEAM])["b"]
+            given = sum(units for units, _ in gift.parcels[_TEAM.name])
+            self.assertEqual(7, gift.heard)
+            self.assertAlmostEqual(
+                there - given, giver.describe(_TEAM.name).there
+            )
+            receiver.accept(gift, told_at)
+            self.assertAlmostEqual(given, receiver.describe(_TEAM.name).there)
+            await trio.sleep(_LIFE_S)
+            receiver.refill([_TEAM])
+            self.assertEqual(0.0, receiver.describe(_TEAM.name).there)
+
+        self.run_clocked(scenario)
+
+    def test_a_gift_that_was_long_on_its_way_is_of_no_use(self) -> None:
+        async def scenario() -> None:
+            receiver = allowance_fleet.build_escrow(0.0, 2)
+            receiver.refill([_TEAM])
+            told_at = trio.current_time()
+            await trio.sleep(2.0)
+            receiver.accept(
+                escrow.Gift(1, {_TEAM.name: [(900.0, 0.9)]}), told_at
+            )
+            self.assertEqual(0.0, receiver.describe(_TEAM.name).there)
+
+        self.run_clocked(scenario)
+
+    def test_daemons_that_are_not_heard_are_given_nothing(self) -> None:
+        async def scenario() -> None:
+            giver = allowance_fleet.build_escrow(0.5, 2)
+            await _fill(giver)
+            giver.hear("b", 1, {_TEAM.name: sharing.Holding(0.0, 20_000.0)})
+            await trio.sleep(1.5)
+            self.assertEqual({}, giver.give([_TEAM]))
+
+        self.run_clocked(scenario)
+
+    def test_callers_refused_together_are_called_back_one_by_one(self) -> None:
+        async def scenario() -> None:
+            units = allowance_fleet.build_escrow()
+            units.refill([_TEAM])
+            waits = [units.refuse(_TEAM, 10_000.0) for _ in range(8)]
+            self.assertEqual(sorted(waits), waits)
+            self.assertGreater(waits[7], waits[0] + 1.0)
+            self.assertLessEqual(waits[7], 4.0)
+
+        self.run_clocked(scenario)
+
+    def test_a_smaller_part_counts_for_the_time_since_it_was_larger(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            parts = [0.5]
+            facts = terms.EscrowFacts(
+                lambda: parts[0], lambda: -math.inf, lambda: 2, lambda: None
+            )
+            units = escrow.create_escrow(_BOUNDS, facts)
+            units.refill([_TEAM])
+            await trio.sleep(0.4)
+            parts[0] = 0.25
+            units.refill([_TEAM])
+            self.assertAlmostEqual(
+                0.4 * 0.25 * _RATE, units.describe(_TEAM.name).there, delta=1.0
+            )
+
+        self.run_clocked(scenario)
+
+
+class AllowanceGateTest(clocked.ClockedTestCase):
+    def _build(
+        self, units: escrow.EscrowLedger, modes: list[bool]
+    ) -> gate.AllowanceGate:
+        facts = terms.FleetFacts(lambda: 1, lambda: 1.2, lambda: None)
+        self.sums = ledger.create_ledger(_BOUNDS, facts)
+        return gate.create_gate(units, self.sums, lambda: modes[0])
+
+    def test_a_request_waits_a_moment_for_units_of_others(self) -> None:
+        async def scenario() -> None:
+            units = allowance_fleet.build_escrow(0.0, 2)
+            units.refill([_TEAM])
+            one = self._build(units, [True])
+            units.hear("b", 1, {_TEAM.name: sharing.Holding(9_000.0, 0.0)})
+            told_at = trio.current_time()
+            answers: list[float] = []
+
+            async def ask() -> None:
+                answers.append(await one.take(_TEAM, terms.Wish(500.0)))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                await trio.sleep(0.08)
+                needed = units.list_holdings()[_TEAM.name].needed
+                self.assertAlmostEqual(500.0, needed)
+                gift = escrow.Gift(1, {_TEAM.name: [(600.0, 0.9)]})
+                units.accept(gift, told_at)
+            self.assertEqual([0.0], answers)
+            self.assertEqual(0.0, units.list_holdings()[_TEAM.name].needed)
+
+        self.run_clocked(scenario)
+
+    def test_a_request_is_refused_when_no_units_come(self) -> None:
+        async def scenario() -> None:
+            units = allowance_fleet.build_escrow(0.0, 2)
+            units.refill([_TEAM])
+            one = self._build(units, [True])
+            units.hear("b", 1, {_TEAM.name: sharing.Holding(9_000.0, 0.0)})
+            started = trio.current_time()
+            self.assertGreater(await one.take(_TEAM, terms.Wish(500.0)), 0.0)
+            self.assertLessEqual(trio.current_time() - started, 0.21)
+
+        self.run_clocked(scenario)
+
+    def test_a_request_is_refused_at_once_when_nobody_has_units(self) -> None:
+        async def scenario() -> None:
+            units = allowance_fleet.build_escrow(0.0, 2)
+            units.refill([_TEAM])
+            one = self._build(units, [True])
+            units.hear("b", 1, {_TEAM.name: sharing.Holding(10.0, 0.0)})
+            started = trio.current_time()
+            self.assertGreater(await one.take(_TEAM, terms.Wish(500.0)), 0.0)
+            self.assertEqual(started, trio.current_time())
+
+        self.run_clocked(scenario)
+
+    def test_after_a_fleet_has_become_small_both_grounds_hold_for_a_window(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            modes = [False]
+            units = allowance_fleet.build_escrow()
+            units.refill([_TEAM])
+            one = self._build(units, modes)
+            await trio.sleep(9.0)
+            await one.take(_TEAM, terms.Wish(1.0))
+            self.sums.note_spent(_TEAM, _BOUNDS.find_limit(_TEAM))
+            modes[0] = True
+            await _fill(units)
+            self.assertGreater(units.describe(_TEAM.name).there, 9_000.0)
+            self.assertGreater(await one.take(_TEAM, terms.Wish(500.0)), 0.0)
+            await trio.sleep(_BOUNDS.window_s)
+            self.assertEqual(0.0, await one.take(_TEAM, terms.Wish(500.0)))
+
+        self.run_clocked(scenario)
+
+    def test_a_team_without_a_rate_is_never_refused(self) -> None:
+        async def scenario() -> None:
+            units = allowance_fleet.build_escrow(0.0, 2)
+            one = self._build(units, [True])
+            wish = terms.Wish(1e9)
+            self.assertEqual(0.0, await one.take(builders.build_team(), wish))
+
+        self.run_clocked(scenario)
--- /dev/null
+++ b/tests/test_fleet/test_announcements.py
@@ -0,0 +1,95 @@
+"""Daemons announce themselves once others reckon with them, and lastingly."""
+
+from __future__ import annotations
+
+import trio
+
+from martenquay_core.serving import ports
+from martenquay_daemon.fleet import announcements, roster, topology
+from martenquay_standins.ports import log
+from tests import clocked
+
+_TOPIC = "members"
+_PLACE = topology.PeerAddress("127.0.0.1:1", "a", 100.0)
+
+
+class AnnouncementsTest(clocked.ClockedTestCase):
+    def _run(self, scenario) -> None:
+        async def run() -> None:
+            self.log = log.MemoryLog()
+            self.roster = roster.Roster("entry-1")
+            self.first_read = trio.Event()
+            announcer = announcements.Announcer(
+                self.log,
+                _TOPIC,
+                "entry-1",
+                _PLACE,
+                self.roster,
+                self.first_read,
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(announcer.announce, _PLACE.address)
+                await scenario()
+                nursery.cancel_scope.cancel()
+
+        self.run_clocked(run)
+
+    def _count_written(self, words: bytes) -> int:
+        return sum(words in one for one in self.log.list_payloads(_TOPIC))
+
+    def test_a_process_that_starts_anew_takes_nothing_back(self) -> None:
+        async def scenario() -> None:
+            await trio.sleep(0.1)
+            self.assertEqual([], self.log.list_payloads(_TOPIC))
+            self.roster.note_listed("entry-1", 0, is_counted=True)
+            self.first_read.set()
+            await trio.sleep(0.1)
+            self.assertEqual(1, self._count_written(b'"is_counted":true'))
+            self.assertEqual(0, self._count_written(b'"is_counted":false'))
+
+        self._run(scenario)
+
+    def test_a_new_one_says_so_once_others_reckon_with_it(self) -> None:
+        async def scenario() -> None:
+            self.first_read.set()
+            await trio.sleep(0.1)
+            self.assertEqual(1, self._count_written(b'"is_counted":false'))
+            self.roster.note_listed("entry-1", 0, is_counted=False)
+            self.assertEqual(1.0, self.roster.find_part())
+            await trio.sleep(0.1)
+            self.assertEqual(1, self._count_written(b'"is_counted":true'))
+
+        self._run(scenario)
+
+    def test_who_was_taken_off_the_list_announces_itself_anew(self) -> None:
+        async def scenario() -> None:
+            self.roster.note_listed("entry-1", 0, is_counted=True)
+            self.first_read.set()
+            await trio.sleep(0.1)
+            self.roster.note_removed("entry-1")
+            await trio.sleep(0.1)
+            self.assertEqual(1, self._count_written(b'"is_counted":false'))
+            self.assertEqual(0.0, self.roster.find_part())
+
+        self._run(scenario)
+
+    def test_only_who_is_silent_for_long_is_taken_off(self) -> None:
+        async def scenario() -> None:
+            remover = announcements.Remover(
+                self.log, _TOPIC, self.roster, lambda: True
+            )
+            for number in (1, 2, 3):
+                name = f"entry-{number}"
+                self.roster.note_listed(name, number, is_counted=True)
+            await trio.sleep(550.0)
+            self.roster.note_told("entry-2", 3)
+            await trio.sleep(100.0)
+            await remover.remove_silent()
+            last = self.log.list_payloads(_TOPIC)[-1]
+            self.assertEqual(
+                ports.KeyedRecord(9, "entry-3", None),
+                self.log.split_keyed(last, 9),
+            )
+            self.assertEqual(["entry-3"], self.roster.list_silent(600.0))
+
+        self._run(scenario)
--- a/tests/test_fleet/test_zone_mode.py
+++ b/tests/test_fleet/test_zone_mode.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import trio
 
 from martenquay_daemon.discovery import (
@@ -48,6 +50,7 @@
             follower,
             self.contact,
         )
+        self.follower = follower
         fleet = view.FleetView("entry-9")
         fleet.is_mesh = False
         return zone_mode.ZoneMode(place, fleet, state, pace.ZONE_PACE)
@@ -63,6 +66,41 @@
             messages.FleetReport("entry-1.aa", [summary], {}, 0)
         )
 
+    def test_entries_are_as_old_as_the_hubs_when_it_heard_this_daemon(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            one = self._build(_OTHERS[0])
+            one.select_peers([_FIRST, _SECOND, *_OTHERS[1:]])
+            self.follower.skip_to(5)
+            one.create_notes(builders.build_digest(number=7))
+            told_at = trio.current_time()
+            await trio.sleep(0.4)
+            summary = builders.build_summary(
+                zone="a", address=_FIRST.address, runners_age_ms=600
+            )
+            report = messages.FleetReport("entry-1.aa", [summary], {}, 7)
+            one.take_report(report)
+            # However late the report is, it was made after that digest.
+            confirmed_at = self.follower.copy_age.confirmed_at
+            self.assertAlmostEqual(told_at - 0.6, confirmed_at)
+
+        self.run_clocked(scenario)
+
+    def test_a_hub_that_knows_more_says_nothing_of_entries_here(self) -> None:
+        async def scenario() -> None:
+            one = self._build(_OTHERS[0])
+            one.select_peers([_FIRST, _SECOND, *_OTHERS[1:]])
+            one.create_notes(builders.build_digest(number=7))
+            summary = builders.build_summary(
+                zone="a", address=_FIRST.address, runners_changed=40
+            )
+            report = messages.FleetReport("entry-1.aa", [summary], {}, 7)
+            one.take_report(report)
+            self.assertEqual(math.inf, self.follower.copy_age.age_s)
+
+        self.run_clocked(scenario)
+
     def test_the_second_hub_leads_when_the_first_has_lost_the_log(self) -> None:
         async def scenario() -> None:
             one = self._build(_SECOND)
