--- /dev/null
+++ b/tests/test_fleet/test_state_copies.py
@@ -0,0 +1,63 @@
+"""A peer's copy makes entries as young as they were at the peer."""
+
+from __future__ import annotations
+
+import trio
+
+from martenquay_daemon.discovery import (
+    catalog_store,
+    contact,
+    keyed_follower,
+    runner_directory,
+)
+from martenquay_daemon.fleet import messages, state_copies
+from martenquay_standins.ports import log
+from tests import clocked
+from tests import serving_builders as builders
+
+
+def _build_state() -> state_copies.FleetState:
+    records = builders.FakeRecords()
+    log_contact = contact.LogContact()
+    directory = runner_directory.RunnerDirectory(records, log_contact)
+    follower = keyed_follower.KeyedFollower(
+        log.MemoryLog(),
+        log_contact,
+        "runners",
+        directory,
+        keyed_follower.FollowPace(wait_s=1.0),
+    )
+    return state_copies.FleetState(
+        catalog_store.create_store(records), directory, follower, log_contact
+    )
+
+
+class StateCopiesTest(clocked.ClockedTestCase):
+    def test_age_counts_from_the_question_that_the_copy_answers(self) -> None:
+        async def scenario() -> None:
+            own, other = _build_state(), _build_state()
+            asker = state_copies.StateCopies(own)
+            peer = state_copies.StateCopies(other)
+            now = trio.current_time()
+            other.runner_follower.skip_to(5)
+            other.runner_follower.copy_age.confirmed_at = now - 0.3
+            first = peer.create_copy(asker.create_want(), [])
+            await trio.sleep(2.0)
+            asker.create_want()
+            # The first answer is late; the second question does not count.
+            asker.take(first)
+            age_s = own.runner_follower.copy_age.age_s
+            self.assertAlmostEqual(2.3, age_s)
+
+        self.run_clocked(scenario)
+
+    def test_an_answer_to_nothing_that_was_asked_makes_nothing_younger(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            own = _build_state()
+            asker = state_copies.StateCopies(own)
+            asker.take(messages.StateCopy(b"", 5, [], [], [], 10, 44))
+            self.assertIsNone(own.runner_follower.copy_age.note_use())
+
+        self.run_clocked(scenario)
