--- a/packages/core/src/martenquay_core/serving/runners.py
+++ b/packages/core/src/martenquay_core/serving/runners.py
@@ -12,7 +12,7 @@
     """One lifetime of a runner process.
 
     Attributes:
-        id: Names this lifetime; never used again.
+        id: Names the runner; its next process may have it again.
         service: What it serves.
         address: Host and port; may pass to another runner later.
         zone: Its availability zone.
@@ -20,6 +20,8 @@
         is_leaving: It ends soon and gets no new work.
         is_reclaimable: The platform may take it back at short notice.
         leaves_in_s: The time left when it said so, if it did.
+        born_ms: When this process started, in ms since 1970 by the runner's
+            clock; None if it does not say. It tells lifetimes of one id apart.
     """
 
     id: str
@@ -30,3 +32,4 @@
     is_leaving: bool = False
     is_reclaimable: bool = False
     leaves_in_s: float | None = None
+    born_ms: int | None = None
