Hand on what the log says of runners, not what a daemon defers

Cause: one dict held both the log's entries and runners that this daemon keeps for a while after an outage, and copies were made of it. Now the fold of the log (discovery/runner_entries.py) stands apart from the directory, which defers ends, leaves out runners that are gone, and finds which of two runners has an address. A copy holds the fold alone and says for how long the giver has had the log again, so that its receiver defers by the same rule and no longer; that counts from the question, as ages do. A copy that names entries which neither it nor the receiver has makes nothing younger, and all are asked for the next time. A heartbeat of a runner that lost its address does not bring it back.

--- a/packages/daemon/src/martenquay_daemon/discovery/contact.py
+++ b/packages/daemon/src/martenquay_daemon/discovery/contact.py
@@ -47,6 +47,15 @@
         self.is_lost = False
         self.last_answer_at = now
 
+    @property
+    def regained_age_s(self) -> float:
+        """Seconds since the log answered again after an outage."""
+        return trio.current_time() - self.regained_at
+
+    def note_regained_elsewhere(self, at: float) -> None:
+        """Note when a daemon that reads for this one had the log again."""
+        self.regained_at = max(self.regained_at, at)
+
     def note_relayed(self, age_s: float) -> None:
         """Note that a daemon that reads for this one had an answer lately."""
         self.is_lost = False
--- a/packages/daemon/src/martenquay_daemon/discovery/runner_directory.py
+++ b/packages/daemon/src/martenquay_daemon/discovery/runner_directory.py
@@ -1,21 +1,22 @@
-"""Hold the runners' entries and say which runners may get work."""
+"""Say which runners may get work, by their entries and what was found out."""
 
 from __future__ import annotations
 
-import dataclasses
 import math
 from typing import TYPE_CHECKING
 
-import msgspec
 import trio
 
 from martenquay_core import logs
+from martenquay_daemon.discovery import runner_entries
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
     from martenquay_core.serving import ports, runners
     from martenquay_daemon.discovery import contact
 
-__all__ = ["RunnerCopy", "RunnerDirectory"]
+__all__ = ["RunnerDirectory"]
 
 _LOG = logs.create_log("runners")
 # A live runner whose entry lapsed while the log was away writes it again
@@ -26,66 +27,47 @@
 _GONE_S = 30.0
 
 
-class RunnerCopy(msgspec.Struct, frozen=True, array_like=True):
-    """One runner's entry as it lies in the log.
-
-    Attributes:
-        key: The runner's id.
-        offset: The record's offset.
-        value: The record's content.
-    """
-
-    key: str
-    offset: int
-    value: bytes
+def _ignore(runner_id: str) -> None:
+    del runner_id
 
 
 class RunnerDirectory:
-    """Entries of runners by id.
+    """Runners by id.
 
     Attributes:
-        changed_end: The end of the entries up to the last one that said
-            something new; heartbeats do not count.
+        entries: What the log holds of them; goes to other daemons.
+        on_restart: Told the id of a runner whose process is a new one and
+            knows nothing of what was learnt of the one before.
+        on_unusable: Told the key of an entry that names no runner.
     """
 
     def __init__(
         self, codec: ports.PlatformCodec, log_contact: contact.LogContact
     ) -> None:
-        self.changed_end = 0
-        self._codec = codec
+        self.entries = runner_entries.RunnerEntries(codec)
+        self.on_restart: Callable[[str], None] = _ignore
+        self.on_unusable: Callable[[str], None] = _ignore
         self._contact = log_contact
         self._runners: dict[str, runners.Runner] = {}
-        self._copies: dict[str, RunnerCopy] = {}
         self._lapsing: dict[str, float] = {}
         self._gone: dict[str, float] = {}
         self._left: dict[str, float] = {}
+        self._replaced: set[str] = set()
+        self._unusable: set[str] = set()
         self._zones: dict[str, set[str]] = {}
 
     def replace_all(self, snapshot: ports.Snapshot) -> None:
         """Take the newest entries; runners without one are gone."""
-        kept = {r.key for r in snapshot.records if r.value is not None}
-        for record in snapshot.records:
-            self.take(record)
-        for key in set(self._runners) - kept:
-            self._drop(key)
-            self._note_change(snapshot.end - 1)
+        self._apply(self.entries.replace_all(snapshot))
 
     def take(self, record: ports.KeyedRecord) -> None:
         """Take one entry, or the end of one."""
-        if record.value is None:
-            self._drop(record.key)
-            self._note_change(record.offset)
-            return
-        try:
-            runner = self._codec.decode_runner(record.key, record.value)
-        except ValueError as error:
-            _LOG.write(f"Entry of {record.key} is malformed: {error}.")
-            return
-        copy = RunnerCopy(record.key, record.offset, record.value)
-        self._store(runner, copy)
+        self._apply([self.entries.take(record)])
 
     def take_copies(
-        self, copies: list[RunnerCopy], runner_ids: set[str]
+        self,
+        copies: list[runner_entries.RunnerCopy],
+        runner_ids: set[str],
     ) -> None:
         """Take entries from a peer that has read further in the log.
 
@@ -93,17 +75,7 @@
             copies: Those that this daemon may lack.
             runner_ids: All that there are.
         """
-        for copy in copies:
-            known = self._copies.get(copy.key)
-            if known is None or known.offset < copy.offset:
-                runner = self._codec.decode_runner(copy.key, copy.value)
-                self._store(runner, copy)
-        for key in set(self._runners) - runner_ids:
-            self._drop(key)
-
-    def list_copies(self) -> list[RunnerCopy]:
-        """Return all entries for a peer that cannot read the log."""
-        return list(self._copies.values())
+        self._apply(self.entries.take_copies(copies, runner_ids))
 
     def find(self, runner_id: str) -> runners.Runner | None:
         """Return a runner by id."""
@@ -113,7 +85,11 @@
     def list_all(self, service: str) -> list[runners.Runner]:
         """Return the runners of a service, those that leave too."""
         self._expire()
-        return [r for r in self._runners.values() if r.service == service]
+        return [
+            runner
+            for runner in self._runners.values()
+            if runner.service == service and runner.id not in self._replaced
+        ]
 
     def list_usable(self, service: str) -> list[runners.Runner]:
         """Return the runners of a service that may get new work."""
@@ -140,42 +116,71 @@
         """Return the seconds until a leaving runner ends, if it said so."""
         return self._left.get(runner_id, math.inf) - trio.current_time()
 
-    def _store(self, runner: runners.Runner, copy: RunnerCopy) -> None:
-        self._lapsing.pop(runner.id, None)
+    def _apply(self, changes: Iterable[runner_entries.EntryChange]) -> None:
+        for change in changes:
+            match change:
+                case runner_entries.Told(runner=runner):
+                    self._note_told(runner)
+                case runner_entries.Ended(runner_id=runner_id):
+                    self._unusable.discard(runner_id)
+                    self._note_ended(runner_id)
+                case runner_entries.Unusable(
+                    runner_id=runner_id, problem=problem
+                ):
+                    self._note_unusable(runner_id, problem)
+                case runner_entries.Lives():
+                    pass
+
+    def _note_told(self, runner: runners.Runner) -> None:
         previous = self._runners.get(runner.id)
-        if previous is not None and not _is_change(previous, runner):
-            # The copy stays at the record that said this first: heartbeats
-            # of a thousand runners are not worth handing on.
-            return
+        self._lapsing.pop(runner.id, None)
+        self._unusable.discard(runner.id)
         self._runners[runner.id] = runner
-        self._copies[runner.id] = copy
         self._zones.setdefault(runner.service, set()).add(runner.zone)
-        self._note_change(copy.offset)
         if previous is None:
-            self._note_new(runner)
-        elif runner.is_leaving and not previous.is_leaving:
+            _LOG.write(
+                f"Runner {runner.id} is known.",
+                runner=runner.id,
+                service=runner.service,
+                zone=runner.zone,
+                reclaimable=runner.is_reclaimable,
+            )
+        elif runner.born_ms != previous.born_ms:
+            self._note_restart(runner, previous)
+        if previous is None or previous.address != runner.address:
+            self._replace_at_address(runner)
+        if runner.is_leaving and not (previous and previous.is_leaving):
             self._note_leaving(runner)
 
-    def _note_change(self, offset: int) -> None:
-        self.changed_end = max(self.changed_end, offset + 1)
-
-    def _note_new(self, runner: runners.Runner) -> None:
-        for other in list(self._runners.values()):
-            if other.address == runner.address and other.id != runner.id:
-                _LOG.write(
-                    f"Runner {other.id} is gone: {runner.id} took its address.",
-                    runner=other.id,
-                )
-                self._forget(other.id)
+    def _note_restart(
+        self, runner: runners.Runner, previous: runners.Runner
+    ) -> None:
         _LOG.write(
-            f"Runner {runner.id} is known.",
+            f"Runner {runner.id} has started again.",
             runner=runner.id,
-            service=runner.service,
-            zone=runner.zone,
-            reclaimable=runner.is_reclaimable,
+            born_ms=runner.born_ms,
+            previous_born_ms=previous.born_ms,
         )
-        if runner.is_leaving:
-            self._note_leaving(runner)
+        self._gone.pop(runner.id, None)
+        self._left.pop(runner.id, None)
+        self._replaced.discard(runner.id)
+        self._replace_at_address(runner)
+        self.on_restart(runner.id)
+
+    def _replace_at_address(self, runner: runners.Runner) -> None:
+        """Note which runner is at an address that two entries name."""
+        for other in self._runners.values():
+            if other.address != runner.address or other.id == runner.id:
+                continue
+            older, newer = other, runner
+            if _is_born_later(other, runner):
+                older, newer = runner, other
+            if older.id not in self._replaced:
+                _LOG.write(
+                    f"Runner {older.id} is gone: {newer.id} took its address.",
+                    runner=older.id,
+                )
+                self._replaced.add(older.id)
 
     def _note_leaving(self, runner: runners.Runner) -> None:
         left_s = runner.leaves_in_s
@@ -185,7 +190,19 @@
             f"Runner {runner.id} is leaving.", runner=runner.id, left_s=left_s
         )
 
-    def _drop(self, runner_id: str) -> None:
+    def _note_unusable(self, runner_id: str, problem: str) -> None:
+        self.on_unusable(runner_id)
+        if runner_id in self._unusable:
+            # Its writer may go on; one line says it.
+            return
+        self._unusable.add(runner_id)
+        _LOG.write(
+            f"Entry of {runner_id} names no runner to use: {problem}.",
+            runner=runner_id,
+        )
+        self._forget(runner_id)
+
+    def _note_ended(self, runner_id: str) -> None:
         if runner_id not in self._runners:
             return
         until = self._contact.regained_at + _RETURN_S
@@ -210,16 +227,13 @@
 
     def _forget(self, runner_id: str) -> None:
         self._runners.pop(runner_id, None)
-        self._copies.pop(runner_id, None)
         self._lapsing.pop(runner_id, None)
         self._left.pop(runner_id, None)
+        self._replaced.discard(runner_id)
 
 
-def _is_change(previous: runners.Runner, runner: runners.Runner) -> bool:
-    """Tell whether an entry says more than that its runner still lives.
-
-    How long a leaving runner stays is told once; it only grows less.
-    """
-    if previous.is_leaving and runner.is_leaving:
-        runner = dataclasses.replace(runner, leaves_in_s=previous.leaves_in_s)
-    return runner != previous
+def _is_born_later(one: runners.Runner, other: runners.Runner) -> bool:
+    """Tell whether a runner's process is surely the later one."""
+    if one.born_ms is None or other.born_ms is None:
+        return False
+    return one.born_ms > other.born_ms
--- a/packages/daemon/src/martenquay_daemon/fleet/messages.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/messages.py
@@ -5,7 +5,7 @@
 import msgspec
 
 # msgspec reads the annotations when the module is loaded.
-from martenquay_daemon.discovery import runner_directory  # noqa: TC001
+from martenquay_daemon.discovery import runner_entries  # noqa: TC001
 
 __all__ = [
     "Digest",
@@ -266,15 +266,17 @@
         runner_ids: The ids of all runners that there are.
         peers: Other daemons.
         runners_age_ms: Since the sender had all of the runners' entries.
+        regained_ms: Since the sender had the log again after an outage.
         number: Of the question.
     """
 
     catalog: bytes
     runners_end: int
-    runners: list[runner_directory.RunnerCopy]
+    runners: list[runner_entries.RunnerCopy]
     runner_ids: list[str]
     peers: list[PeerLine]
     runners_age_ms: int
+    regained_ms: int
     number: int
 
 
--- a/packages/daemon/src/martenquay_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/shared_state.py
@@ -120,7 +120,7 @@
             address=sources.links.address,
             number=self._number,
             catalog_version=sources.store.version,
-            runners_changed=sources.directory.changed_end,
+            runners_changed=sources.directory.entries.changed_end,
             log_age_ms=int(log_age_s * 1000),
             capacity=self._identity.capacity,
             is_leaving=self.is_leaving,
--- a/packages/daemon/src/martenquay_daemon/fleet/state_copies.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/state_copies.py
@@ -5,6 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from martenquay_core import logs
 from martenquay_daemon.discovery import copy_age
 from martenquay_daemon.fleet import messages, send_times
 
@@ -20,11 +21,14 @@
 
 __all__ = ["FleetState", "PeerState", "StateCopies"]
 
+_LOG = logs.create_log("fleet")
 # A log that has been silent this long is asked of peers instead.
 _STALE_LOG_S = 0.9
 _MS = 1000
-# What a copy that was never complete counts as.
+# What a copy that was never complete, or an outage that never was, counts as.
 _LONGEST_AGE_S = 3600.0
+# So many ids stand in a line of the log.
+_MOST_NAMED = 8
 
 
 @dataclasses.dataclass(frozen=True)
@@ -45,8 +49,7 @@
 
     def find_runners_age_ms(self) -> int:
         """Return for how long the runners' entries may lack something."""
-        age_s = self.runner_follower.copy_age.age_s
-        return int(min(age_s, _LONGEST_AGE_S) * _MS)
+        return _find_ms(self.runner_follower.copy_age.age_s)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -73,6 +76,9 @@
         self._state = state
         self._asked = send_times.SendTimes()
         self._questions = 0
+        # The last copy named entries that were not in it or here; only all
+        # of them make this daemon's complete.
+        self._lacks_some = False
 
     def create_copy(
         self, want: messages.WantState, peers: list[messages.PeerLine]
@@ -85,12 +91,13 @@
             state.runner_follower.end,
             [
                 copy
-                for copy in state.directory.list_copies()
+                for copy in state.directory.entries.list_copies()
                 if copy.offset >= want.runners_end
             ],
-            [copy.key for copy in state.directory.list_copies()],
+            sorted(state.directory.entries.list_ids()),
             peers,
             state.find_runners_age_ms(),
+            _find_ms(state.contact.regained_age_s),
             want.number,
         )
 
@@ -99,8 +106,9 @@
         state = self._state
         self._questions += 1
         self._asked.note(self._questions)
+        runners_end = 0 if self._lacks_some else state.runner_follower.end
         return messages.WantState(
-            state.store.version, state.runner_follower.end, self._questions
+            state.store.version, runners_end, self._questions
         )
 
     def take(self, copy: messages.StateCopy) -> None:
@@ -108,15 +116,39 @@
         state = self._state
         if copy.catalog:
             state.store.offer(copy.catalog, "a peer")
-        if copy.runners_end > state.runner_follower.end:
-            state.directory.take_copies(copy.runners, set(copy.runner_ids))
-            state.runner_follower.skip_to(copy.runners_end)
         asked_at = self._asked.find(copy.number)
+        if asked_at is not None:
+            # Counted from the question, so that a late copy makes nothing
+            # younger than it is.
+            state.contact.note_regained_elsewhere(
+                asked_at - copy.regained_ms / _MS
+            )
+        if not self._take_runners(copy):
+            return
         if asked_at is not None:
             state.runner_follower.copy_age.confirm(
                 asked_at - copy.runners_age_ms / _MS, copy_age.Step.COPIED
             )
 
+    def _take_runners(self, copy: messages.StateCopy) -> bool:
+        """Take a peer's entries; tell whether all that it has are here."""
+        state = self._state
+        if copy.runners_end <= state.runner_follower.end:
+            return not self._lacks_some
+        listed = set(copy.runner_ids)
+        state.directory.take_copies(copy.runners, listed)
+        lacking = listed - state.directory.entries.list_ids()
+        self._lacks_some = bool(lacking)
+        if lacking:
+            _LOG.write(
+                f"A copy lacks {len(lacking)} of {len(listed)} entries.",
+                end=copy.runners_end,
+                runners=sorted(lacking)[:_MOST_NAMED],
+            )
+            return False
+        state.runner_follower.skip_to(copy.runners_end)
+        return True
+
     def choose_source(
         self, peers: Iterable[PeerState], *, reads_log: bool
     ) -> PeerState | None:
@@ -144,3 +176,8 @@
         if peer.runners_changed <= state.runner_follower.end:
             return False
         return not reads_log or peer.log_age_ms < state.contact.age_s * _MS
+
+
+def _find_ms(age_s: float) -> int:
+    """Return an age in ms for a message; it may be without end."""
+    return int(min(age_s, _LONGEST_AGE_S) * _MS)
--- a/packages/daemon/src/martenquay_daemon/fleet/zone_mode.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/zone_mode.py
@@ -255,7 +255,7 @@
         age_s = min(state.contact.age_s, _LONGEST_AGE_S)
         return hub.HubFacts(
             state.store.version,
-            state.directory.changed_end,
+            state.directory.entries.changed_end,
             state.find_runners_age_ms(),
             int(age_s * _MS),
         )
