--- a/packages/daemon/src/martenquay_daemon/discovery/runner_entries.py
+++ b/packages/daemon/src/martenquay_daemon/discovery/runner_entries.py
@@ -149,7 +149,7 @@
 
     def _store(self, copy: RunnerCopy) -> EntryChange:
         known = self._entries.get(copy.key)
-        if known is not None and copy.offset <= known.copy.offset:
+        if known is not None and copy.offset < known.copy.offset:
             return Lives()
         previous = known.runner if known is not None else None
         try:
