Tell processes of a runner apart, and entries that name none

Cause: a runner may start again under the id that it had, and an entry may come from another writer. Now an entry has to have all fields of the platform's pages with their types, a state that they name, a host and port, slots, and a start in whole ms if it says one. Records without a key and undecodable values leave the others; one line in 10 s and a counter by topic tell of them. Ruled out: prefixes, for placing keeps none by runner (a prompt's home is reckoned); kept connections, for each request has its own.

--- a/packages/core/src/martenquay_core/serving/ports.py
+++ b/packages/core/src/martenquay_core/serving/ports.py
@@ -70,10 +70,13 @@
     Attributes:
         records: One a key.
         end: Where to read on.
+        unreadable: Records that were left out, for not even their keys could
+            be read.
     """
 
     records: tuple[KeyedRecord, ...]
     end: int
+    unreadable: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -116,7 +119,11 @@
         """Append all or nothing; only at `expected_end` if it is given."""
 
     def split_keyed(self, payload: bytes, offset: int) -> KeyedRecord:
-        """Return the key and value of a keyed topic's payload."""
+        """Return the key and value of a keyed topic's payload.
+
+        Raises:
+            ValueError: The payload holds no key.
+        """
 
     def join_keyed(self, key: str, value: bytes) -> bytes:
         """Return the payload of a keyed topic's record."""
--- a/packages/daemon/src/martenquay_daemon/discovery/keyed_follower.py
+++ b/packages/daemon/src/martenquay_daemon/discovery/keyed_follower.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import TYPE_CHECKING, Protocol
 
 import trio
 from expression import Result
 
+from martenquay_core import logs
 from martenquay_daemon.discovery import copy_age
 
 if TYPE_CHECKING:
@@ -18,6 +20,7 @@
 
 __all__ = ["FollowPace", "KeyedFollower", "RecordSink"]
 
+_LOG = logs.create_log("platform-log")
 # Refused calls are paid for like others; a second is soon enough to be up to
 # date when an outage ends.
 _FIRST_RETRY_S = 0.2
@@ -25,6 +28,12 @@
 # While others read the topic for this daemon, it looks this often whether
 # they still do.
 _IDLE_S = 0.1
+# Whoever writes such records may go on; a line in this time says it.
+_UNREADABLE_LINE_S = 10.0
+
+
+def _ignore(topic: str) -> None:
+    del topic
 
 
 class RecordSink(Protocol):
@@ -61,6 +70,7 @@
         end: The offset up to which the sink has been told; -1 before that.
         first_read: Set once the sink has been told what there is.
         copy_age: How old the sink's copy is.
+        on_unreadable: Told the topic of each record that has no key.
     """
 
     def __init__(
@@ -76,6 +86,8 @@
         self.end = -1
         self.first_read = trio.Event()
         self.copy_age = copy_age.CopyAge()
+        self.on_unreadable: Callable[[str], None] = _ignore
+        self._told_unreadable_at = -math.inf
         self._is_crowded = is_crowded
         self._is_needed = is_needed
         self._log = log
@@ -142,7 +154,7 @@
                 # First, or a record that nobody can read would be read again
                 # by each new start of the task, and none behind it.
                 self.end = offset + 1
-                self._sink.take(self._log.split_keyed(payload, offset))
+                self._take(payload, offset)
         if self.end >= found.end:
             # Without a record the log has waited as long as it was asked to.
             waited_s = 0.0 if found.records else wait_s
@@ -150,6 +162,28 @@
             self.copy_age.confirm(complete_at, copy_age.Step.READ)
         return True
 
+    def _take(self, payload: bytes, offset: int) -> None:
+        try:
+            record = self._log.split_keyed(payload, offset)
+        except ValueError as error:
+            self._note_unreadable(1, str(error))
+            return
+        self._sink.take(record)
+
+    def _note_unreadable(self, count: int, problem: str) -> None:
+        """Count records that say nothing of any key; the others hold."""
+        for _ in range(count):
+            self.on_unreadable(self._topic)
+        now = trio.current_time()
+        if now < self._told_unreadable_at + _UNREADABLE_LINE_S:
+            return
+        self._told_unreadable_at = now
+        _LOG.write(
+            f"Records of {self._topic} cannot be read: {problem}.",
+            topic=self._topic,
+            count=count,
+        )
+
     async def _read_newest(self) -> bool:
         started_at = trio.current_time()
         snapshot = await self._log.read_newest(self._topic)
@@ -159,6 +193,8 @@
             case _:
                 self._contact.note_failure(snapshot.error.message)
                 return False
+        if found.unreadable:
+            self._note_unreadable(found.unreadable, "their keys")
         if found.end >= self.end:
             self._sink.replace_all(found)
             self.end = found.end
--- a/packages/daemon/src/martenquay_daemon/engines/loads.py
+++ b/packages/daemon/src/martenquay_daemon/engines/loads.py
@@ -57,8 +57,18 @@
         finally:
             running.note_first_event()
             load.requests -= 1
-            if load.requests == 0:
-                self._own.pop(runner_id, None)
+            if load.requests == 0 and self._own.get(runner_id) is load:
+                del self._own[runner_id]
+
+    def forget_runner(self, runner_id: str) -> None:
+        """Drop what is known of a runner: its process is a new one.
+
+        Requests to the process before may still be waited for; they are no
+        load of the new one. Others tell theirs anew within a second.
+        """
+        self._own.pop(runner_id, None)
+        for loads in self._others.values():
+            loads.pop(runner_id, None)
 
     def find(self, runner_id: str) -> RunnerLoad:
         """Return the load of all daemons at a runner, as far as known."""
--- a/packages/daemon/src/martenquay_daemon/forwarding/metrics.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/metrics.py
@@ -62,6 +62,16 @@
             registry=registry,
         )
 
+        self._unusable_records = aioprometheus.Counter(
+            "martenquay_unusable_records_total",
+            "Records of the log that say nothing usable, by topic.",
+            registry=registry,
+        )
+
+    def count_unusable_record(self, topic: str) -> None:
+        """Count a record of the log that says nothing usable."""
+        self._unusable_records.inc({"topic": topic})
+
     def count_own_answer(self, code: results.ResultCode) -> None:
         """Count an answer of the daemon itself."""
         self._own_answers.inc({"code": str(int(code))})
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -197,6 +197,11 @@
             self._needs_log,
         )
         self._runner_follower.copy_age.observe = self.metrics.note_copy_age
+        for follower in (self._catalog_follower, self._runner_follower):
+            follower.on_unreadable = self.metrics.count_unusable_record
+        self._directory.on_unusable = lambda _: (
+            self.metrics.count_unusable_record(ports.topics.runners)
+        )
         drain_s = self._settings.bounds.drain_ms / _MS
         self._entries = refresher.create_refresher(
             self._runner_follower,
@@ -373,6 +378,11 @@
         )
         self._view.listen_for_ends(self._shared.end_member)
 
+    def _forget_runner(self, runner_id: str) -> None:
+        """Drop what was learnt of a runner's process before this one."""
+        self._ejector.forget(runner_id)
+        self._loads.forget_runner(runner_id)
+
     def _build_forwarding(self) -> None:
         bounds = self._settings.bounds
         self._loads = loads.LoadLedger()
@@ -380,6 +390,7 @@
         self._estimates = model.RunnerModel()
         self._usage = usage_counts.UsageCounts(bounds.window_s)
         self._ejector = ejection.Ejector()
+        self._directory.on_restart = self._forget_runner
         self._allowances = ledger.create_ledger(
             _find_tolerance(bounds),
             terms.FleetFacts(
--- a/packages/daemon/src/martenquay_daemon/limits/ejection.py
+++ b/packages/daemon/src/martenquay_daemon/limits/ejection.py
@@ -49,6 +49,10 @@
         # It costs little to find out that a connection comes up again.
         standing.next_s = _FIRST_S
 
+    def forget(self, runner: str) -> None:
+        """Drop what is known of a runner: its process is a new one."""
+        self._standings.pop(runner, None)
+
     def _eject(self, runner: str, standing: _Standing) -> None:
         standing.failures = 0
         standing.ejected_until = trio.current_time() + standing.next_s
--- a/tests/test_daemon/test_ejection.py
+++ b/tests/test_daemon/test_ejection.py
@@ -32,6 +32,17 @@
 
         self.run_clocked(scenario)
 
+    def test_a_new_process_starts_without_the_failures_of_the_last(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            ejector = ejection.Ejector()
+            ejector.note_unreachable("r-1")
+            ejector.forget("r-1")
+            self.assertEqual(_RUNNERS, ejector.keep_usable(_RUNNERS))
+
+        self.run_clocked(scenario)
+
     def test_most_of_a_pool_is_never_left_out(self) -> None:
         async def scenario() -> None:
             ejector = ejection.Ejector()
--- a/tests/test_daemon/test_gateway.py
+++ b/tests/test_daemon/test_gateway.py
@@ -11,6 +11,7 @@
 
 from martenquay_core.settings import gateway as settings_module
 from martenquay_daemon import gateway_parts, gateway_ports
+from martenquay_daemon.engines import loads
 from martenquay_platform import codec
 from martenquay_standins.ports import cloud, log
 from martenquay_standins.ports import runner as scripted
@@ -153,6 +154,24 @@
 
         trio.run(run)
 
+    def test_what_was_learnt_of_a_runner_goes_with_its_process(self) -> None:
+        async def scenario(platform, daemons, runner) -> None:
+            one = daemons[0]
+            platform.put_catalog(3)
+            platform.put_runner(runner.address, born_ms=1000)
+            while (await one.ask()).status != 200:
+                await trio.sleep(0.05)
+            ledger = one.parts._loads
+            ejector = one.parts._ejector
+            ledger.replace_source("x", {"runner-1": loads.RunnerLoad(5, 0)})
+            ejector.note_unreachable("runner-1")
+            platform.put_runner(runner.address, born_ms=2000)
+            while ledger.find("runner-1").requests:
+                await trio.sleep(0.05)
+            self.assertFalse(ejector.is_ejected("runner-1"))
+
+        self._run(scenario)
+
     def test_a_fault_of_a_background_task_does_not_end_the_daemon(
         self,
     ) -> None:
--- a/tests/test_discovery/test_followers.py
+++ b/tests/test_discovery/test_followers.py
@@ -127,6 +127,27 @@
 
         self._run(scenario)
 
+    def test_a_record_without_a_key_leaves_the_others(self) -> None:
+        async def scenario() -> None:
+            noted: list[str] = []
+            self.follower.on_unreadable = noted.append
+            await trio.sleep(0.1)
+            split = self.log.split_keyed
+
+            def refuse(payload: bytes, offset: int) -> ports.KeyedRecord:
+                if payload.startswith(b"bad"):
+                    raise ValueError("no whole key")
+                return split(payload, offset)
+
+            for name in ("r-1", "bad", "r-2"):
+                self.log.put("runners", name, b"x")
+            with mock.patch.object(self.log, "split_keyed", refuse):
+                await trio.sleep(0.1)
+            self.assertEqual([(0, "r-1"), (2, "r-2")], self.sink.records)
+            self.assertEqual(["runners"], noted)
+
+        self._run(scenario)
+
     def test_what_a_peer_has_told_is_not_told_again(self) -> None:
         async def scenario() -> None:
             await trio.sleep(0.1)
--- a/tests/test_platform/process_scene.py
+++ b/tests/test_platform/process_scene.py
@@ -243,8 +243,11 @@
         "Service": "model",
         "Addr": runner,
         "Zone": "a",
+        "Version": "v1",
         "Slots": 4,
         "State": "ready",
+        "ColdLeftMs": 0,
+        "Seq": 1,
     }
     records = [
         ("keyed.op", "config", _CONFIG),
--- a/tests/test_platform/test_log.py
+++ b/tests/test_platform/test_log.py
@@ -7,9 +7,11 @@
 import struct
 import urllib.parse
 
+import hypothesis
 import testtools
 import trio
 from expression import Error, Ok, Result
+from hypothesis import strategies
 
 from martenquay_core.platform import outcome
 from martenquay_core.util import http
@@ -122,3 +124,43 @@
         record = platform.split_keyed(payload, 4)
         self.assertEqual(("config", b"{}"), (record.key, record.value))
         self.assertIsNone(platform.split_keyed(b"\x01a", 5).value)
+
+    def test_an_entry_that_cannot_be_read_leaves_the_others(self) -> None:
+        entries = [
+            {"PrivateKey": "i-1", "Value": "!!", "Offset": 4},
+            {"PrivateKey": 7, "Value": "", "Offset": 5},
+            {"PrivateKey": "i-2", "Value": "YQ==", "Offset": 6},
+        ]
+        client = _FakeClient(_answer_json(200, Entries=entries, EndOffset=7))
+        found = self._call(client, "read_newest", "runners").ok
+        self.assertEqual(["i-1", "i-2"], [r.key for r in found.records])
+        self.assertEqual(b"a", found.records[1].value)
+        # Not as if it had been dropped: it is there and says nothing.
+        self.assertIsNotNone(found.records[0].value)
+        self.assertEqual(1, found.unreadable)
+
+    def test_a_page_that_ends_in_what_cannot_be_read_is_not_asked_for_again(
+        self,
+    ) -> None:
+        entries = [{"PrivateKey": 7, "Value": "", "Offset": 5}]
+        client = _FakeClient(
+            _answer_json(200, Entries=entries, HasMore=True, EndOffset=7)
+        )
+        found = self._call(client, "read_newest", "runners").ok
+        self.assertEqual((), found.records)
+
+
+class SplitTest(testtools.TestCase):
+    def test_a_payload_without_a_whole_key_is_refused(self) -> None:
+        for payload in (b"", b"\5ab", b"\2\xff\xfe{}", b"\0{}"):
+            self.assertRaises(ValueError, log.split_keyed, payload, 3)
+
+    @hypothesis.settings(derandomize=True, database=None)
+    @hypothesis.given(payload=strategies.binary(max_size=32))
+    def test_any_bytes_are_a_record_or_refused(self, payload: bytes) -> None:
+        try:
+            record = log.split_keyed(payload, 3)
+        except ValueError:
+            return
+        value = record.value or b""
+        self.assertEqual(payload, log.join_keyed(record.key, value))
--- a/tests/test_platform/test_records.py
+++ b/tests/test_platform/test_records.py
@@ -5,9 +5,11 @@
 import json
 from typing import Any
 
+import hypothesis
 import testtools
+from hypothesis import strategies
 
-from martenquay_core.serving import catalog
+from martenquay_core.serving import catalog, runners
 from martenquay_platform import records
 
 
@@ -100,20 +102,93 @@
         self.assertEqual(7, found.version)
 
 
+def _build_entry(**changes: Any) -> dict[str, Any]:
+    fields = {
+        "Service": "model",
+        "Addr": "10.0.0.1:8080",
+        "Zone": "a",
+        "Version": "v1",
+        "Slots": 128,
+        "State": "ready",
+        "ColdLeftMs": 0,
+        "Seq": 4,
+    }
+    return fields | changes
+
+
+def _decode(fields: object) -> runners.Runner:
+    raw = json.dumps(fields).encode()
+    return records.create_codec().decode_runner("i-1", raw)
+
+
+_REQUIRED = sorted(_build_entry())
+_TYPED = [*_REQUIRED, "Spot", "leaves_ms", "born"]
+# No field of an entry is any of these.
+_FOREIGN_VALUES = (None, [], {}, [1], {"a": 1})
+
+
 class RunnerTest(testtools.TestCase):
     def test_a_reclaimed_runner_says_how_long_it_has(self) -> None:
-        raw = json.dumps(
-            {
-                "Service": "model",
-                "Addr": "10.0.0.1:8080",
-                "Zone": "a",
-                "Slots": 128,
-                "State": "draining",
-                "Spot": True,
-                "leaves_ms": 2400,
-            }
-        ).encode()
-        runner = records.create_codec().decode_runner("i-1", raw)
+        runner = _decode(
+            _build_entry(State="draining", Spot=True, leaves_ms=2400)
+        )
         self.assertTrue(runner.is_leaving)
         self.assertTrue(runner.is_reclaimable)
         self.assertEqual(2.4, runner.leaves_in_s)
+
+    def test_an_entry_says_when_its_process_started(self) -> None:
+        born_ms = 1_795_000_000_123
+        self.assertEqual(born_ms, _decode(_build_entry(born=born_ms)).born_ms)
+        self.assertIsNone(_decode(_build_entry()).born_ms)
+
+    def test_a_start_that_is_no_whole_number_names_no_runner(self) -> None:
+        for born in (1.5, 1e12, "1795000000123", True, -1):
+            entry = _build_entry(born=born)
+            error = self.assertRaises(ValueError, _decode, entry)
+            self.assertIn("born", str(error))
+
+    def test_a_state_of_another_writer_names_no_runner(self) -> None:
+        for state in ("", "Ready", "READY", "booting", "gone"):
+            entry = _build_entry(State=state)
+            error = self.assertRaises(ValueError, _decode, entry)
+            self.assertIn("State", str(error))
+
+    def test_what_is_no_address_names_no_runner(self) -> None:
+        for address in ("", ":", "10.0.0.1", "10.0.0.1:", ":80", "h:0", "h:x"):
+            entry = _build_entry(Addr=address)
+            error = self.assertRaises(ValueError, _decode, entry)
+            self.assertIn("Addr", str(error))
+
+    def test_a_runner_without_slots_or_names_is_none(self) -> None:
+        for change in ({"Slots": 0}, {"Service": ""}, {"Zone": ""}):
+            self.assertRaises(ValueError, _decode, _build_entry(**change))
+
+    @hypothesis.settings(derandomize=True, database=None)
+    @hypothesis.given(missing=strategies.sampled_from(_REQUIRED))
+    def test_an_entry_that_lacks_a_field_names_no_runner(
+        self, missing: str
+    ) -> None:
+        entry = _build_entry()
+        del entry[missing]
+        error = self.assertRaises(ValueError, _decode, entry)
+        self.assertIn(missing, str(error))
+
+    @hypothesis.settings(derandomize=True, database=None)
+    @hypothesis.given(
+        field=strategies.sampled_from(_TYPED),
+        value=strategies.sampled_from(_FOREIGN_VALUES),
+    )
+    def test_a_field_of_another_type_names_no_runner(
+        self, field: str, value: object
+    ) -> None:
+        # A runner that is not told when it ends may say so.
+        hypothesis.assume(not (field == "leaves_ms" and value is None))
+        entry = _build_entry(**{field: value})
+        self.assertRaises(ValueError, _decode, entry)
+
+    @hypothesis.settings(derandomize=True, database=None)
+    @hypothesis.given(raw=strategies.binary(max_size=64))
+    def test_bytes_that_cannot_be_read_name_no_runner(self, raw: bytes) -> None:
+        codec = records.create_codec()
+        self.assertRaises(ValueError, codec.decode_runner, "i-1", raw)
+        self.assertRaises(ValueError, codec.decode_catalog, raw)
