--- a/packages/core/src/martenquay_core/serving/topics.py
+++ b/packages/core/src/martenquay_core/serving/topics.py
@@ -18,7 +18,6 @@
         members: Keyed by daemon; where daemons can be reached.
         lease: Who holds the singleton duties.
         usage: The usage report of each window, once.
-        spending: Keyed; what teams have spent lately.
     """
 
     catalog: str
@@ -27,4 +26,3 @@
     members: str
     lease: str
     usage: str
-    spending: str
--- a/packages/daemon/src/martenquay_daemon/allowances/escrow.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/escrow.py
@@ -1,12 +1,12 @@
 """Keep each team's allowance by units that exist once.
 
-Each daemon mints its part of a team's rate; the parts of all daemons add up to
-no more than the rate. A unit may be spent for a short time after it was minted
-and then ends, wherever it is. A daemon that has more than it is asked for hands
-units to others: it takes them out of its own first, and a unit keeps its end.
-So all that is spent within a window was minted in it or one lifetime before it,
-whatever daemons believe of each other: messages that are late or lost, cuts,
-kills and freezes can only lose units.
+Each part of a team's rate is minted by one daemon at a time (`rights`), and
+all parts add up to no more than the rate. A unit may be spent for a short time
+after it was minted and then ends, wherever it is. A daemon that has more than
+it is asked for hands units to others: it takes them out of its own first, and a
+unit keeps its end. So all that is spent within a window was minted in it or one
+lifetime before it, whatever daemons believe of each other: messages that are
+late or lost, cuts, kills and freezes can only lose units.
 
 Estimates decide how units are shared out, never how many there are. When every
 daemon took what all had spent from what the others told, two sides of a cut or
@@ -25,9 +25,10 @@
 from martenquay_daemon.allowances import sharing, terms, tokens
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from martenquay_core.serving import catalog
+    from martenquay_daemon.allowances import rights
 
 __all__ = ["EscrowLedger", "Gift", "create_escrow"]
 
@@ -42,6 +43,9 @@
 # Promises to more refused callers than come back within this time are not
 # worth telling apart.
 _LONGEST_WAIT_S = 4.0
+# What a refused caller is told while it is not known what comes here: a part
+# is lent or counted again within this time.
+_UNKNOWN_WAIT_S = 0.5
 # What was told longer ago is no ground for gifts: its receiver is cut off.
 _FRESH_S = 1.2
 # A request that cannot be on time any more leaves this part of the units for
@@ -73,14 +77,18 @@
     Attributes:
         heard: The number of its last message.
         heard_at: In trio's time.
+        address: Where it can be asked.
         holdings: By team.
         given: Units given to it since, by team.
+        taken: Units that requests were sent to it for since, by team.
     """
 
     heard: int
     heard_at: float
+    address: str
     holdings: dict[str, sharing.Holding]
     given: dict[str, float] = dataclasses.field(default_factory=dict)
+    taken: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -108,7 +116,6 @@
         pace: How units are minted.
         pile: What may be spent here.
         minted_at: Up to when units are minted, in trio's time.
-        part: Of the rate that this daemon minted then.
         asked: Units a second that callers asked for, lately.
         asked_at: When that was last brought up to date.
         needed: Units that requests which wait here lack.
@@ -119,7 +126,6 @@
     pace: _Pace
     pile: tokens.TokenPile
     minted_at: float
-    part: float
     asked: float = 0.0
     asked_at: float = 0.0
     needed: float = 0.0
@@ -138,19 +144,31 @@
 
 
 class EscrowLedger:
-    """The teams' units at one daemon of a small fleet.
+    """The teams' units at one daemon.
 
     Attributes:
         bounds: What is tolerated; may be replaced.
+        rights: What this daemon may mint.
         news: Set when units have come from others; then another one is made.
     """
 
     def __init__(
-        self, bounds: terms.ToleranceBounds, fleet: terms.EscrowFacts
+        self,
+        bounds: terms.ToleranceBounds,
+        mint_rights: rights.MintRights,
+        hurry: Callable[[], None],
     ) -> None:
+        """Begin without units.
+
+        Args:
+            bounds: What is tolerated.
+            mint_rights: What this daemon may mint.
+            hurry: Has this daemon's units told to others soon.
+        """
         self.bounds = bounds
+        self.rights = mint_rights
         self.news = trio.Event()
-        self._fleet = fleet
+        self._hurry = hurry
         self._started_at = trio.current_time()
         self._accounts: dict[str, _Account] = {}
         self._others: dict[str, _Other] = {}
@@ -178,8 +196,9 @@
         """
         account = self._refill(team)
         account.promised += units
-        even = 1 / max(1, self._fleet.count_daemons())
-        rate = account.pace.rate * max(account.part, even)
+        rate = account.pace.rate * self.rights.find_part()
+        if rate <= 0:
+            return _UNKNOWN_WAIT_S
         wait_s = (account.promised - account.pile.level) / rate
         return min(_LONGEST_WAIT_S, max(_LEAST_WAIT_S, wait_s))
 
@@ -188,7 +207,7 @@
         account = self._refill(team)
         account.needed = max(0.0, account.needed + units)
         if units > 0:
-            self._fleet.hurry()
+            self._hurry()
 
     def refill(self, teams: Iterable[catalog.Team]) -> None:
         """Bring the units of all teams up to now."""
@@ -204,7 +223,7 @@
         return terms.Units(
             account.pile.total,
             account.pile.debt,
-            account.part,
+            self.rights.find_part(),
             account.find_asked(trio.current_time()),
         )
 
@@ -235,12 +254,21 @@
         return gifts
 
     def hear(
-        self, member: str, number: int, holdings: dict[str, sharing.Holding]
+        self,
+        member: str,
+        number: int,
+        holdings: dict[str, sharing.Holding],
+        address: str = "",
     ) -> None:
         """Take what another daemon has told of its units."""
-        self._others[member] = _Other(number, trio.current_time(), holdings)
+        known = self._others.get(member)
+        if known is not None and number <= known.heard:
+            return
+        self._others[member] = _Other(
+            number, trio.current_time(), address, holdings
+        )
         if any(self._is_to_give(team) for team in holdings):
-            self._fleet.hurry()
+            self._hurry()
 
     def accept(self, gift: Gift, told_at: float) -> None:
         """Take units that another daemon has given.
@@ -275,9 +303,7 @@
     ) -> terms.Verdict:
         pile = account.pile
         units = wish.units
-        if wish.is_late and pile.level - units < _LATE_PART * self._find_full(
-            account
-        ):
+        if wish.is_late and self._is_short(account, units):
             return terms.Refused()
         kept = min(_MOST_RESERVE, _RESERVE * wish.reserve)
         owed = (1 - kept) * self._find_most_owed(account)
@@ -291,9 +317,38 @@
             return terms.Admitted()
         missing = max(missing, 1.0 - pile.level)
         if self._is_elsewhere(team, missing):
-            return terms.Elsewhere(missing)
+            return terms.Elsewhere(missing, self._find_holder(team, units))
         return terms.Refused()
 
+    def _is_short(self, account: _Account, units: float) -> bool:
+        """Tell whether a request would take units from those on time."""
+        now = trio.current_time()
+        comes = account.pace.rate * self.rights.find_part()
+        if account.find_asked(now) <= comes:
+            return False
+        full = self._find_full(account)
+        return account.pile.level - units < _LATE_PART * full
+
+    def _find_holder(self, team: catalog.Team, units: float) -> str:
+        """Return where the request can be let in, or nothing.
+
+        Asking there takes a few ms. Units that are handed over take 0.1 s and
+        more, and those that wait for them meanwhile take them from others.
+        """
+        found = ""
+        most = 0.0
+        for member, one in self._list_others(team).items():
+            other = self._others[member]
+            level = one.level - other.taken.get(team.name, 0.0)
+            is_enough = level > 0 and level + one.may_owe >= units
+            if other.address and is_enough and level > most:
+                found, most = member, level
+        if not found:
+            return ""
+        other = self._others[found]
+        other.taken[team.name] = other.taken.get(team.name, 0.0) + units
+        return other.address
+
     def _find_most_owed(self, account: _Account) -> float:
         """Return what this daemon may owe.
 
@@ -301,11 +356,9 @@
         that has left the window this one owes no more than it has let end
         unspent, which is as good as paying it.
         """
-        most = self.bounds.find_most_owed() * self._fleet.find_part()
-        age_s = trio.current_time() - self._started_at
-        if age_s < self.bounds.window_s:
-            return min(most, account.pile.unspent)
-        return most
+        most = self.bounds.find_most_owed()
+        held, fresh = self.rights.find_part_to_owe()
+        return most * held + min(most * fresh, account.pile.unspent)
 
     def _is_elsewhere(self, team: catalog.Team, missing: float) -> bool:
         """Tell whether others have what is missing here."""
@@ -319,12 +372,12 @@
         full = self._find_full(account)
         is_low = account.pile.level < _LOW * full
         if is_low and self._is_elsewhere(team, full):
-            self._fleet.hurry()
+            self._hurry()
 
     def _find_full(self, account: _Account) -> float:
-        """Return an even part of all units that there may be at once."""
+        """Return the units that this daemon's part may come to."""
         full = account.pace.rate * account.pace.life_s
-        return full / max(1, self._fleet.count_daemons())
+        return full * self.rights.find_part()
 
     def _is_to_give(self, team: str) -> bool:
         """Tell whether another daemon waits for units that are here."""
@@ -369,13 +422,12 @@
         return found
 
     def _refill(self, team: catalog.Team) -> _Account:
-        now = trio.current_time()
+        now = self.rights.advance()
         account = self._accounts.get(team.name)
-        part = self._fleet.find_part()
         if account is None:
             pace = self._find_pace(team)
             account = _Account(
-                pace, tokens.TokenPile(pace.life_s), self._started_at, 0.0
+                pace, tokens.TokenPile(pace.life_s), self._started_at
             )
             self._accounts[team.name] = account
         elif account.pace.team is not team or account.pace.bounds is not (
@@ -383,25 +435,20 @@
         ):
             self._change_pace(account, self._find_pace(team))
         account.pile.expire(now)
-        minted = self._mint(account, now, part)
+        minted = self._mint(account, now)
         account.minted += minted
         account.promised = max(0.0, account.promised - minted)
         account.minted_at = now
-        account.part = part
         return account
 
-    def _mint(self, account: _Account, now: float, part: float) -> float:
+    def _mint(self, account: _Account, now: float) -> float:
         """Mint what has come since the last time; return how much."""
-        start = account.minted_at
-        kept = min(account.part, part)
-        if account.part == 0.0:
-            # The log told only now of a part that was this instance's before.
-            kept = part
-            start = max(start, self._fleet.find_part_since())
-        # While the part grew or fell, others may have had the difference.
-        rate = account.pace.rate * kept
-        account.pile.mint(start, now, rate)
-        return rate * max(0.0, now - start)
+        minted = 0.0
+        for span in self.rights.list_spans(account.minted_at):
+            rate = account.pace.rate * span.part
+            account.pile.mint(now, span.start, span.end, rate)
+            minted += rate * (span.end - span.start)
+        return minted
 
     def _find_pace(self, team: catalog.Team) -> _Pace:
         bounds = self.bounds
@@ -411,10 +458,9 @@
     def _change_pace(self, account: _Account, pace: _Pace) -> None:
         """Go on by another rate or other bounds."""
         if not math.isclose(account.pace.life_s, pace.life_s):
-            # Units with another length of life are worth less than a mistake.
-            owed = account.pile.debt
-            account.pile = tokens.TokenPile(pace.life_s)
-            account.pile.debt = owed
+            account.pile = account.pile.change_life(
+                trio.current_time(), pace.life_s
+            )
         account.pace = pace
 
     def _note_asked(self, account: _Account, units: float) -> None:
@@ -424,7 +470,9 @@
 
 
 def create_escrow(
-    bounds: terms.ToleranceBounds, fleet: terms.EscrowFacts
+    bounds: terms.ToleranceBounds,
+    mint_rights: rights.MintRights,
+    hurry: Callable[[], None],
 ) -> EscrowLedger:
     """Return a ledger without units."""
-    return EscrowLedger(bounds, fleet)
+    return EscrowLedger(bounds, mint_rights, hurry)
--- a/packages/daemon/src/martenquay_daemon/allowances/terms.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/terms.py
@@ -6,28 +6,19 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from martenquay_core.serving import catalog
 
 __all__ = [
     "Admitted",
+    "Answer",
     "Elsewhere",
-    "EscrowFacts",
-    "FleetFacts",
     "Refused",
-    "Standing",
     "ToleranceBounds",
     "Units",
     "Verdict",
     "Wish",
 ]
 
-# The parts of the tolerated overrun and slack that are given away. The rest
-# is for what daemons spend at the same moment without knowing of each other,
-# and for the last request, which may be larger than the room for it.
-_USED_OVERRUN = 0.5
-_USED_SLACK = 0.3
 # Units reach a runner so much later than they are spent here, at the most but
 # for connections that take several tries; a window may seem longer by that.
 _DELAY_S = 0.25
@@ -56,12 +47,6 @@
     overrun: float
     slack: float
 
-    def find_limit(self, team: catalog.Team) -> float:
-        """Return the units that a team may spend in the window."""
-        allowance = team.rate * self.window_s + team.burst
-        overrun = _USED_OVERRUN * self.overrun * allowance
-        return allowance + overrun + _USED_SLACK * self.slack
-
     def find_life(self, team: catalog.Team) -> float:
         """Return for how many seconds a unit may be spent."""
         steady_s = self._find_minted(team) / (_STEADY * team.rate)
@@ -87,41 +72,6 @@
         return tolerated - self.find_most_owed()
 
 
-@dataclasses.dataclass(frozen=True)
-class FleetFacts:
-    """What a ledger asks of the fleet.
-
-    Attributes:
-        count_daemons: Returns how many daemons share the allowances.
-        find_silence: Returns after how many seconds a daemon is silent.
-        hurry: Has this daemon's spending told soon.
-        is_listed: Tells whether it is known who else there is.
-    """
-
-    count_daemons: Callable[[], int]
-    find_silence: Callable[[], float]
-    hurry: Callable[[], None]
-    is_listed: Callable[[], bool] = lambda: False
-
-
-@dataclasses.dataclass(frozen=True)
-class EscrowFacts:
-    """What a ledger of units asks of the fleet.
-
-    Attributes:
-        find_part: Returns the part of each team's rate that this daemon
-            mints; those of all daemons add up to 1 at the most.
-        find_part_since: Returns since when that is its part, in trio's time.
-        count_daemons: Returns how many daemons share the allowances.
-        hurry: Has this daemon's units told soon.
-    """
-
-    find_part: Callable[[], float]
-    find_part_since: Callable[[], float]
-    count_daemons: Callable[[], int]
-    hurry: Callable[[], None]
-
-
 @dataclasses.dataclass(frozen=True)
 class Wish:
     """What a request asks of its team's allowance.
@@ -154,9 +104,12 @@
 
     Attributes:
         missing: Units that this daemon lacks.
+        holder: The address of one that has all that the request takes; empty
+            if none has.
     """
 
     missing: float
+    holder: str = ""
 
 
 Verdict = Admitted | Refused | Elsewhere
@@ -180,21 +133,21 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Standing:
-    """A team's account as far as it decides on the next request.
+class Answer:
+    """What became of a request's wish.
 
     Attributes:
-        used: Units spent in the window, by all daemons.
-        limit: What may be spent in it.
-        level: What is in the bucket.
-        grant: What this daemon may spend until it hears of others.
-        news_age_s: Since the daemon that was heard longest ago was heard.
-        units: What this daemon has of its own, in a small fleet.
+        retry_s: 0 if the units are spent; else when its caller should come
+            back.
+        units: What decided it.
+        kept_at: The daemon that decided, if it was another one.
     """
 
-    used: float = 0.0
-    limit: float = 0.0
-    level: float = 0.0
-    grant: float = 0.0
-    news_age_s: float = 0.0
-    units: Units = dataclasses.field(default_factory=Units)
+    retry_s: float
+    units: Units = Units()
+    kept_at: str = ""
+
+    @property
+    def is_admitted(self) -> bool:
+        """Whether the request may go on."""
+        return self.retry_s <= 0
--- a/packages/daemon/src/martenquay_daemon/allowances/tokens.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/tokens.py
@@ -52,13 +52,13 @@
         """What may be spent, less what is owed."""
         return self.total - self.debt
 
-    def mint(self, start: float, end: float, rate: float) -> None:
-        """Add what a rate in units a second gives between two times."""
-        start = max(start, end - self.life_s)
+    def mint(self, now: float, start: float, end: float, rate: float) -> None:
+        """Add what a rate in units a second gave between two times."""
+        start = max(start, now - self.life_s)
         while start < end:
             until = min(end, start + self._step_s)
             units = rate * (until - start)
-            self.add(end, Parcel(units, start + self.life_s))
+            self.add(now, Parcel(units, start + self.life_s))
             start = until
 
     def add(self, now: float, parcel: Parcel) -> float:
@@ -73,6 +73,16 @@
             self._put(step, left)
         return parcel.units
 
+    def change_life(self, now: float, life_s: float) -> TokenPile:
+        """Return a pile with the same units, none of which lives longer."""
+        pile = TokenPile(life_s)
+        for step, units in self._steps.items():
+            ends_at = min(step * self._step_s, now + life_s)
+            pile.add(now, Parcel(units, ends_at))
+        pile.debt += self.debt
+        pile.unspent = self.unspent
+        return pile
+
     def expire(self, now: float) -> None:
         """Drop the units whose time is over."""
         while self._steps:
--- a/packages/daemon/src/martenquay_daemon/fleet/announcements.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/announcements.py
@@ -68,7 +68,10 @@
             return
         self._view.note_listed({record.key})
         self._roster.note_listed(
-            record.key, record.offset, is_counted=found.is_counted
+            record.key,
+            record.offset,
+            is_counted=found.is_counted,
+            zone=found.zone,
         )
         self._links.add_peer(
             topology.PeerAddress(found.address, found.zone, found.capacity)
--- a/packages/daemon/src/martenquay_daemon/fleet/hub.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/hub.py
@@ -27,12 +27,15 @@
         runners_changed: Up to where the runners' entries are known here.
         runners_age_ms: Since all of them were known here.
         log_age_ms: Since the log last answered.
+        members_end: Up to where all of the zone's listed daemons have read
+            who announced themselves.
     """
 
     catalog_version: int
     runners_changed: int
     runners_age_ms: int
     log_age_ms: int
+    members_end: int
 
 
 @dataclasses.dataclass
@@ -50,6 +53,7 @@
         self._subscribers: dict[str, _Subscriber] = {}
         self._own: messages.Digest | None = None
         self._number = 0
+        self._rounds = 0
 
     def take(self, digest: messages.Digest, now: float) -> bool:
         """Take a digest of a daemon of this zone; tell whether it is news."""
@@ -99,7 +103,7 @@
         ]
         receivers = self.list_subscribers(now)
         receivers[self._own.address] = self._own
-        self._number += 1
+        self._rounds += 1
         reports = {}
         for address, digest in receivers.items():
             part = self._sum.leave_out(total, digest.member, now, silent_s)
@@ -127,7 +131,9 @@
             zone_sum.add_loads(loads, known.loads, 1)
         if not is_full:
             summaries = [_shorten(summary) for summary in summaries]
-        return messages.FleetReport(self._own.member, summaries, loads, heard)
+        return messages.FleetReport(
+            self._own.member, summaries, loads, heard, self._rounds
+        )
 
     def _summarize(
         self, part: zone_sum.ZonePart, facts: HubFacts
@@ -150,7 +156,7 @@
             lease_member=part.lease_member,
             leaving=part.leaving,
             window=own.window if part.window is None else part.window,
-            spending=part.spending,
+            members_end=facts.members_end,
             begun=part.begun,
             demand=part.demand,
         )
--- a/packages/daemon/src/martenquay_daemon/fleet/links.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/links.py
@@ -21,12 +21,13 @@
     messages,
     state_copies,
     topology,
+    unit_desk,
     zone_mode,
 )
 from martenquay_daemon.fleet import pace as paces
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Awaitable, Callable, Iterable
 
     from martenquay_daemon.fleet import view
 
@@ -38,6 +39,12 @@
 # Only the newest news are worth sending: an old one that reaches a daemon
 # that has just started would be taken for what the sender spends now.
 _QUEUE_LENGTH = 4
+# Between two notes on units, when requests wait for some elsewhere.
+_UNITS_HURRY_S = 0.04
+# Answers that wait for units at the same time; a task takes 10 KB.
+_MOST_ANSWERING = 500
+# Links to other zones' hubs that were asked for units are kept so long.
+_ASKED_S = 5.0
 # A copy comes within milliseconds, or is not coming.
 _ASK_AGAIN_S = 0.2
 
@@ -50,11 +57,27 @@
         take_digest: Of one other daemon, in a small fleet.
         take_report: Of all others, in a large one.
         change_mode: The fleet has become large or small.
+        take_subscriber: Of a daemon that takes this one for its hub, with the
+            time at which the report was sent that its loan counts from.
+        create_units: Returns what to tell others that keep units.
+        take_units: Of one that does.
+        answer_units: Decides on another daemon's request; tells the reply,
+            and before it that there will be one if that takes a moment.
+        find_zone_end: Returns how far all daemons of a zone have read who
+            announced themselves.
     """
 
     take_digest: Callable[[messages.Digest], None]
     take_report: Callable[[messages.FleetReport], None]
     change_mode: Callable[[], None]
+    take_subscriber: Callable[[messages.Digest, float | None], None]
+    create_units: Callable[[], messages.UnitsNote]
+    take_units: Callable[[messages.UnitsNote], None]
+    answer_units: Callable[
+        [messages.WantUnits, Callable[[messages.UnitsReply], None]],
+        Awaitable[None],
+    ]
+    find_zone_end: Callable[[str], int]
 
 
 @dataclasses.dataclass
@@ -72,6 +95,7 @@
     Attributes:
         address: Where others reach it.
         listeners: Who is told; set before the links run.
+        desk: Asks other daemons for units.
     """
 
     def __init__(
@@ -105,6 +129,13 @@
         self._links: dict[str, _Link] = {}
         self._nursery: trio.Nursery | None = None
         self._wake = trio.Event()
+        self._units_wake = trio.Event()
+        self._answering = 0
+        # Other zones' hubs that were asked for units, and until when they are
+        # kept linked.
+        self._asked_hubs: dict[str, float] = {}
+        self.desk = unit_desk.UnitDesk(self)
+        self._zone.find_members_end = self._find_zone_end
 
     async def run(
         self, *, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
@@ -117,6 +148,7 @@
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
                 nursery.start_soon(self._tell)
+                nursery.start_soon(self._tell_units)
                 task_status.started(self.address)
                 await self._serve(router)
         finally:
@@ -140,6 +172,34 @@
         """Have the next digest sent soon, for news that cannot wait."""
         self._wake.set()
 
+    def hurry_units(self) -> None:
+        """Have others told soon of the units that are here."""
+        self._units_wake.set()
+
+    def keeps_units(self) -> bool:
+        """Tell whether this daemon keeps the units that it needs."""
+        return self.is_mesh() or self._zone.is_keeper()
+
+    def find_keeper(self) -> zone_mode.Keeper | None:
+        """Return the hub to lend to, if there is to be one and it reports."""
+        return None if self.is_mesh() else self._zone.find_keeper()
+
+    def find_sole_since(self) -> float:
+        """Return since when nobody uses what the last process here lent."""
+        # In a mesh nobody lends.
+        return -math.inf if self.is_mesh() else self._zone.find_sole_since()
+
+    def list_keepers(self) -> list[str]:
+        """Return the addresses to ask for units, the first choice first."""
+        return self._zone.list_keepers()
+
+    def send_to(self, address: str, raw: bytes) -> bool:
+        """Send a message to a hub, by a new link if there is none."""
+        if address not in self._links:
+            self._asked_hubs[address] = trio.current_time() + _ASKED_S
+            self._choose_links()
+        return self._send(address, raw)
+
     def send_now(self) -> None:
         """Tell all linked daemons at once."""
         digest = self._create_digest()
@@ -170,17 +230,32 @@
                 _LOG.write(f"Dropped a message of {len(frames)} frames.")
                 continue
             peer, raw = frames
-            reply = self._take(raw)
-            if reply is not None:
-                router.send([peer, messages.encode_message(reply)])
 
-    def _take(self, raw: bytes) -> messages.StateCopy | None:
-        """Take a message; return the reply that it asks for."""
+            def reply(
+                message: messages.FleetMessage, peer: bytes = peer
+            ) -> None:
+                router.send([peer, messages.encode_message(message)])
+
+            self._take(raw, reply)
+
+    def _take(
+        self,
+        raw: bytes,
+        reply: Callable[[messages.FleetMessage], None],
+        source: str = "",
+    ) -> None:
+        """Take a message and reply if it asks for something.
+
+        Args:
+            raw: The message.
+            reply: Sends an answer to whom it came from.
+            source: The address that it is an answer from.
+        """
         try:
             message = messages.decode_message(raw)
         except msgspec.MsgspecError as error:
             _LOG.write(f"Dropped a message that cannot be read: {error}.")
-            return None
+            return
         match message:
             case messages.DigestNote(digest=digest):
                 self._take_digest(digest)
@@ -189,7 +264,14 @@
             case messages.FleetReport():
                 self._take_report(message)
             case messages.WantState():
-                return self._copies.create_copy(message, self._list_peers())
+                reply(self._copies.create_copy(message, self._list_peers()))
+            case messages.WantUnits():
+                self._answer_units(message, reply)
+            case messages.UnitsReply():
+                self.desk.take_reply(source, message)
+            case messages.UnitsNote():
+                if self.listeners is not None:
+                    self.listeners.take_units(message)
             case messages.StateCopy():
                 self._copies.take(message)
                 for line in message.peers:
@@ -198,7 +280,27 @@
                             line.address, line.zone, line.capacity
                         )
                     )
-        return None
+
+    def _answer_units(
+        self,
+        want: messages.WantUnits,
+        reply: Callable[[messages.FleetMessage], None],
+    ) -> None:
+        """Decide on units for another daemon, in a task of its own."""
+        assert self._nursery is not None, "links are not running"
+        if self.listeners is None or self._answering >= _MOST_ANSWERING:
+            # Another keeper is asked as well when this one says nothing.
+            return
+        answer = self.listeners.answer_units
+
+        async def decide() -> None:
+            self._answering += 1
+            try:
+                await answer(want, reply)
+            finally:
+                self._answering -= 1
+
+        self._nursery.start_soon(decide)
 
     def _take_digest(self, digest: messages.Digest) -> None:
         if not self._view.take(digest):
@@ -207,8 +309,14 @@
             topology.PeerAddress(digest.address, digest.zone, digest.capacity)
         )
         self._zone.take_digest(digest)
-        if self.is_mesh() and self.listeners is not None:
+        if self.listeners is None:
+            return
+        if self.is_mesh():
             self.listeners.take_digest(digest)
+        elif digest.zone == self._own_place.zone:
+            loan = digest.loan
+            reported_at = loan and self._zone.find_reported(loan.heard)
+            self.listeners.take_subscriber(digest, reported_at)
 
     def _take_report(self, report: messages.FleetReport) -> None:
         if self.is_mesh() or not self._zone.take_report(report):
@@ -216,6 +324,30 @@
         if self.listeners is not None:
             self.listeners.take_report(report)
 
+    def _find_zone_end(self) -> int:
+        if self.listeners is None:
+            return 0
+        return self.listeners.find_zone_end(self._own_place.zone)
+
+    async def _tell_units(self) -> None:
+        """Tell others that keep units of those that are here."""
+        while True:
+            with trio.move_on_after(self._find_pace().units_s):
+                await self._units_wake.wait()
+            self._units_wake = trio.Event()
+            receivers = list(self._list_unit_keepers())
+            if receivers and self.listeners is not None:
+                note = self.listeners.create_units()
+                raw = messages.encode_message(note)
+                for address in receivers:
+                    self._send(address, raw)
+            await trio.sleep(_UNITS_HURRY_S)
+
+    def _list_unit_keepers(self) -> Iterable[str]:
+        if self.is_mesh():
+            return list(self._links)
+        return self._zone.list_other_keepers()
+
     async def _tell(self) -> None:
         """Tell others of this daemon, and as a hub of the fleet."""
         was_mesh = self.is_mesh()
@@ -356,7 +488,11 @@
             return set(self._known)
         peers = self._zone.select_peers(self._known.values())
         self._view.is_candidate = self._zone.is_hub
-        return peers
+        now = trio.current_time()
+        for address, until in list(self._asked_hubs.items()):
+            if until < now:
+                del self._asked_hubs[address]
+        return peers | set(self._asked_hubs)
 
     async def _keep_link(self, link: _Link) -> None:
         """Read what the peer replies until the link is dropped."""
@@ -364,7 +500,12 @@
             with link.scope:
                 while True:
                     frames = await link.socket.receive()
-                    self._take(frames[-1])
+                    self._take(frames[-1], _drop, link.address)
         finally:
             self._links.pop(link.address, None)
             link.socket.close()
+
+
+def _drop(message: messages.FleetMessage) -> None:
+    """Leave a question unanswered: it came as an answer."""
+    _LOG.write(f"Dropped a question that came as an answer: {type(message)}.")
--- a/packages/daemon/src/martenquay_daemon/fleet/messages.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import enum
+
 import msgspec
 
 # msgspec reads the annotations when the module is loaded.
@@ -13,13 +15,18 @@
     "FleetMessage",
     "FleetReport",
     "GiftLine",
+    "LoanLine",
     "LeaseNews",
     "LoadLine",
     "ParcelLine",
     "PeerLine",
     "PoolLine",
     "StateCopy",
+    "UnitsNote",
+    "UnitsReply",
+    "UnitsVerdict",
     "WantState",
+    "WantUnits",
     "ZoneExchange",
     "ZoneSummary",
     "decode_message",
@@ -94,6 +101,25 @@
     parcels: dict[str, list[ParcelLine]]
 
 
+class LoanLine(msgspec.Struct, frozen=True, array_like=True):
+    """Lend a part of all teams' rates.
+
+    Attributes:
+        receiver: The daemon that may use it.
+        heard: The number of the receiver's last report that the lender had;
+            times end counted from when that one was sent.
+        part: Of each rate.
+        starts_ms: From when on it may be used.
+        ends_ms: Until when it may be used.
+    """
+
+    receiver: str
+    heard: int
+    part: float
+    starts_ms: int
+    ends_ms: int
+
+
 class Digest(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """What one daemon says of itself; a later one replaces it.
 
@@ -111,11 +137,9 @@
         is_leaving: It is stopping.
         lease: What it tells if it holds the duties' lease.
         window: The usage window that is now, by its clock.
-        spending: Units spent since it started, by team.
-        used: Units spent by all daemons in the allowances' window, by team.
-        pools: Units that it may spend, by team; told in a small fleet.
-        gifts: Units that it hands to others, by member.
-        members_end: Up to where it has read who announced themselves.
+        loan: Its part of all teams' rates, if it lends that.
+        members_end: Up to where it has read who announced themselves, as far
+            as it goes by that.
         loads: What it has at runners, by runner id.
         begun: Requests begun, by window and team.
         demand: Prompt tokens a second for engines to read, by service.
@@ -133,10 +157,7 @@
     is_leaving: bool
     lease: LeaseNews | None
     window: int
-    spending: dict[str, float]
-    used: dict[str, float]
-    pools: dict[str, PoolLine]
-    gifts: dict[str, GiftLine]
+    loan: LoanLine | None
     members_end: int
     loads: dict[str, LoadLine]
     begun: dict[int, dict[str, int]]
@@ -161,7 +182,8 @@
         lease_member: That holder.
         leaving: Members that are stopping.
         window: The earliest usage window that is now for one of them.
-        spending: Units spent since the hub first heard of each, by team.
+        members_end: Up to where all of the zone's listed daemons have read
+            who announced themselves, as far as the hub has heard.
         begun: Requests begun, by window and team; empty for daemons that
             cannot need it.
         demand: Prompt tokens a second for engines to read, by service; empty
@@ -182,7 +204,7 @@
     lease_member: str
     leaving: list[str]
     window: int
-    spending: dict[str, float]
+    members_end: int
     begun: dict[int, dict[str, int]]
     demand: dict[str, float]
 
@@ -219,12 +241,14 @@
         loads: What all other daemons have at runners, by runner id.
         heard: The number of the receiver's last digest that the hub had; 0
             if it had none.
+        number: Counts the hub's rounds of reports.
     """
 
     hub: str
     zones: list[ZoneSummary]
     loads: dict[str, LoadLine]
     heard: int
+    number: int
 
 
 class PeerLine(msgspec.Struct, frozen=True, array_like=True):
@@ -280,7 +304,93 @@
     number: int
 
 
-FleetMessage = DigestNote | ZoneExchange | FleetReport | WantState | StateCopy
+class UnitsNote(msgspec.Struct, frozen=True, array_like=True, tag="u"):
+    """Tell another daemon that keeps units of one's own.
+
+    Attributes:
+        member: Who tells it.
+        address: Its fleet link.
+        number: Counts its notes.
+        pools: Units that it may spend, by team.
+        gifts: Units that it hands to others, by member.
+    """
+
+    member: str
+    address: str
+    number: int
+    pools: dict[str, PoolLine]
+    gifts: dict[str, GiftLine]
+
+
+class WantUnits(msgspec.Struct, frozen=True, array_like=True, tag="q"):
+    """Ask a daemon that keeps units to spend some for a request.
+
+    Attributes:
+        number: Counts the sender's questions.
+        team: Whose units.
+        units: How many.
+        reserve: Steps of urgency to leave room for.
+        is_late: The answer cannot be on time any more.
+        is_redirected: Another daemon has named the receiver.
+    """
+
+    number: int
+    team: str
+    units: float
+    reserve: int
+    is_late: bool
+    is_redirected: bool
+
+
+class UnitsVerdict(enum.IntEnum):
+    """What a daemon answers that was asked for units."""
+
+    GRANTED = 0
+    REFUSED = 1
+    # There will be another answer within a moment.
+    WAITING = 2
+    # It has no part of the rates now, so another one is to be asked.
+    PASSED = 3
+    # Another daemon has the units that are missing here.
+    REDIRECTED = 4
+
+
+class UnitsReply(msgspec.Struct, frozen=True, array_like=True, tag="a"):
+    """Answer `WantUnits`.
+
+    Attributes:
+        number: Of the question.
+        verdict: The answer.
+        retry_s: When the caller should come back, if it is refused.
+        holder: The address to ask, if it is redirected.
+        member: Who decided.
+        there: Units that may be spent there.
+        owed: Units that were spent there before they came.
+        part: Of the team's rate that comes there.
+        asked: Units a second that are asked for there.
+    """
+
+    number: int
+    verdict: UnitsVerdict
+    retry_s: float = 0.0
+    holder: str = ""
+    member: str = ""
+    there: float = 0.0
+    owed: float = 0.0
+    part: float = 0.0
+    asked: float = 0.0
+
+
+FleetMessage = (
+    DigestNote
+    | ZoneExchange
+    | FleetReport
+    | WantState
+    | StateCopy
+    | UnitsNote
+    | WantUnits
+    | UnitsReply
+)
 
 _DECODER = msgspec.msgpack.Decoder(FleetMessage)
 _ENCODER = msgspec.msgpack.Encoder()
--- a/packages/daemon/src/martenquay_daemon/fleet/pace.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/pace.py
@@ -19,6 +19,7 @@
         longest_report_s: The same, however large reports are.
         report_bytes_per_s: What a daemon may be sent by a hub.
         silent_s: Without news for so long, a daemon or zone is silent.
+        units_s: Between two notes on the units that it keeps.
     """
 
     own_s: float
@@ -28,6 +29,7 @@
     longest_report_s: float
     report_bytes_per_s: float
     silent_s: float
+    units_s: float
 
     def find_report_s(self, size: int) -> float:
         """Return the time between reports of a size in bytes."""
@@ -45,6 +47,7 @@
     longest_report_s=0.8,
     report_bytes_per_s=4000.0,
     silent_s=1.2,
+    units_s=0.25,
 )
 # Over hubs it takes three. The users allow 5 KB/s for control; a daemon's own
 # digests take the rest. A large fleet is reported on less often.
@@ -56,6 +59,7 @@
     longest_report_s=0.8,
     report_bytes_per_s=4000.0,
     silent_s=2.0,
+    units_s=0.4,
 )
 # Of a hub's reports so many may be lost before its zone counts as silent.
 LOST_REPORTS = 4
--- a/packages/daemon/src/martenquay_daemon/fleet/roster.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/roster.py
@@ -36,7 +36,9 @@
         self.part_since = math.inf
         self._instance = instance
         self._listed: set[str] = set()
+        self._zones: dict[str, str] = {}
         self._told: dict[str, int] = {}
+        self._zones_told: dict[str, int] = {}
         self._heard_at: dict[str, float] = {}
         # Others have to have read up to here to reckon with this instance.
         self._needed_end: int | None = None
@@ -46,7 +48,12 @@
         return set(self._listed)
 
     def note_listed(
-        self, instance: str, offset: int, *, is_counted: bool
+        self,
+        instance: str,
+        offset: int,
+        *,
+        is_counted: bool,
+        zone: str = "",
     ) -> None:
         """Note an announcement that was read in the log.
 
@@ -54,8 +61,10 @@
             instance: Who announced itself.
             offset: Of the record.
             is_counted: It says that all others reckon with it.
+            zone: Its availability zone.
         """
         self._listed.add(instance)
+        self._zones[instance] = zone
         self._heard_at.setdefault(instance, trio.current_time())
         if instance != self._instance:
             return
@@ -82,6 +91,24 @@
         self._told[instance] = max(end, self._told.get(instance, 0))
         self._heard_at[instance] = trio.current_time()
 
+    def note_zone_told(self, zone: str, end: int) -> None:
+        """Note how far all listed daemons of a zone have read."""
+        self._zones_told[zone] = max(end, self._zones_told.get(zone, 0))
+
+    def find_zone_end(self, zone: str, own_end: int) -> int:
+        """Return how far all listed daemons of a zone have read.
+
+        Args:
+            zone: The availability zone.
+            own_end: How far this daemon has.
+        """
+        others = [
+            self._told.get(one, 0)
+            for one in self._listed - {self._instance}
+            if self._zones[one] == zone
+        ]
+        return min([own_end, *others])
+
     def forget_times(self) -> None:
         """Count silence from now on: others could not be heard until now."""
         now = trio.current_time()
@@ -109,4 +136,8 @@
 
     def _is_read(self, end: int) -> bool:
         others = self._listed - {self._instance}
-        return all(self._told.get(one, 0) >= end for one in others)
+        return all(self._find_told(one) >= end for one in others)
+
+    def _find_told(self, instance: str) -> int:
+        zone_end = self._zones_told.get(self._zones[instance], 0)
+        return max(self._told.get(instance, 0), zone_end)
--- /dev/null
+++ b/packages/daemon/src/martenquay_daemon/fleet/unit_news.py
@@ -0,0 +1,228 @@
+"""Tell other daemons of the units kept here, and take in theirs."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from martenquay_daemon.allowances import escrow, rights, sharing, terms
+from martenquay_daemon.fleet import messages, send_times, unit_desk
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from martenquay_daemon.allowances import gate
+    from martenquay_daemon.discovery import catalog_store, keyed_follower
+    from martenquay_daemon.fleet import links, roster
+
+__all__ = ["UnitNews"]
+
+_Verdict = messages.UnitsVerdict
+_MS = 1000
+
+
+class UnitNews:
+    """What this daemon tells and hears of teams' units."""
+
+    def __init__(
+        self,
+        member: str,
+        store: catalog_store.CatalogStore,
+        units: escrow.EscrowLedger,
+        decider: gate.AllowanceGate,
+        listed: roster.Roster,
+        members: keyed_follower.KeyedFollower,
+        fleet_links: links.FleetLinks,
+    ) -> None:
+        self._member = member
+        self._store = store
+        self._units = units
+        self._gate = decider
+        self._roster = listed
+        self._members = members
+        self._links = fleet_links
+        self._number = 0
+        self._told = send_times.SendTimes()
+        self._told_end = 0
+
+    def create_note(self) -> messages.UnitsNote:
+        """Return what to tell others that keep units."""
+        self._number += 1
+        self._told.note(self._number)
+        teams = self._store.table.catalog.teams
+        self._units.refill(teams)
+        gifts = self._units.give(teams)
+        return messages.UnitsNote(
+            self._member,
+            self._links.address,
+            self._number,
+            self._list_pools(),
+            {member: _tell_gift(gift) for member, gift in gifts.items()},
+        )
+
+    def take_note(self, note: messages.UnitsNote) -> None:
+        """Take what another daemon says of its units and hands over."""
+        holdings = {
+            team: sharing.Holding(
+                line.level, line.asked, line.needed, line.may_owe
+            )
+            for team, line in note.pools.items()
+        }
+        self._units.hear(note.member, note.number, holdings, note.address)
+        line = note.gifts.get(self._member)
+        if line is None:
+            return
+        told_at = self._told.find(line.heard)
+        if told_at is not None:
+            self._units.accept(_read_gift(line), told_at)
+
+    def is_to_lend(self) -> bool:
+        """Tell whether there is a part that no hub has yet."""
+        return (
+            self._links.find_keeper() is not None
+            and self._units.rights.find_part() > 0
+        )
+
+    def create_loan(self) -> messages.LoanLine | None:
+        """Return the loan of this daemon's part, if a hub is to use it."""
+        keeper = self._links.find_keeper()
+        if keeper is None:
+            return None
+        loan = self._units.rights.lend(keeper.member, keeper.number)
+        if loan is None:
+            return None
+        return messages.LoanLine(
+            loan.receiver,
+            loan.heard,
+            loan.part,
+            # Rounded so that no time is lent twice.
+            math.ceil(loan.starts_s * _MS),
+            math.floor(loan.ends_s * _MS),
+        )
+
+    def take_subscriber(
+        self, digest: messages.Digest, reported_at: float | None
+    ) -> None:
+        """Take what a daemon of this zone lends, and how far it has read.
+
+        Args:
+            digest: What it tells.
+            reported_at: When the report was sent that its loan names, in
+                trio's time; None if it names none of the last ones.
+        """
+        self._roster.note_told(digest.instance, digest.members_end)
+        mint_rights = self._units.rights
+        mint_rights.end_loans_of_others(digest.instance, digest.member)
+        line = digest.loan
+        if line is None or reported_at is None or line.receiver != self._member:
+            return
+        loan = rights.Loan(
+            line.receiver,
+            line.heard,
+            line.part,
+            line.starts_ms / _MS,
+            line.ends_ms / _MS,
+        )
+        mint_rights.borrow(digest.instance, digest.member, loan, reported_at)
+
+    def find_members_end(self) -> int:
+        """Return how far this daemon goes by who announced themselves.
+
+        What it lent while fewer were listed was more than its part is now; a
+        new daemon has to wait until that is over.
+        """
+        if not self._units.rights.has_lent_more():
+            self._told_end = max(0, self._members.end)
+        return self._told_end
+
+    def find_zone_end(self, zone: str) -> int:
+        """Return how far all daemons of a zone go by announcements."""
+        return self._roster.find_zone_end(zone, self.find_members_end())
+
+    async def answer(
+        self,
+        want: messages.WantUnits,
+        reply: Callable[[messages.UnitsReply], None],
+    ) -> None:
+        """Decide on a request of another daemon and reply.
+
+        A team that operators have added may not be known here yet.
+        """
+        teams = self._store.table.catalog.teams
+        team = next((one for one in teams if one.name == want.team), None)
+        if team is None or self._units.rights.find_part() <= 0:
+            reply(messages.UnitsReply(want.number, _Verdict.PASSED))
+            return
+        wish = terms.Wish(want.units, want.reserve, want.is_late)
+        # Demand is counted where callers come from, not where units are.
+        verdict = self._units.take(team, wish, is_again=want.is_redirected)
+        match verdict:
+            case terms.Elsewhere() if want.is_redirected:
+                verdict = terms.Refused()
+            case terms.Elsewhere(holder=holder) if holder:
+                redirected = _Verdict.REDIRECTED
+                reply(
+                    messages.UnitsReply(want.number, redirected, holder=holder)
+                )
+                return
+            case terms.Elsewhere():
+                reply(messages.UnitsReply(want.number, _Verdict.WAITING))
+        answer = await self._gate.settle(
+            team, wish, verdict, unit_desk.KEEPER_WAIT_S
+        )
+        reply(self._describe(want.number, answer))
+
+    def _describe(
+        self, number: int, answer: terms.Answer
+    ) -> messages.UnitsReply:
+        is_granted = answer.is_admitted
+        units = answer.units
+        return messages.UnitsReply(
+            number,
+            _Verdict.GRANTED if is_granted else _Verdict.REFUSED,
+            answer.retry_s,
+            member=self._member,
+            there=round(units.there),
+            owed=round(units.owed),
+            part=round(units.part, 3),
+            asked=round(units.asked),
+        )
+
+    def forget(self, member: str) -> None:
+        """Drop a daemon that is gone for good."""
+        self._units.forget(member)
+
+    def forget_all(self) -> None:
+        """Drop what others told: it came in another way."""
+        self._units.forget_all()
+
+    def _list_pools(self) -> dict[str, messages.PoolLine]:
+        return {
+            team: messages.PoolLine(
+                math.floor(one.level),
+                round(one.asked),
+                round(one.needed),
+                math.floor(one.may_owe),
+            )
+            for team, one in self._units.list_holdings().items()
+        }
+
+
+def _tell_gift(gift: escrow.Gift) -> messages.GiftLine:
+    parcels = {
+        team: [
+            # Rounded down: no unit may live longer by its way.
+            messages.ParcelLine(units, math.floor(life_s * _MS))
+            for units, life_s in found
+        ]
+        for team, found in gift.parcels.items()
+    }
+    return messages.GiftLine(gift.heard, parcels)
+
+
+def _read_gift(line: messages.GiftLine) -> escrow.Gift:
+    parcels = {
+        team: [(one.units, one.life_ms / _MS) for one in found]
+        for team, found in line.parcels.items()
+    }
+    return escrow.Gift(line.heard, parcels)
--- a/packages/daemon/src/martenquay_daemon/fleet/zone_mode.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/zone_mode.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from martenquay_core.util import rendezvous
 from martenquay_daemon.discovery import copy_age
 from martenquay_daemon.fleet import (
     hub,
@@ -18,17 +19,19 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Callable, Iterable, Iterator
 
     from martenquay_daemon.fleet import pace, view
 
-__all__ = ["Outgoing", "ZoneMode"]
+__all__ = ["Keeper", "Outgoing", "ZoneMode"]
 
 # What a log that has never answered counts as.
 _LONGEST_AGE_S = 3600.0
 # A hub that has not reported for so long is not relied on for the log; the
 # operators' changes have to be in force within 2 s.
 _SERVED_S = 1.2
+# A hub that has reported for so long is back for good.
+_STEADY_S = 2.0
 # A hub whose own reading of the log is this old is not relied on for it.
 _FRESH_LOG_MS = 1000
 _MS = 1000
@@ -47,12 +50,33 @@
     raw: bytes
 
 
+@dataclasses.dataclass(frozen=True)
+class Keeper:
+    """The hub that keeps units for this daemon.
+
+    Attributes:
+        member: Its process.
+        address: Its fleet link.
+        number: Of its last report.
+    """
+
+    member: str
+    address: str
+    number: int
+
+
 @dataclasses.dataclass(frozen=True)
 class _Served:
     """A hub of this zone and when it last reported."""
 
     summary: messages.ZoneSummary
     heard_at: float
+    # Of its round of reports.
+    number: int
+    # It has heard this process.
+    has_heard: bool
+    # Since when it has reported without a longer pause.
+    since: float
 
 
 class ZoneMode:
@@ -61,6 +85,8 @@
     Attributes:
         is_hub: It reports to others.
         report_s: Between two of its reports.
+        find_members_end: Returns how far all listed daemons of this zone have
+            read who announced themselves.
     """
 
     def __init__(
@@ -71,6 +97,7 @@
         zone_pace: pace.FleetPace,
     ) -> None:
         self.is_hub = False
+        self.find_members_end: Callable[[], int] = lambda: 0
         self.report_s = zone_pace.report_s
         self._is_first = False
         self._place = place
@@ -84,6 +111,10 @@
         self._served: dict[str, _Served] = {}
         self._reported_at = -math.inf
         self._told = send_times.SendTimes()
+        self._rounds = send_times.SendTimes()
+        self._keeper = ""
+        self._has_chosen = False
+        self._sole_since = math.inf
 
     def move_to(self, address: str) -> None:
         """Note where this daemon can be reached, once that is known."""
@@ -116,7 +147,15 @@
         own = report.zones[0]
         now = trio.current_time()
         self._board.note_heard(own.address, now)
-        self._served[own.address] = _Served(own, now)
+        last = self._served.get(own.address)
+        is_new = last is None or now - last.heard_at > _SERVED_S
+        self._served[own.address] = _Served(
+            own,
+            now,
+            report.number,
+            report.heard > 0,
+            now if is_new or last is None else last.since,
+        )
         if self.is_hub and own.address != self._place.address:
             # A hub goes by its own sums; the other one is known to be there.
             return False
@@ -159,6 +198,7 @@
         self.is_hub = self._place.address in chosen or bool(subscribers)
         self._is_first = self._board.is_first(chosen)
         self._own_hubs = [a for a in chosen if a != self._place.address]
+        self._has_chosen = True
         if not self.is_hub:
             return set(self._own_hubs)
         self._foreign_hubs = list(self._list_foreign_hubs(by_zone, now))
@@ -189,6 +229,7 @@
             self._create_facts(), trio.current_time(), self._view.silent_s
         )
         own = reports.pop(self._place.address)
+        self._rounds.note(own.number)
         found = [
             Outgoing(address, messages.encode_message(report))
             for address, report in reports.items()
@@ -210,6 +251,70 @@
         self._reported_at = now
         return True
 
+    def find_reported(self, number: int) -> float | None:
+        """Return when this hub made a round of reports, in trio's time."""
+        return self._rounds.find(number)
+
+    def is_keeper(self) -> bool:
+        """Tell whether this daemon keeps its zone's units."""
+        return self.is_hub and self._is_first
+
+    def find_keeper(self) -> Keeper | None:
+        """Return the hub that is to keep this daemon's units, if any reports.
+
+        The first one keeps those of the whole zone: each pile more would be
+        too small for long prompts more often. While another one reports, the
+        first has to be back for some time: what was lent to one cannot be lent
+        to another before it is over.
+        """
+        oldest = trio.current_time() - _SERVED_S
+        fresh = {
+            address: one
+            for address, one in self._served.items()
+            if one.heard_at >= oldest and address in self._own_hubs
+        }
+        if self.is_keeper() or not fresh:
+            return None
+        first = next(a for a in self._own_hubs if a in fresh)
+        is_steady = fresh[first].since <= trio.current_time() - _STEADY_S
+        if self._keeper not in fresh or is_steady:
+            self._keeper = first
+        one = fresh[self._keeper]
+        return Keeper(one.summary.hub, self._keeper, one.number)
+
+    def list_keepers(self) -> list[str]:
+        """Return the hubs to ask for units, the first choice first.
+
+        Other zones' hubs come last: they have units when those of this zone
+        are gone, and none of this zone's when it is cut off.
+        """
+        keeper = self.find_keeper()
+        own = [keeper.address] if keeper is not None else []
+        own += [a for a in self._own_hubs if a not in own]
+        key = self._place.address
+        foreign = [
+            known.summary.address
+            for known in self._view.zones.list_active()
+            if known.summary.zone != self._place.zone
+        ]
+        foreign.sort(key=lambda one: rendezvous.score_candidate(key, one))
+        return own + foreign
+
+    def list_other_keepers(self) -> list[str]:
+        """Return the other zones' hubs, if this one keeps units like them."""
+        return list(self._foreign_hubs) if self.is_keeper() else []
+
+    def find_sole_since(self) -> float:
+        """Return since when no hub uses what the last process here had lent.
+
+        A hub drops that when it hears of this process, and says so.
+        """
+        if self._sole_since == math.inf and self._has_chosen:
+            served = [self._served.get(address) for address in self._own_hubs]
+            if all(one is not None and one.has_heard for one in served):
+                self._sole_since = trio.current_time()
+        return self._sole_since
+
     def is_served(self) -> bool:
         """Tell whether a hub follows the log for this daemon."""
         return not self.is_hub and self._is_log_fresh_elsewhere()
@@ -258,4 +363,5 @@
             state.directory.entries.changed_end,
             state.find_runners_age_ms(),
             int(age_s * _MS),
+            self.find_members_end(),
         )
--- a/packages/daemon/src/martenquay_daemon/fleet/zone_sum.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/zone_sum.py
@@ -29,7 +29,6 @@
         leaving: Members that are stopping.
         lease: What the lease's holder tells, if it is one of them.
         lease_member: That holder.
-        spending: Units spent, by team.
         loads: What they have at runners, by runner id.
         begun: Requests begun, by window and team.
         demand: Prompt tokens a second, by service.
@@ -40,7 +39,6 @@
     leaving: list[str] = dataclasses.field(default_factory=list)
     lease: messages.LeaseNews | None = None
     lease_member: str = ""
-    spending: dict[str, float] = dataclasses.field(default_factory=dict)
     loads: dict[str, messages.LoadLine] = dataclasses.field(
         default_factory=dict
     )
@@ -52,23 +50,14 @@
 class _Member:
     digest: messages.Digest
     heard_at: float
-    # What it had spent when this hub first heard of it.
-    base: dict[str, float]
     is_replaced: bool = False
 
-    def list_spent(self) -> dict[str, float]:
-        return {
-            team: units - self.base.get(team, 0.0)
-            for team, units in self.digest.spending.items()
-        }
-
 
 class ZoneSum:
     """The newest digests of a zone's daemons and their sums."""
 
     def __init__(self) -> None:
         self._members: dict[str, _Member] = {}
-        self._gone_spending: dict[str, float] = {}
 
     def take(self, digest: messages.Digest, now: float) -> bool:
         """Take a daemon's digest; tell whether it is news."""
@@ -79,20 +68,16 @@
             for other in self._members.values():
                 if other.digest.instance == digest.instance:
                     other.is_replaced = True
-            # What it spent before is over, but for a daemon that has just
-            # started: that began at 0.
-            base = dict(digest.spending) if digest.number > 1 else {}
-            self._members[digest.member] = _Member(digest, now, base)
+            self._members[digest.member] = _Member(digest, now)
         else:
             known.digest = digest
             known.heard_at = now
         return True
 
     def forget_old(self, now: float) -> None:
-        """Drop daemons that are long gone; what they spent stays spent."""
+        """Drop daemons that are long gone."""
         for member, known in list(self._members.items()):
             if now - known.heard_at > _KEEP_COUNTS_S:
-                _add(self._gone_spending, known.list_spent(), 1)
                 del self._members[member]
 
     def list_fresh(self, now: float, silent_s: float) -> list[messages.Digest]:
@@ -103,9 +88,7 @@
         """Return the sums over all daemons."""
         heard = list(self._list_heard(now, silent_s))
         part = ZonePart(daemons=len(heard))
-        part.spending = dict(self._gone_spending)
         for known in self._members.values():
-            _add(part.spending, known.list_spent(), 1)
             for window, teams in known.digest.begun.items():
                 _add(part.begun.setdefault(window, {}), teams, 1)
         for known in heard:
@@ -132,10 +115,8 @@
             total,
             daemons=total.daemons - is_heard,
             window=self._find_window(member),
-            spending=dict(total.spending),
             begun={w: dict(teams) for w, teams in total.begun.items()},
         )
-        _add(part.spending, known.list_spent(), -1)
         for window, teams in known.digest.begun.items():
             _add(part.begun[window], teams, -1)
         if is_heard:
--- a/packages/daemon/src/martenquay_daemon/fleet/zones.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/zones.py
@@ -39,14 +39,10 @@
     Attributes:
         active: The hub whose sums count.
         hubs: By member id.
-        spending: Units spent by team, on from one hub to the next.
-        marks: What each hub had told when the active one last did.
     """
 
     active: str
     hubs: dict[str, KnownSummary] = dataclasses.field(default_factory=dict)
-    spending: dict[str, float] = dataclasses.field(default_factory=dict)
-    marks: dict[str, dict[str, float]] = dataclasses.field(default_factory=dict)
 
 
 class ZoneTable:
@@ -67,22 +63,8 @@
         if known is not None and summary.number <= known.summary.number:
             return False
         zone.hubs[summary.hub] = KnownSummary(summary, loads, now)
-        if summary.hub != zone.active and not self._take_over(
-            zone, summary, now
-        ):
-            return False
-        marks = zone.marks.get(summary.hub, {})
-        for team, units in summary.spending.items():
-            spent = units - marks.get(team, 0.0)
-            zone.spending[team] = zone.spending.get(team, 0.0) + spent
-        zone.marks = {
-            hub: dict(one.summary.spending) for hub, one in zone.hubs.items()
-        }
-        return True
-
-    def find_spending(self, zone: str) -> dict[str, float]:
-        """Return what a zone has spent since it was first heard, by team."""
-        return self._zones[zone].spending
+        is_active = summary.hub == zone.active
+        return is_active or self._take_over(zone, summary, now)
 
     def find_active(self, zone: str) -> KnownSummary | None:
         """Return the summary of a zone that counts."""
@@ -120,6 +102,4 @@
         )
         zone.hubs.pop(zone.active)
         zone.active = summary.hub
-        # What a hub that was not heard before has added up is over.
-        zone.marks.setdefault(summary.hub, dict(summary.spending))
         return True
--- a/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
@@ -55,7 +55,7 @@
         entries_age_ms: How old the runners' entries were that the present
             attempt's runner was chosen from.
         tried_s: How long its caller has likely been trying before.
-        standing: Of the team's allowance when the request was let in.
+        granted: On what units of its team's the request was let in.
     """
 
     call: calls.Call
@@ -77,7 +77,7 @@
     first_event_s: float | None = None
     entries_age_ms: int | None = None
     tried_s: float = 0.0
-    standing: terms.Standing = dataclasses.field(default_factory=terms.Standing)
+    granted: terms.Answer = terms.Answer(0.0)
 
     @property
     def units(self) -> float:
--- a/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
@@ -156,34 +156,29 @@
             self._find_reserve(current),
             current.tried_s > current.route.target_s > 0,
         )
-        short_s = await self._parts.allowances.take(team, wish)
-        standing = self._parts.allowances.describe(team.name)
-        if short_s <= 0:
-            current.standing = standing
+        answer = await self._parts.allowances.take(team, wish)
+        if answer.is_admitted:
+            current.granted = answer
             return None
+        units = answer.units
         _LOG.write(
             f"Team {team.name} has no room for {current.units:.0f} units.",
             request=current.call.id,
             team=team.name,
-            used=round(standing.used),
-            limit=round(standing.limit),
-            level=round(standing.level),
-            grant=round(standing.grant),
-            news_age_ms=round(standing.news_age_s * 1000),
-            there=round(standing.units.there),
-            owed=round(standing.units.owed),
-            part=round(standing.units.part, 3),
-            asked=round(standing.units.asked),
+            kept_at=answer.kept_at,
+            there=round(units.there),
+            owed=round(units.owed),
+            part=round(units.part, 3),
+            asked=round(units.asked),
             tried_ms=round(current.tried_s * 1000),
             units=current.units,
             rate=team.rate,
             burst=team.burst,
-            spent=self._parts.allowances.list_own().get(team.name, 0.0),
         )
         return answers.create_own_answer(
             _Code.NOT_RUN_OVERLOADED,
             f"team {team.name} is over its allowance",
-            retry_after_s=short_s,
+            retry_after_s=answer.retry_s,
         )
 
     def _find_reserve(self, current: exchange.Exchange) -> int:
@@ -224,7 +219,6 @@
                 current.writer.abort()
                 self._note_end(current, f"cut off: {final.message}", 0)
             case answers.OwnAnswer():
-                self._refund(current, final)
                 await self._answer(current.call, current.writer, final)
 
     async def _try_runners(
@@ -322,12 +316,6 @@
             and current.attempts < current.route.max_attempts
         )
 
-    def _refund(
-        self, current: exchange.Exchange, final: answers.OwnAnswer
-    ) -> None:
-        if current.team is not None and not current.may_have_run:
-            self._parts.allowances.give_back(current.team, current.units)
-
     async def _answer(
         self,
         call: calls.Call,
@@ -401,11 +389,9 @@
             team=current.team and current.team.name,
             status=status,
             units=current.units,
-            used=round(current.standing.used),
-            grant=round(current.standing.grant),
-            news_age_ms=round(current.standing.news_age_s * 1000),
-            there=round(current.standing.units.there),
-            owed=round(current.standing.units.owed),
+            kept_at=current.granted.kept_at,
+            there=round(current.granted.units.there),
+            owed=round(current.granted.units.owed),
             attempts=current.attempts,
             events=current.events,
             elapsed_ms=round(elapsed_s * 1000, 1),
--- a/packages/daemon/src/martenquay_daemon/forwarding/metrics.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/metrics.py
@@ -16,6 +16,7 @@
 
 __all__ = ["ForwardingMetrics", "create_metrics"]
 
+_ASKED_BUCKETS_S = [0.002, 0.005, 0.01, 0.02, 0.04, 0.08, 0.15, 0.2]
 _AGE_BUCKETS_S = [0.1, 0.25, 0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0, 8.0]
 _BUCKETS_S = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0]
 
@@ -68,6 +69,17 @@
             registry=registry,
         )
 
+        self._units_asked_s = aioprometheus.Histogram(
+            "martenquay_units_asked_seconds",
+            "What it took to ask another daemon for units, by outcome.",
+            buckets=_ASKED_BUCKETS_S,
+            registry=registry,
+        )
+
+    def note_units_asked(self, outcome: str, took_s: float) -> None:
+        """Note what became of a question for units and how long it took."""
+        self._units_asked_s.observe({"outcome": outcome}, took_s)
+
     def count_unusable_record(self, topic: str) -> None:
         """Count a record of the log that says nothing usable."""
         self._unusable_records.inc({"topic": topic})
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -12,8 +12,7 @@
 from martenquay_daemon.allowances import (
     escrow,
     gate,
-    ledger,
-    record,
+    rights,
     terms,
 )
 from martenquay_daemon.discovery import (
@@ -39,6 +38,7 @@
     shared_state,
     state_copies,
     topology,
+    unit_news,
     view,
 )
 from martenquay_daemon.forwarding import (
@@ -128,8 +128,8 @@
         """
         bounds = settings.bounds
         self._retries.bounds = _find_retry_bounds(bounds)
-        self._allowances.bounds = _find_tolerance(bounds)
         self._units.bounds = _find_tolerance(bounds)
+        self._units.rights.window_s = bounds.allowance_window_s
         if settings.platform.log:
             self._ports.log.move_to(settings.platform.log)
         if self._ports.cloud is not None and settings.platform.cloud:
@@ -264,8 +264,6 @@
             "runners": self._runner_follower.first_read,
             "members": self._member_follower.first_read,
         }
-        if self._spending is not None:
-            sources["spending"] = self._spending.first_read
         return first_reading.create_first_reading(sources)
 
     async def _wait_until_read(self) -> None:
@@ -297,7 +295,6 @@
             self._view,
         )
         self._duties: dict[str, Callable[[], Awaitable[None]]] = {}
-        self._spending: record.SpendingRecord | None = None
         if self._ports.cloud is not None and self._settings.platform.duties:
             self._build_cloud_duties(self._ports.cloud)
 
@@ -332,14 +329,7 @@
             self._roster,
             lambda: self._lease.is_held() and self.links.is_mesh(),
         )
-        self._spending = record.SpendingRecord(
-            self._ports.log,
-            self._ports.topics.spending,
-            self._allowances,
-            self._lease,
-        )
         self._duties = {
-            "spending": self._spending.run,
             "lease": self._lease.run,
             "usage": reporter.run,
             "capacity": keeper.run,
@@ -359,9 +349,7 @@
                 store=self._store,
                 directory=self._directory,
                 contact=self._contact,
-                allowances=self._allowances,
-                units=self._units,
-                members=self._member_follower,
+                units=self._unit_news,
                 listed=self._roster,
                 loads=self._loads,
                 usage=self._usage,
@@ -375,6 +363,11 @@
             self._shared.take_digest,
             self._shared.take_report,
             self._shared.change_mode,
+            self._unit_news.take_subscriber,
+            self._unit_news.create_note,
+            self._unit_news.take_note,
+            self._unit_news.answer,
+            self._unit_news.find_zone_end,
         )
         self._view.listen_for_ends(self._shared.end_member)
 
@@ -383,6 +376,31 @@
         self._ejector.forget(runner_id)
         self._loads.forget_runner(runner_id)
 
+    def _build_allowances(self) -> None:
+        bounds = self._settings.bounds
+        self._units = escrow.create_escrow(
+            _find_tolerance(bounds),
+            rights.MintRights(
+                lambda: rights.OwnPart(
+                    self._roster.find_part(), self._roster.part_since
+                ),
+                bounds.allowance_window_s,
+                self.links.find_sole_since,
+            ),
+            self.links.hurry_units,
+        )
+        self.links.desk.observe = self.metrics.note_units_asked
+        self._gate = gate.create_gate(self._units, self.links.desk)
+        self._unit_news = unit_news.UnitNews(
+            self.member,
+            self._store,
+            self._units,
+            self._gate,
+            self._roster,
+            self._member_follower,
+            self.links,
+        )
+
     def _build_forwarding(self) -> None:
         bounds = self._settings.bounds
         self._loads = loads.LoadLedger()
@@ -391,24 +409,7 @@
         self._usage = usage_counts.UsageCounts(bounds.window_s)
         self._ejector = ejection.Ejector()
         self._directory.on_restart = self._forget_runner
-        self._allowances = ledger.create_ledger(
-            _find_tolerance(bounds),
-            terms.FleetFacts(
-                count_daemons=self._view.count_daemons,
-                find_silence=lambda: self._view.silent_s,
-                hurry=self.links.hurry,
-                is_listed=self._member_follower.first_read.is_set,
-            ),
-        )
-        self._units = escrow.create_escrow(
-            _find_tolerance(bounds),
-            terms.EscrowFacts(
-                find_part=self._roster.find_part,
-                find_part_since=lambda: self._roster.part_since,
-                count_daemons=self._view.count_daemons,
-                hurry=self.links.hurry,
-            ),
-        )
+        self._build_allowances()
         codec = self._ports.calls
         self._retries = retry_window.RetryWindow(
             _find_retry_bounds(bounds), self._view.count_daemons
@@ -417,9 +418,7 @@
             store=self._store,
             directory=self._directory,
             entries=self._entries,
-            allowances=gate.create_gate(
-                self._units, self._allowances, self.links.is_mesh
-            ),
+            allowances=self._gate,
             placer=placer.Placer(
                 self._settings.zone,
                 self._directory,
--- /dev/null
+++ b/tests/test_allowances/test_rights.py
@@ -0,0 +1,179 @@
+"""At any moment each part is at one daemon at the most."""
+
+from __future__ import annotations
+
+import math
+
+import trio
+
+from martenquay_daemon.allowances import rights
+from tests import allowance_fleet, clocked
+
+_WINDOW_S = allowance_fleet.BOUNDS.window_s
+
+
+def _sum_spans(one: rights.MintRights, since: float = -math.inf) -> float:
+    """Return the seconds of the whole rate that may be minted."""
+    one.advance()
+    return sum(s.part * (s.end - s.start) for s in one.list_spans(since))
+
+
+class MintRightsTest(clocked.ClockedTestCase):
+    def test_what_is_lent_is_not_minted_here_until_it_is_over(self) -> None:
+        async def scenario() -> None:
+            lender = allowance_fleet.build_rights(0.1)
+            await trio.sleep(1.0)
+            loan = lender.lend("hub.1", 7)
+            self.assertAlmostEqual(0.1, loan.part)
+            self.assertEqual(0.0, lender.find_part())
+            await trio.sleep(rights.LENT_S + 0.5)
+            self.assertAlmostEqual(0.1, lender.find_part())
+            self.assertAlmostEqual(0.15, _sum_spans(lender))
+
+        self.run_clocked(scenario)
+
+    def test_a_loan_ends_counted_from_the_report_that_it_names(self) -> None:
+        async def scenario() -> None:
+            hub = allowance_fleet.build_rights(0.0)
+            lender = allowance_fleet.build_rights(0.1)
+            reported_at = trio.current_time()
+            await trio.sleep(0.5)
+            loan = lender.lend("hub.1", 7)
+            # However late it comes, it ends before the lender mints again.
+            await trio.sleep(0.8)
+            hub.borrow("entry-1", "entry-1.1", loan, reported_at)
+            self.assertAlmostEqual(0.1, hub.find_part())
+            await trio.sleep(5.0)
+            left_s = rights.LENT_S - 0.5 - 0.8
+            self.assertAlmostEqual(0.1 * left_s, _sum_spans(hub))
+            self.assertEqual(0.0, hub.find_part())
+
+        self.run_clocked(scenario)
+
+    def test_a_loan_that_was_too_long_on_its_way_is_nothing(self) -> None:
+        async def scenario() -> None:
+            hub = allowance_fleet.build_rights(0.0)
+            lender = allowance_fleet.build_rights(0.1)
+            reported_at = trio.current_time()
+            loan = lender.lend("hub.1", 7)
+            await trio.sleep(rights.LENT_S + 0.1)
+            hub.borrow("entry-1", "entry-1.1", loan, reported_at)
+            self.assertEqual(0.0, hub.find_part())
+
+        self.run_clocked(scenario)
+
+    def test_another_hub_has_to_wait_until_the_first_ones_loan_is_over(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            lender = allowance_fleet.build_rights(0.1)
+            first = allowance_fleet.build_rights(0.0)
+            second = allowance_fleet.build_rights(0.0)
+            now = trio.current_time()
+            first.borrow("e", "e.1", lender.lend("hub.1", 1), now)
+            await trio.sleep(0.6)
+            now = trio.current_time()
+            for _ in range(4):
+                loan = lender.lend("hub.2", 3)
+                second.borrow("e", "e.1", loan, trio.current_time())
+                total = sum(one.find_part() for one in (lender, first, second))
+                self.assertAlmostEqual(0.1, total)
+                await trio.sleep(0.5)
+            self.assertEqual(0.0, first.find_part())
+            self.assertAlmostEqual(0.1, second.find_part())
+
+        self.run_clocked(scenario)
+
+    def test_a_new_process_ends_what_the_one_before_had_lent(self) -> None:
+        async def scenario() -> None:
+            hub = allowance_fleet.build_rights(0.0)
+            lender = allowance_fleet.build_rights(0.1)
+            now = trio.current_time()
+            loan = lender.lend("hub.1", 1)
+            hub.borrow("e", "e.1", loan, now)
+            await trio.sleep(0.5)
+            hub.end_loans_of_others("e", "e.2")
+            self.assertEqual(0.0, hub.find_part())
+            # A message of the process before that comes only now.
+            hub.borrow("e", "e.1", loan, trio.current_time())
+            self.assertEqual(0.0, hub.find_part())
+            self.assertAlmostEqual(0.05, _sum_spans(hub))
+
+        self.run_clocked(scenario)
+
+    def test_a_new_process_waits_until_loans_of_the_last_one_are_over(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            sole_since = [math.inf]
+            own = rights.OwnPart(0.1, -math.inf)
+            one = rights.MintRights(
+                lambda: own, _WINDOW_S, lambda: sole_since[0]
+            )
+            await trio.sleep(0.4)
+            self.assertEqual(0.0, one.find_part())
+            self.assertIsNone(one.lend("hub.1", 1))
+            sole_since[0] = trio.current_time()
+            await trio.sleep(0.1)
+            self.assertAlmostEqual(0.1, one.find_part())
+            self.assertAlmostEqual(0.01, _sum_spans(one))
+            other = rights.MintRights(lambda: own, _WINDOW_S, lambda: math.inf)
+            await trio.sleep(rights.LENT_S + 0.1)
+            self.assertAlmostEqual(0.1, other.find_part())
+
+        self.run_clocked(scenario)
+
+    def test_a_hub_owes_on_parts_that_it_has_had_for_a_window(self) -> None:
+        async def scenario() -> None:
+            hub = allowance_fleet.build_rights(0.2)
+            lender = allowance_fleet.build_rights(0.1)
+            while trio.current_time() < 0.9 * _WINDOW_S:
+                now = trio.current_time()
+                hub.borrow("e", "e.1", lender.lend("hub.1", 1), now)
+                await trio.sleep(0.5)
+            held, fresh = hub.find_part_to_owe()
+            self.assertEqual((0.0, 0.2), (held, fresh))
+            for _ in range(4):
+                now = trio.current_time()
+                hub.borrow("e", "e.1", lender.lend("hub.1", 1), now)
+                await trio.sleep(0.5)
+            held, fresh = hub.find_part_to_owe()
+            self.assertAlmostEqual(0.3, held)
+            self.assertEqual(0.0, fresh)
+            # The lender itself does not: the hub may.
+            self.assertEqual((0.0, 0.0), lender.find_part_to_owe())
+
+        self.run_clocked(scenario)
+
+    def test_a_larger_loan_of_before_is_told_while_it_is_good(self) -> None:
+        async def scenario() -> None:
+            parts = [0.2]
+            one = rights.MintRights(
+                lambda: rights.OwnPart(parts[0], -math.inf), _WINDOW_S
+            )
+            one.lend("hub.1", 1)
+            parts[0] = 0.1
+            self.assertFalse(one.has_lent_more())
+            await trio.sleep(0.5)
+            self.assertAlmostEqual(0.1, one.lend("hub.1", 2).part)
+            self.assertTrue(one.has_lent_more())
+            await trio.sleep(rights.LENT_S)
+            self.assertFalse(one.has_lent_more())
+
+        self.run_clocked(scenario)
+
+    def test_time_is_counted_as_it_was_after_a_long_stop(self) -> None:
+        async def scenario() -> None:
+            hub = allowance_fleet.build_rights(0.0)
+            lender = allowance_fleet.build_rights(0.1)
+            await trio.sleep(1.0)
+            start = trio.current_time()
+            hub.borrow("e", "e.1", lender.lend("hub.1", 1), start)
+            await trio.sleep(6.0)
+            hub.advance()
+            spans = list(hub.list_spans(0.0))
+            self.assertEqual(1, len(spans))
+            self.assertAlmostEqual(start, spans[0].start)
+            self.assertAlmostEqual(start + rights.LENT_S, spans[0].end)
+
+        self.run_clocked(scenario)
