Wait for units where parts are yet to be lent, in place of refusing

Change: a question that nobody answers is put again for up to 1.5 s, and two fifths of the time left; a keeper that has under 0.8 of its zone's parts passes on what it cannot grant, and has its own callers wait, for 2.5 s at the most. Ruled out: late grants (took_ms is the whole limit each time) and a rule that refuses late callers (it holds only while more is asked for now).

--- a/packages/daemon/src/martenquay_daemon/allowances/gate.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/gate.py
@@ -9,6 +9,8 @@
 from martenquay_daemon.allowances import terms
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from martenquay_core.serving import catalog
     from martenquay_daemon.allowances import escrow
 
@@ -17,6 +19,8 @@
 # For so long a request waits for units that other daemons have: a message there
 # and one back, each sent within 40 ms.
 _WAIT_S = 0.2
+# Between two looks whether parts have come.
+_LOOK_S = 0.05
 
 
 class Keepers(Protocol):
@@ -34,10 +38,20 @@
         """Have one daemon decide that has units; None if it says nothing."""
 
 
+def _lack_none() -> bool:
+    return False
+
+
 class AllowanceGate:
-    """Decide by the units here, or have those decide that keep them."""
+    """Decide by the units here, or have those decide that keep them.
+
+    Attributes:
+        lacks_parts: Tells whether parts that this daemon is to keep have not
+            been lent to it yet; then what is here says little.
+    """
 
     def __init__(self, units: escrow.EscrowLedger, keepers: Keepers) -> None:
+        self.lacks_parts: Callable[[], bool] = _lack_none
         self._units = units
         self._keepers = keepers
 
@@ -49,7 +63,7 @@
             answer = await self._keepers.ask(team.name, wish)
             if answer is not None:
                 return answer
-        verdict = self._units.take(team, wish)
+        verdict = await self._take_here(team, wish)
         match verdict:
             case terms.Elsewhere(holder=holder) if holder:
                 answer = await self._keepers.ask_at(holder, team.name, wish)
@@ -57,6 +71,24 @@
                     return answer
         return await self.settle(team, wish, verdict, _WAIT_S)
 
+    async def _take_here(
+        self, team: catalog.Team, wish: terms.Wish
+    ) -> terms.Verdict:
+        """Return the verdict of the units here, once there can be some.
+
+        When all daemons have started, callers that were cut off come back
+        within the second in which parts are lent. Refused then, they mostly
+        gave up; a second later there was enough for all.
+        """
+        end = trio.current_time() + wish.patience_s
+        verdict = self._units.take(team, wish)
+        while isinstance(verdict, terms.Refused) and self.lacks_parts():
+            if trio.current_time() >= end:
+                break
+            await trio.sleep(_LOOK_S)
+            verdict = self._units.take(team, wish, is_again=True)
+        return verdict
+
     async def settle(
         self,
         team: catalog.Team,
--- a/packages/daemon/src/martenquay_daemon/fleet/roster.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/roster.py
@@ -109,6 +109,13 @@
         ]
         return min([own_end, *others])
 
+    def find_zone_part(self, zone: str) -> float:
+        """Return the part of a zone's listed instances together."""
+        if not self._listed:
+            return 0.0
+        count = sum(self._zones[one] == zone for one in self._listed)
+        return count / len(self._listed)
+
     def forget_times(self) -> None:
         """Count silence from now on: others could not be heard until now."""
         now = trio.current_time()
--- a/packages/daemon/src/martenquay_daemon/fleet/unit_desk.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/unit_desk.py
@@ -34,9 +34,6 @@
 _LINK_S = 0.01
 # What a caller is told whose request has waited for units in vain.
 _NO_UNITS_S = 0.5
-# How often a question is put when nobody answers: for 0.6 s in all, in which a
-# keeper that has started, or one's successor, has a part.
-_ROUNDS = 3
 # Of that, a keeper may wait for units of other keepers.
 KEEPER_WAIT_S = 0.12
 # So many are asked at the most, both hubs of the zone and two others; more
@@ -134,14 +131,14 @@
         """Return a keeper's answer, or None if none comes in time.
 
         While all daemons take in a large configuration, or start, keepers
-        answer late; then the question is put again.
+        answer late or have no parts yet; then the question is put again.
         """
-        for _ in range(_ROUNDS):
+        end = trio.current_time() + wish.patience_s
+        while True:
             keepers = await self._find_keepers()
             answer = await self._ask_once(team, wish, keepers)
-            if answer is not None:
+            if answer is not None or trio.current_time() >= end:
                 return answer
-        return None
 
     async def ask_at(
         self, address: str, team: str, wish: terms.Wish
--- a/packages/daemon/src/martenquay_daemon/fleet/unit_news.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/unit_news.py
@@ -5,6 +5,8 @@
 import math
 from typing import TYPE_CHECKING
 
+import trio
+
 from martenquay_daemon.allowances import escrow, rights, sharing, terms
 from martenquay_daemon.fleet import messages, send_times, unit_desk
 
@@ -19,6 +21,10 @@
 
 _Verdict = messages.UnitsVerdict
 _MS = 1000
+# Some of a zone's daemons may be gone, or lend to another hub.
+_MOST_PARTS = 0.8
+# The others lend within this time of a common start, or of a keeper's loss.
+_LENT_WITHIN_S = 2.5
 
 
 class UnitNews:
@@ -27,6 +33,7 @@
     def __init__(
         self,
         member: str,
+        zone: str,
         store: catalog_store.CatalogStore,
         units: escrow.EscrowLedger,
         decider: gate.AllowanceGate,
@@ -35,6 +42,7 @@
         fleet_links: links.FleetLinks,
     ) -> None:
         self._member = member
+        self._zone = zone
         self._store = store
         self._units = units
         self._gate = decider
@@ -44,6 +52,7 @@
         self._number = 0
         self._told = send_times.SendTimes()
         self._told_end = 0
+        self._lacking_since = math.inf
 
     def create_note(self) -> messages.UnitsNote:
         """Return what to tell others that keep units."""
@@ -125,6 +134,22 @@
         )
         mint_rights.borrow(digest.instance, digest.member, loan, reported_at)
 
+    def lacks_parts(self) -> bool:
+        """Tell whether this daemon has yet to be lent most of its zone's parts.
+
+        So it is for a second after all have started, and after the keeper
+        before this one was lost.
+        """
+        expected = self._roster.find_zone_part(self._zone)
+        has_most = self._units.rights.find_part() >= _MOST_PARTS * expected
+        now = trio.current_time()
+        if self._links.is_mesh() or has_most:
+            self._lacking_since = math.inf
+            return False
+        self._lacking_since = min(self._lacking_since, now)
+        # Those that have not lent by then are gone for longer.
+        return now - self._lacking_since < _LENT_WITHIN_S
+
     def find_members_end(self) -> int:
         """Return how far this daemon goes by who announced themselves.
 
@@ -150,13 +175,17 @@
         """
         teams = self._store.table.catalog.teams
         team = next((one for one in teams if one.name == want.team), None)
+        passed = messages.UnitsReply(want.number, _Verdict.PASSED)
         if team is None or self._units.rights.find_part() <= 0:
-            reply(messages.UnitsReply(want.number, _Verdict.PASSED))
+            reply(passed)
             return
         wish = terms.Wish(want.units, want.reserve, want.is_late)
         # Demand is counted where callers come from, not where units are.
         verdict = self._units.take(team, wish, is_again=want.is_redirected)
         match verdict:
+            case terms.Refused() if self.lacks_parts():
+                reply(passed)
+                return
             case terms.Elsewhere() if want.is_redirected:
                 verdict = terms.Refused()
             case terms.Elsewhere(holder=holder) if holder:
--- a/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
@@ -40,6 +40,10 @@
 # Long waits were expected up to so many times longer than they came (p95 of the
 # worst 4 s: 1.7 s expected, 1.2 s real).
 _ESTIMATE_OFF = 1.5
+# Parts of allowances are lent, and lent anew, within this time; and then there
+# has to be time for the answer.
+_PATIENCE_S = 1.5
+_PATIENT_PART = 0.4
 # Connections that do not come up are no attempts, but end somewhere.
 _MAX_UNSENT = 4
 _SERVER_ERROR = 500
@@ -155,6 +159,7 @@
             current.units,
             self._find_reserve(current),
             current.tried_s > current.route.target_s > 0,
+            _find_patience(current),
         )
         answer = await self._parts.allowances.take(team, wish)
         if answer.is_admitted:
@@ -399,6 +404,12 @@
         )
 
 
+def _find_patience(current: exchange.Exchange) -> float:
+    """Return how long to wait where nothing is known of a team's units."""
+    left_s = current.deadline - trio.current_time()
+    return min(_PATIENCE_S, _PATIENT_PART * left_s)
+
+
 def _find_lateness(
     current: exchange.Exchange, placement: placer.Placement
 ) -> float:
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -393,6 +393,7 @@
         self._gate = gate.create_gate(self._units, self.links.desk)
         self._unit_news = unit_news.UnitNews(
             self.member,
+            self._settings.zone,
             self._store,
             self._units,
             self._gate,
@@ -401,6 +402,8 @@
             self.links,
         )
 
+        self._gate.lacks_parts = self._unit_news.lacks_parts
+
     def _build_forwarding(self) -> None:
         bounds = self._settings.bounds
         self._loads = loads.LoadLedger()
--- a/tests/test_allowances/test_escrow.py
+++ b/tests/test_allowances/test_escrow.py
@@ -270,6 +270,40 @@
 
         self.run_clocked(scenario)
 
+    def test_a_keeper_waits_for_parts_that_are_yet_to_be_lent(self) -> None:
+        async def scenario() -> None:
+            parts = [0.0]
+            mint_rights = rights.MintRights(
+                lambda: rights.OwnPart(parts[0], -math.inf), _BOUNDS.window_s
+            )
+            units = escrow.create_escrow(_BOUNDS, mint_rights, lambda: None)
+            units.refill([_TEAM])
+            one = self._build(units)
+            one.lacks_parts = lambda: parts[0] == 0.0
+            answers: list[terms.Answer] = []
+
+            async def ask() -> None:
+                wish = terms.Wish(500.0, patience_s=1.0)
+                answers.append(await one.take(_TEAM, wish))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                await trio.sleep(0.4)
+                self.assertEqual([], answers)
+                parts[0] = 1.0
+                await trio.sleep(0.2)
+            self.assertTrue(answers[0].is_admitted)
+            # It is not held for longer than it may wait.
+            parts[0] = 0.0
+            units.take(_TEAM, terms.Wish(10 * _RATE))
+            started = trio.current_time()
+            wish = terms.Wish(9 * _RATE, patience_s=0.3)
+            answer = await one.take(_TEAM, wish)
+            self.assertFalse(answer.is_admitted)
+            self.assertLess(trio.current_time() - started, 0.4)
+
+        self.run_clocked(scenario)
+
     def test_what_is_here_decides_when_no_keeper_answers(self) -> None:
         async def scenario() -> None:
             units = allowance_fleet.build_escrow()
--- a/tests/test_fleet/test_roster.py
+++ b/tests/test_fleet/test_roster.py
@@ -34,6 +34,31 @@
 
 
 class RosterTest(clocked.ClockedTestCase):
+    @_in_trio
+    def test_a_zones_part_is_that_of_its_listed_instances(self) -> None:
+        one = roster.Roster("a")
+        self.assertEqual(0.0, one.find_zone_part("x"))
+        for offset, (name, zone) in enumerate(["ax", "bx", "cy"]):
+            one.note_listed(name, offset, is_counted=True, zone=zone)
+        self.assertAlmostEqual(2 / 3, one.find_zone_part("x"))
+
+    @_in_trio
+    def test_a_zones_told_end_stands_for_each_of_its_daemons(self) -> None:
+        one = roster.Roster("a")
+        for offset, (name, zone) in enumerate(["by", "cy", "ax"]):
+            one.note_listed(name, offset, is_counted=name != "a", zone=zone)
+        self.assertEqual(0.0, one.find_part())
+        one.note_zone_told("y", 2)
+        self.assertEqual(0.0, one.find_part())
+        one.note_zone_told("y", 3)
+        self.assertAlmostEqual(1 / 3, one.find_part())
+        # A hub tells the least of what its zone's daemons have told.
+        self.assertEqual(0, one.find_zone_end("y", 3))
+        one.note_told("b", 3)
+        one.note_told("c", 2)
+        self.assertEqual(2, one.find_zone_end("y", 3))
+        self.assertEqual(3, one.find_zone_end("x", 3))
+
     @_in_trio
     def test_a_daemon_has_no_part_before_it_has_read_its_own_announcement(
         self,
--- a/tests/zone_fleet.py
+++ b/tests/zone_fleet.py
@@ -105,6 +105,10 @@
 class _Links:
     """What `UnitNews` asks of a daemon's links."""
 
+    def is_mesh(self) -> bool:
+        """Tell that the fleet is large."""
+        return False
+
     def __init__(self, zone: zone_mode.ZoneMode, address: str) -> None:
         self.address = address
         self.find_keeper = zone.find_keeper
@@ -182,6 +186,7 @@
         self.units.refill([allowance_fleet.TEAM])
         self._news = unit_news.UnitNews(
             self._member,
+            place.zone,
             store,
             self.units,
             gate.create_gate(self.units, allowance_fleet.OwnKeeper()),
