--- a/packages/daemon/src/martenquay_daemon/fleet/unit_desk.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/unit_desk.py
@@ -28,14 +28,14 @@
 # A grant that comes later is not used: its units would reach a runner later
 # than the bound's reckoning allows for.
 _LONGEST_S = 0.2
+# Of that, a keeper may wait for units of other keepers.
+KEEPER_WAIT_S = 0.12
 # By so much a timer may be late on a busy instance.
 _LATE_S = 0.03
 # A new link comes up within 5 to 20 ms.
 _LINK_S = 0.01
 # What a caller is told whose request has waited for units in vain.
 _NO_UNITS_S = 0.5
-# Of that, a keeper may wait for units of other keepers.
-KEEPER_WAIT_S = 0.12
 # So many are asked at the most, both hubs of the zone and two others; more
 # cost units, for each may grant some.
 _MOST_ASKED = 4
@@ -43,6 +43,7 @@
 _DOUBTED_S = 1.0
 # A daemon that has just started hears of its zone's keepers within this time.
 _FIRST_KEEPER_S = 0.3
+# Between two looks for the first one.
 _LOOK_S = 0.03
 
 
