--- a/packages/daemon/src/martenquay_daemon/engines/placer.py
+++ b/packages/daemon/src/martenquay_daemon/engines/placer.py
@@ -19,9 +19,8 @@
 __all__ = ["Placement", "Placer", "PlacerWeights"]
 
 
-# Up to so many runners, each is looked at for each request. With 9, only four
-# of the twelve engines of a small fleet were, and a day was worth 0.008 less
-# (mean of five days).
+# Up to so many runners, each is looked at for each request: with fewer, a
+# request misses engines that are free.
 _LOOK_AT_ALL = 24
 # Else so many homes of the prompt, and so many others at random.
 _HOMES = 2
@@ -29,8 +28,7 @@
 # A first event that is expected within this part of its target is on time for
 # all that the estimate may be off; then the runner that has the prompt's
 # shared parts is chosen though another would be sooner. Engines read 14 to
-# 20% less again of what they had read before (five days, each with and
-# without).
+# 20% fewer prompt tokens a second time (measured with and without it).
 _CALM_PART = 0.4
 # So many runners of a plain service, chosen at random, are looked at while
 # loads are told through hubs, up to a second late. Many calls end meanwhile,
