--- a/packages/standins/src/martenquay_standins/ports/runner.py
+++ b/packages/standins/src/martenquay_standins/ports/runner.py
@@ -12,6 +12,8 @@
 
 _RECEIVE_BYTES = 65_536
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# What a runner may have said before it ends.
+_BEGUN = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -36,6 +38,11 @@
 class ScriptedRunner:
     """A runner on loopback.
 
+    Args:
+        scripts: What each connection is answered; the last one again and again.
+        lethal: A request that holds this, once it has begun to run, ends the
+            runner with all that runs there; empty for none.
+
     Attributes:
         address: Host and port.
         requests: What each connection has sent.
@@ -44,7 +51,7 @@
         has_ended: It takes no more connections.
     """
 
-    def __init__(self, scripts: list[Script]) -> None:
+    def __init__(self, scripts: list[Script], lethal: bytes = b"") -> None:
         self.address = ""
         self.requests: list[bytes] = []
         self.heard = trio.Event()
@@ -52,6 +59,8 @@
         self.has_ended = False
         self._holds: set[trio.CancelScope] = set()
         self._scripts = scripts
+        self._lethal = lethal
+        self._open: set[trio.SocketStream] = set()
         self._listening = trio.CancelScope()
 
     def stop_listening(self) -> None:
@@ -59,6 +68,12 @@
         self.has_ended = True
         self._listening.cancel()
 
+    async def crash(self) -> None:
+        """End as a process does: nobody listens, all connections reset."""
+        self.stop_listening()
+        for stream in list(self._open):
+            await _reset(stream)
+
     def break_off(self) -> None:
         """Close the connections that are held."""
         for hold in self._holds:
@@ -79,6 +94,16 @@
                 )
 
     async def _serve(self, stream: trio.SocketStream) -> None:
+        self._open.add(stream)
+        try:
+            await self._answer(stream)
+        except trio.ClosedResourceError:
+            # The runner has ended under it.
+            self.closed.set()
+        finally:
+            self._open.discard(stream)
+
+    async def _answer(self, stream: trio.SocketStream) -> None:
         number = len(self.requests)
         self.requests.append(b"")
         script = self._scripts[min(number, len(self._scripts) - 1)]
@@ -90,6 +115,10 @@
                 self.requests[number] += data
             if script.reads_all:
                 self.heard.set()
+            if self._lethal and self._lethal in self.requests[number]:
+                await stream.send_all(_BEGUN)
+                await self.crash()
+                return
             *first, last = script.pieces or (b"",)
             for piece in first:
                 await stream.send_all(piece)
@@ -103,9 +132,7 @@
             if self.requests[number]:
                 self.closed.set()
         if script.is_reset:
-            stream.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-            )
+            await _reset(stream)
         await trio.aclose_forcefully(stream)
 
     async def _hold(self, stream: trio.SocketStream) -> None:
@@ -116,3 +143,8 @@
                 pass
             self.closed.set()
         self._holds.discard(hold)
+
+
+async def _reset(stream: trio.SocketStream) -> None:
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    await trio.aclose_forcefully(stream)
--- /dev/null
+++ b/tests/crash_fleet.py
@@ -0,0 +1,91 @@
+"""Run several daemons with one log before runners that a request crashes."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING
+
+import trio
+
+from martenquay_core.serving import catalog
+from martenquay_standins.ports import log
+from martenquay_standins.ports import runner as scripted
+from tests import serving_builders as builders
+from tests import serving_scene
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+__all__ = ["HARMLESS", "LETHAL", "CrashFleet", "build_request", "open_fleet"]
+
+LETHAL = b"/lookup/lethal"
+HARMLESS = b"/lookup/7"
+_EVENT = b"id: 1\ndata: x\n\n"
+_STREAM = scripted.Script(
+    (
+        b"HTTP/1.1 200 OK\r\nserver-seal: s1\r\n"
+        b"transfer-encoding: chunked\r\n\r\n",
+        b"%x\r\n%s\r\n0\r\n\r\n" % (len(_EVENT), _EVENT),
+    )
+)
+
+
+def build_request(path: bytes, number: int = 0) -> bytes:
+    """Return a request; the number tells one try of it from the next."""
+    return (
+        b"POST %s HTTP/1.1\r\nhost: desk.example\r\nattempt-id: call-%d\r\n"
+        b"deadline-ms: 5000\r\ncontent-length: 5\r\n\r\nhello" % (path, number)
+    )
+
+
+class CrashFleet:
+    """Daemons that share a log and runners, and nothing else.
+
+    Attributes:
+        log: The platform's log.
+        runners: All runners; they do not come back.
+        daemons: Those that were started.
+    """
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self.log = log.MemoryLog()
+        self.runners: list[scripted.ScriptedRunner] = []
+        self.daemons: list[serving_scene.Scene] = []
+        self._nursery = nursery
+
+    def count_ended(self) -> int:
+        """Return how many runners have ended."""
+        return sum(runner.has_ended for runner in self.runners)
+
+    async def add_runner(self) -> None:
+        """Start a runner; daemons that are started later know it."""
+        runner = scripted.ScriptedRunner([_STREAM], LETHAL)
+        await self._nursery.start(runner.run)
+        self.runners.append(runner)
+
+    async def start_daemon(self) -> serving_scene.Scene:
+        """Start a daemon that knows nothing but what the log says."""
+        route = builders.build_route(
+            kind=catalog.CallKind.STREAM, is_resumable=True, max_attempts=2
+        )
+        content = builders.build_catalog(routes=(route,))
+        scene = serving_scene.Scene(content, self.log)
+        scene.runners = self.runners
+        for runner in self.runners:
+            scene.add_runner(runner.address)
+        await self._nursery.start(scene.run)
+        self.daemons.append(scene)
+        return scene
+
+
+@contextlib.asynccontextmanager
+async def open_fleet(daemons: int, runners: int) -> AsyncIterator[CrashFleet]:
+    """Run so many daemons before so many runners."""
+    async with trio.open_nursery() as nursery:
+        fleet = CrashFleet(nursery)
+        for _ in range(runners):
+            await fleet.add_runner()
+        for _ in range(daemons):
+            await fleet.start_daemon()
+        yield fleet
+        nursery.cancel_scope.cancel()
--- a/tests/serving_scene.py
+++ b/tests/serving_scene.py
@@ -81,7 +81,11 @@
         hurries: How often others were to be told soon.
     """
 
-    def __init__(self, content: catalog.Catalog) -> None:
+    def __init__(
+        self,
+        content: catalog.Catalog,
+        platform_log: log.MemoryLog | None = None,
+    ) -> None:
         records = builders.FakeRecords()
         records.catalogs[b"catalog"] = content
         self._records = records
@@ -89,7 +93,7 @@
         self.store.offer(b"catalog", "the test")
         log_contact = contact.LogContact()
         self.directory = runner_directory.RunnerDirectory(records, log_contact)
-        self.log = log.MemoryLog()
+        self.log = platform_log or log.MemoryLog()
         self.follower = keyed_follower.KeyedFollower(
             self.log,
             log_contact,
@@ -169,6 +173,15 @@
     def _note_hurry(self) -> None:
         self.hurries += 1
 
+    async def run(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.entries.run)
+            self.address = await nursery.start(self.listener.run)
+            task_status.started()
+
     def add_runner(self, address: str, **changes: Any) -> None:
         """Make a runner known."""
         number = len(self._records.runners)
@@ -217,8 +230,7 @@
             await nursery.start(runner.run)
             scene.runners.append(runner)
             scene.add_runner(runner.address)
-        nursery.start_soon(scene.entries.run)
-        scene.address = await nursery.start(scene.listener.run)
+        await nursery.start(scene.run)
         yield scene
         nursery.cancel_scope.cancel()
 
