Have the soak's callers send a request that crashes runners

Cause: no trouble of the soak ended runners by what they were sent, so nothing judged how daemons tell each other of it.

--- a/bench/platform_mutations.py
+++ b/bench/platform_mutations.py
@@ -258,4 +258,25 @@
         "_PIECE_S = 3600.0",
         "tests.test_forwarding.test_caller_connection",
     ),
+    Mutation(
+        "the third crash is the last",
+        f"{DAEMON}/quarantine/strikes.py",
+        "MOST_STRIKES = 3",
+        "MOST_STRIKES = 99",
+        "tests.test_promises.test_crashing_request",
+    ),
+    Mutation(
+        "only a runner that is gone strikes",
+        f"{DAEMON}/quarantine/evidence.py",
+        "            return False\n",
+        "            return True\n",
+        "tests.test_quarantine.test_evidence",
+    ),
+    Mutation(
+        "an answer takes strikes back",
+        f"{DAEMON}/forwarding/content_guard.py",
+        "if current.strikes_seen:",
+        "if False:",
+        "tests.test_forwarding.test_content_guard",
+    ),
 )
--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -11,7 +11,7 @@
 from absl import app, flags
 
 from bench import figures
-from martenquay_platform_standins import soak
+from martenquay_platform_standins import history, soak
 from martenquay_platform_standins.history import CallKind
 
 _FIRST = flags.DEFINE_integer("first_seed", 1, "The first seed.")
@@ -19,8 +19,13 @@
 _FAULTS = flags.DEFINE_integer("faults", 24, "Faults a seed.")
 _SERIES = flags.DEFINE_integer("series", 8, "Planned series a seed.")
 _DAEMONS = flags.DEFINE_integer("daemons", 6, "Daemons.")
+_LETHAL = flags.DEFINE_integer("lethal", 1, "Callers that crash runners.")
 _RUNNERS = flags.DEFINE_integer("runners", 3, "Runners of each service.")
 
+# The verdict on a request that crashes runners is known 3 s after the third
+# crash; several sends have to come after that.
+_CALM_S = 10.0
+
 
 def main(argv: list[str]) -> int:
     """Run the seeds one after the other; return 1 if any breaks a promise."""
@@ -34,6 +39,8 @@
             series=_SERIES.value,
             daemons=_DAEMONS.value,
             runners=_RUNNERS.value,
+            lethal=_LETHAL.value,
+            calm_s=_CALM_S if _LETHAL.value else 0.0,
         )
         report = trio.run(soak.run_soak, plan)
         for breach in report.breaches:
@@ -41,7 +48,7 @@
         broken += len(report.breaches)
         rows.append(_describe(seed, report))
     kinds = [str(kind) for kind in CallKind]
-    heads = ["seed", "faults", *kinds, "runs", "duties", "breaches"]
+    heads = ["seed", "faults", *kinds, "crashes", "runs", "duties", "breaches"]
     figures.print_table(heads, rows)
     return 1 if broken else 0
 
@@ -58,6 +65,7 @@
         str(seed),
         str(len(seen.disturbances)),
         *(f"{good[kind]}/{asked[kind]}" for kind in CallKind),
+        str(sum(r.path == history.LETHAL_PATH for r in seen.runs)),
         str(len(seen.runs)),
         str(len(seen.duties)),
         str(len(report.breaches)),
--- a/packages/standins/src/martenquay_standins/chaos/programs.py
+++ b/packages/standins/src/martenquay_standins/chaos/programs.py
@@ -39,12 +39,14 @@
         started_at: When it was started, by the steady clock.
         signals: The signals that it was sent, and how long after its start.
         lines: The last lines that it printed, and how long after its start.
+        address: Where it listens; empty until it has told.
     """
 
     def __init__(self, name: str, process: trio.Process) -> None:
         self.name = name
         self.process = process
         self.errors = b""
+        self.address = ""
         self.is_expected_to_end = False
         self.signals: list[str] = []
         self.lines: collections.deque[str] = collections.deque(
--- a/packages/standins/src/martenquay_standins/chaos/proxy.py
+++ b/packages/standins/src/martenquay_standins/chaos/proxy.py
@@ -66,6 +66,7 @@
         self._faults = ProxyFaults()
         self._changed = trio.Event()
         self._open: set[_Passage] = set()
+        self._listening = trio.CancelScope()
 
     async def run(
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -75,7 +76,15 @@
         host, port = listeners[0].socket.getsockname()[:2]
         self.address = f"{host}:{port}"
         task_status.started()
-        await trio.serve_listeners(self._forward, listeners)
+        async with trio.open_nursery() as nursery:
+            with self._listening:
+                await trio.serve_listeners(
+                    self._forward, listeners, handler_nursery=nursery
+                )
+
+    def stop_listening(self) -> None:
+        """Refuse new connections from now on; open ones go on."""
+        self._listening.cancel()
 
     def set_faults(self, faults: ProxyFaults) -> None:
         """Change what goes wrong."""
--- a/tests/test_platform/test_soak_judge.py
+++ b/tests/test_platform/test_soak_judge.py
@@ -93,6 +93,46 @@
             [breach.partition(" after")[0] for breach in found],
         )
 
+    def test_few_runs_after_three_crashes_pass(self) -> None:
+        self.assertEqual([], self._judge_lethal([1.0, 1.2, 1.4, 1.6, 9.0]))
+
+    def test_a_request_that_goes_on_crashing_runners_is_a_breach(self) -> None:
+        found = self._judge_lethal([1.0, 1.2, 1.4, 9.0, 10.0, 11.0, 12.0])
+        self.assertEqual(1, len(found))
+
+    def test_daemons_in_a_fault_need_not_know_it(self) -> None:
+        harm = history.Disturbance("cut platform", "entry-0", 8.0, 12.0)
+        times = [1.0, 1.2, 1.4, 9.0, 10.0, 11.0, 12.0]
+        self.assertEqual([], self._judge_lethal(times, harm))
+
+    def _judge_lethal(
+        self, times: list[float], *harms: history.Disturbance
+    ) -> list[str]:
+        seen = history.History()
+        seen.disturbances += harms
+        for number, at in enumerate(times):
+            call_id = f"call-{number}"
+            seen.calls[call_id] = _build_call(
+                call_id,
+                CallKind.NOTE,
+                path=history.LETHAL_PATH,
+                status=502,
+                sent_at=at,
+                ended_at=at + 0.1,
+            )
+            seen.runs.append(
+                history.Run(
+                    at,
+                    f"runner-{number}",
+                    call_id,
+                    history.LETHAL_PATH,
+                    "florists",
+                    0,
+                    resumed=False,
+                )
+            )
+        return judge.find_breaches(seen, _BOUNDS)
+
     def test_a_good_history_passes(self) -> None:
         self._add(_build_call("call-3", CallKind.BOOK, status=503, body=b""))
         self.seen.calls["call-3"].is_sealed = False
--- a/tests/test_promises/test_platform_soak.py
+++ b/tests/test_promises/test_platform_soak.py
@@ -5,7 +5,7 @@
 import testtools
 import trio
 
-from martenquay_platform_standins import soak
+from martenquay_platform_standins import history, soak
 from martenquay_platform_standins.history import CallKind
 
 _LIMIT_S = 240.0
@@ -13,13 +13,16 @@
 # on the cause; so far none has.
 _SEEDS = (1,)
 _FAULTS = 8
+_LETHAL_SEED = 2
+_CALM_S = 12.0
 
 
 class PlatformSoakTest(testtools.TestCase):
     def test_no_promise_is_broken(self) -> None:
         for seed in _SEEDS:
             with self.subTest(seed=seed):
-                report = trio.run(self._run, seed)
+                plan = soak.SoakPlan(seed, faults=_FAULTS)
+                report = trio.run(self._run, plan)
                 self.assertEqual([], report.breaches)
                 seen = report.history
                 for kind in CallKind:
@@ -31,6 +34,20 @@
                     self.assertNotEqual([], served)
                 self.assertNotEqual([], seen.duties)
 
-    async def _run(self, seed: int) -> soak.SoakReport:
+    def test_a_request_that_crashes_runners_ends_few_of_them(self) -> None:
+        plan = soak.SoakPlan(
+            _LETHAL_SEED, faults=_FAULTS, lethal=1, calm_s=_CALM_S
+        )
+        report = trio.run(self._run, plan)
+        self.assertEqual([], report.breaches)
+        lethal = [
+            run
+            for run in report.history.runs
+            if run.path == history.LETHAL_PATH
+        ]
+        # Fewer would show that the caller was not heard.
+        self.assertGreaterEqual(len(lethal), 3)
+
+    async def _run(self, plan: soak.SoakPlan) -> soak.SoakReport:
         with trio.fail_after(_LIMIT_S):
-            return await soak.run_soak(soak.SoakPlan(seed, faults=_FAULTS))
+            return await soak.run_soak(plan)
