Tell where a strike was found under a field of its own

Cause: the line's `source` is the instance that writes it, and hid whether a strike was found there or read. Found: with a new test of the line.

--- a/packages/daemon/src/martenquay_daemon/quarantine/desk.py
+++ b/packages/daemon/src/martenquay_daemon/quarantine/desk.py
@@ -81,7 +81,7 @@
         strike = strikes.Strike(content, seen + 1)
         if not self._table.add(strike):
             return
-        self._tell(strike, "found here", crash)
+        self._tell(strike, "this daemon", crash)
         self._write(strike, records.encode_crash(self._log, strike, crash))
 
     def note_answer(self, content: str) -> None:
@@ -175,7 +175,7 @@
     def _tell(
         self,
         strike: strikes.Strike,
-        source: str,
+        found_at: str,
         crash: records.Crash | None,
     ) -> None:
         hold_s = self._table.find_hold(strike.content)
@@ -184,7 +184,7 @@
             content=strike.content,
             strikes=self._table.count(strike.content),
             number=strike.number,
-            source=source,
+            found_at=found_at,
             runner=crash and crash.runner,
             route=crash and crash.route,
             kept_out_s=hold_s and round(hold_s),
--- a/tests/test_quarantine/test_desk.py
+++ b/tests/test_quarantine/test_desk.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from unittest import mock
+
 import trio
 
 from martenquay_daemon.discovery import contact, keyed_follower
@@ -157,6 +159,29 @@
 
         self.run_clocked(scenario)
 
+    def test_a_strike_is_told_with_all_that_it_rests_on(self) -> None:
+        async def scenario() -> None:
+            async with trio.open_nursery() as nursery:
+                finder, other = self._start(nursery), self._start(nursery)
+                await trio.sleep(1.0)
+                with mock.patch.object(desk, "_LOG") as lines:
+                    finder.note_crash("a", 0, _CRASH)
+                    await trio.sleep(1.0)
+                told = [call.kwargs for call in lines.write.call_args_list]
+                self.assertEqual(
+                    ["this daemon", "log offset 0"],
+                    [line["found_at"] for line in told],
+                )
+                for line in told:
+                    # It names the daemon in each line.
+                    self.assertNotIn("source", line)
+                    self.assertEqual("a", line["content"])
+                self.assertEqual("runner-1", told[0]["runner"])
+                self.assertFalse(other.is_empty)
+                nursery.cancel_scope.cancel()
+
+        self.run_clocked(scenario)
+
     def _strike_out(self, found: desk.QuarantineDesk, content: str) -> None:
         for number in range(3):
             found.note_crash(content, number, _CRASH)
