--- a/bench/capacity/roles.py
+++ b/bench/capacity/roles.py
@@ -8,7 +8,7 @@
 from martenquay_daemon.membership import links
 
 if TYPE_CHECKING:
-    from bench.capacity.slopes import Slope
+    from bench.capacity.measures import Slope
 
     pass
 
