--- a/bench/platform_mutations.py
+++ b/bench/platform_mutations.py
@@ -47,21 +47,21 @@
         f"{DAEMON}/forwarding/attempt.py",
         "                if event.id <= last:\n                    continue\n",
         "",
-        f"{_FORWARDER}.StreamTest",
+        f"{_FORWARDER}_streams.StreamTest",
     ),
     Mutation(
         "gaps between events break off",
         f"{DAEMON}/forwarding/attempt.py",
         "if event.id > last + 1:",
         "if False:",
-        f"{_FORWARDER}.StreamTest",
+        f"{_FORWARDER}_streams.StreamTest",
     ),
     Mutation(
         "resumption names the last event",
         f"{DAEMON}/forwarding/attempt.py",
         "resume_after=current.last_event,",
         "resume_after=None,",
-        f"{_FORWARDER}.StreamTest",
+        f"{_FORWARDER}_streams.StreamTest",
     ),
     Mutation(
         "a reset is not the end of an answer",
@@ -75,7 +75,7 @@
         f"{DAEMON}/forwarding/silence.py",
         "        if is_gone and connection.heard_at == heard_at:",
         "        if False:",
-        f"{_FORWARDER}.StreamTest",
+        f"{_FORWARDER}_streams.StreamTest",
     ),
     Mutation(
         "the caller's leaving ends the work",
--- /dev/null
+++ b/tests/test_forwarding/test_forwarder_streams.py
@@ -0,0 +1,242 @@
+"""A stream is whole, goes on elsewhere, or is seen to be cut."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import trio
+
+from martenquay_core.serving import catalog
+from martenquay_daemon.engines import loads, model
+from martenquay_standins.ports import runner as scripted
+from martenquay_standins.ports.runner import Script
+from tests import forwarder_case as case
+from tests import serving_builders as builders
+from tests import serving_scene
+
+
+def _stream(*events: bytes, end: bytes = b"0\r\n\r\n") -> bytes:
+    head = (
+        b"HTTP/1.1 200 OK\r\nattempt-id: call-1\r\nserver-seal: s1\r\n"
+        b"transfer-encoding: chunked\r\n\r\n"
+    )
+    chunks = [b"%x\r\n%s\r\n" % (len(e), e) for e in events]
+    return head + b"".join(chunks) + end
+
+
+def _event(number: int) -> bytes:
+    return b"id: %d\ndata: token %d\n\n" % (number, number)
+
+
+_CUT = b""
+
+
+class StreamTest(case.ForwarderTestCase):
+    kind = catalog.CallKind.STREAM
+
+    def _ask_stream(
+        self, *scripts: list[Script], is_resumable: bool = True
+    ) -> tuple[serving_scene.Reply, list[list[bytes]]]:
+        return self.ask_once(
+            *scripts, content=self.build_content(is_resumable=is_resumable)
+        )
+
+    def test_a_whole_stream_ends_whole(self) -> None:
+        script = Script((_stream(_event(1), _event(2)),))
+        reply, _ = self._ask_stream([script])
+        self.assertTrue(reply.is_whole)
+        self.assertEqual(_event(1) + _event(2), reply.body)
+
+    def test_a_broken_stream_goes_on_after_the_last_event(self) -> None:
+        first = Script((_stream(_event(1), _event(2)[:5], end=_CUT),))
+        rest = Script((_stream(_event(2), _event(3)),))
+        whole = _event(1) + _event(2) + _event(3)
+
+        async def scenario(scene: serving_scene.Scene) -> None:
+            reply = await scene.ask(case.CALL % (b"GET /lookup/7", 5000))
+            if not scene.runners[0].requests:
+                return
+            self.assertEqual(whole, reply.body)
+            self.assertTrue(reply.is_whole)
+            self.assertIn(b"last-event-id: 1", scene.runners[1].requests[0])
+
+        self.run_scene(
+            scenario,
+            [first],
+            [rest],
+            content=self.build_content(is_resumable=True),
+        )
+
+    def test_events_that_were_delivered_are_not_sent_again(self) -> None:
+        cut = Script((_stream(_event(1), _event(2), end=_CUT),))
+        again = Script((_stream(_event(1), _event(2), _event(3)),))
+        reply, _ = self._ask_stream([cut, again], [again, cut])
+        self.assertEqual(1, reply.body.count(b"token 2\n"))
+
+    def test_a_gap_between_events_is_never_passed_on(self) -> None:
+        gap = Script((_stream(_event(1), _event(3)),))
+        reply, _ = self._ask_stream([gap])
+        self.assertFalse(reply.is_whole)
+        self.assertNotIn(b"token 3", reply.body)
+
+    def test_a_stream_that_cannot_go_on_does_not_look_whole(self) -> None:
+        cut = Script((_stream(_event(1), end=_CUT),))
+        reply, sent = self._ask_stream([cut], [cut], is_resumable=False)
+        self.assertFalse(reply.is_whole)
+        self.assertEqual(1, sum(len(requests) for requests in sent))
+
+    def test_half_an_event_is_never_sent(self) -> None:
+        cut = Script((_stream(_event(1), _event(2)[:9], end=_CUT),))
+        reply, _ = self._ask_stream([cut], is_resumable=False)
+        self.assertEqual(_event(1), reply.body)
+
+    def test_a_stream_of_a_runner_that_is_gone_goes_on_elsewhere(self) -> None:
+        held = Script((_stream(_event(1), end=_CUT),), is_held=True)
+        rest = Script((_stream(_event(2), _event(3)),))
+
+        async def scenario(scene: serving_scene.Scene) -> None:
+            replies: list[serving_scene.Reply] = []
+
+            async def ask() -> None:
+                raw = case.CALL % (b"GET /lookup/7", 5000)
+                replies.append(await scene.ask(raw))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                while not scene.runners[0].requests:
+                    await trio.sleep(0.01)
+                scene.runners[0].stop_listening()
+                other = scripted.ScriptedRunner([rest])
+                await nursery.start(other.run)
+                scene.add_runner(other.address)
+                while not replies:
+                    await trio.sleep(0.01)
+                nursery.cancel_scope.cancel()
+            whole = _event(1) + _event(2) + _event(3)
+            self.assertEqual(whole, replies[0].body)
+            self.assertTrue(replies[0].is_whole)
+
+        self.run_scene(
+            scenario, [held], content=self.build_content(is_resumable=True)
+        )
+
+    def test_a_quiet_runner_that_takes_connections_is_waited_for(self) -> None:
+        held = Script((_stream(_event(1), end=_CUT),), is_held=True)
+
+        async def scenario(scene: serving_scene.Scene) -> None:
+            raw = case.CALL % (b"GET /lookup/7", 900)
+            reply = await scene.ask(raw)
+            self.assertEqual(_event(1), reply.body)
+            asked = [sent for sent in scene.runners[0].requests if sent]
+            self.assertEqual(1, len(asked))
+
+        self.run_scene(
+            scenario,
+            [held],
+            [held],
+            content=self.build_content(is_resumable=True),
+        )
+
+    def test_a_long_prompt_is_told_to_other_daemons_at_once(self) -> None:
+        engine = catalog.EngineTraits(24, 700_000)
+        services = {"desk": builders.build_service(engine=engine)}
+        content = dataclasses.replace(
+            self.build_content(is_resumable=True), services=services
+        )
+
+        async def count_hurries(scene: serving_scene.Scene, own: int) -> int:
+            prompt = b"prefix-hash: aa:500,bb:%d\r\n" % own
+            counts = b"token-counts: %d,80\r\n\r\n" % (500 + own)
+            call = (case.CALL % (b"GET /lookup/7", 5000))[:-2]
+            before = scene.hurries
+            # Whoever leaves at once may go before it is counted.
+            async with await scene.open_caller() as stream:
+                await stream.send_all(call + prompt + counts)
+                await serving_scene.read_reply(stream)
+                await trio.sleep(0.05)
+            return scene.hurries - before
+
+        async def scenario(scene: serving_scene.Scene) -> None:
+            self.assertEqual(0, await count_hurries(scene, 100))
+            self.assertEqual(1, await count_hurries(scene, 12_000))
+            counted = b'first_event_seconds_count{service="desk"} 2'
+            self.assertIn(counted, scene.parts.metrics.render())
+
+        script = Script((_stream(_event(1)),))
+        self.run_scene(scenario, [script, script], content=content)
+
+    def test_a_request_asks_for_capacity_once_however_often_it_is_tried(
+        self,
+    ) -> None:
+        engine = catalog.EngineTraits(24, 700_000)
+        services = {"desk": builders.build_service(engine=engine)}
+        content = dataclasses.replace(
+            self.build_content(is_resumable=True), services=services
+        )
+
+        async def scenario(scene: serving_scene.Scene) -> None:
+            scene.add_runner("127.0.0.1:1", id="gone-1")
+            scene.add_runner("127.0.0.1:2", id="gone-2")
+            prompt = b"prefix-hash: bb:8000\r\ntoken-counts: 8000,80\r\n\r\n"
+            # The two that are gone look better than the one that serves.
+            real = scene.directory.list_all("desk")[0].id
+            with scene.ledger.count(real, 90_000):
+                reply = await scene.ask(
+                    (case.CALL % (b"GET /lookup/7", 5000))[:-2] + prompt
+                )
+            self.assertEqual(_event(1), reply.body)
+            rate = scene.meter.list_rates()["desk"]
+            # 8,000 tokens over the meter's 8 s.
+            self.assertLess(rate, 1001.0)
+            self.assertGreater(rate, 900.0)
+
+        self.run_scene(
+            scenario, [Script((_stream(_event(1)),))], content=content
+        )
+
+    def test_what_cannot_begin_in_time_is_rejected_at_once(self) -> None:
+        engine = catalog.EngineTraits(24, 700_000)
+        services = {"desk": builders.build_service(engine=engine)}
+        content = dataclasses.replace(
+            self.build_content(is_resumable=True), services=services
+        )
+
+        async def scenario(scene: serving_scene.Scene) -> None:
+            real = scene.directory.list_all("desk")[0]
+            call = case.CALL % (b"GET /lookup/7", 1000)
+            for number in range(60):
+                own = 100 * number
+                result = model.FirstEvent(own, own, 0.05 + own / 50_000)
+                scene.estimates.note_first_event("desk", result)
+                scene.estimates.note_end("desk", 2.0)
+            # Each waits for the end of one before it: 30 of 6 slots' 2 s.
+            others = {real.id: loads.RunnerLoad(real.slots + 30)}
+            scene.ledger.replace_source("entry-2.aa", others)
+            started = trio.current_time()
+            reply = await scene.ask(call)
+            self.assertEqual(503, reply.status)
+            self.assertGreater(float(reply.headers[b"retry-after"]), 1.0)
+            self.assertLess(trio.current_time() - started, 0.5)
+            self.assertEqual([], scene.runners[0].requests)
+            scene.ledger.replace_source("entry-2.aa", {})
+            self.assertEqual(200, (await scene.ask(call)).status)
+
+        self.run_scene(
+            scenario, [Script((_stream(_event(1)),))], content=content
+        )
+
+    def test_usage_counts_a_stream_once_it_has_begun(self) -> None:
+        script = Script((_stream(_event(1)),))
+        team = builders.build_team()
+        route = builders.build_route(kind=self.kind)
+        content = builders.build_catalog(routes=(route,), teams=(team,))
+
+        async def scenario(scene: serving_scene.Scene) -> None:
+            raw = (
+                b"GET /lookup/7 HTTP/1.1\r\nhost: desk.example\r\n"
+                b"attempt-id: call-1\r\nauthorization: Token key-1\r\n\r\n"
+            )
+            await scene.ask(raw)
+            self.assertEqual({0: {"florists": 1}}, scene.usage.list_counts())
+
+        self.run_scene(scenario, [script], content=content)
