Read a runner's own limit in its answers, and say when it changes

Sight, before any mend: lines could not tell whether a limit is dropped at the border or kept by each daemon alone. An answer's limit is now decoded (what is no number of 0 or more tells nothing; of several the least counts), folded in the order in which requests were sent, and each change is a line with value, age and source and a counter. No decision goes by it yet. The daemons of test_gateway stand in a module of their own, for the test of the fault to use.

--- a/packages/core/src/martenquay_core/serving/calls.py
+++ b/packages/core/src/martenquay_core/serving/calls.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+from martenquay_core.serving import signals
+
 __all__ = [
     "AnswerHead",
     "Call",
@@ -100,6 +102,7 @@
         is_sealed: Whether the runner vouches for it.
         did_not_run: Whether the runner says that it did not run the request.
         is_wrong_runner: Whether another runner now has the address.
+        signals: What the runner says of its own state.
     """
 
     status: int
@@ -108,3 +111,4 @@
     is_sealed: bool
     did_not_run: bool
     is_wrong_runner: bool
+    signals: signals.RunnerSignals = signals.NO_SIGNALS
--- /dev/null
+++ b/packages/daemon/src/martenquay_daemon/backpressure/__init__.py
@@ -0,0 +1,1 @@
+"""Heed what runners say of themselves in their answers."""
--- /dev/null
+++ b/packages/daemon/src/martenquay_daemon/backpressure/limit_words.py
@@ -0,0 +1,73 @@
+"""Fold what answers say of a runner's limit, in whatever order they come.
+
+Answers overtake each other: the head of a long prompt's answer may come after
+that of a request which was sent later. So what an answer says of a runner's
+limit is weighed by when its request was sent.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+__all__ = ["LimitWord", "fold_told", "fold_word"]
+
+# A word that comes back from the daemons that were told it seems younger by
+# the time of its way; taken for a new one it would never grow old.
+_ECHO_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True)
+class LimitWord:
+    """What one answer says of a runner's limit; times are trio's.
+
+    Attributes:
+        limit_per_s: Requests a second from all daemons together; None if it
+            names no limit.
+        born_ms: As in the entry of the process that was asked.
+        sent_at: When the request was sent.
+        heard_at: When the answer's head came.
+    """
+
+    limit_per_s: float | None
+    born_ms: int | None
+    sent_at: float
+    heard_at: float
+
+
+def fold_word(known: LimitWord | None, word: LimitWord) -> LimitWord | None:
+    """Return the newest word of a runner; None if no limit was ever named."""
+    if known is not None and _is_later_process(known, word):
+        return known
+    if known is None or _is_later_process(word, known):
+        return None if word.limit_per_s is None else word
+    if known.limit_per_s is None:
+        # An answer that is older than the limit's end does not bring it back.
+        return word if word.sent_at >= known.sent_at else known
+    if word.sent_at >= known.heard_at:
+        return word
+    if word.limit_per_s is None or word.sent_at < known.sent_at:
+        # It may have been made before the limit was named.
+        return known
+    return dataclasses.replace(
+        known,
+        limit_per_s=min(known.limit_per_s, word.limit_per_s),
+        heard_at=word.heard_at,
+    )
+
+
+def fold_told(known: LimitWord | None, word: LimitWord) -> LimitWord | None:
+    """Return the newest word, with one that another daemon has told."""
+    if (
+        known is not None
+        and known.limit_per_s == word.limit_per_s
+        and known.born_ms == word.born_ms
+        and word.heard_at <= known.heard_at + _ECHO_S
+    ):
+        return known
+    return fold_word(known, word)
+
+
+def _is_later_process(one: LimitWord, other: LimitWord) -> bool:
+    if one.born_ms is None or other.born_ms is None:
+        return False
+    return one.born_ms > other.born_ms
--- a/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
@@ -23,7 +23,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-    from martenquay_core.serving import ports
+    from martenquay_core.serving import ports, runners
+    from martenquay_daemon.backpressure import runner_limits
     from martenquay_daemon.duties import usage_counts
     from martenquay_daemon.engines import demand, lengths, loads, placer
 
@@ -60,7 +61,9 @@
         estimates: model.RunnerModel,
         streams: lengths.StreamLengths,
         hurry: Callable[[], None],
+        limits: runner_limits.RunnerLimits,
     ) -> None:
+        self._limits = limits
         self._codec = codec
         self._ledger = ledger
         self._usage = usage
@@ -182,6 +185,7 @@
         with self._count_begin(current, is_counted=not is_stream) as begin:
             status, headers = await self._send(current, connection, request)
             head = self._codec.decode_answer(status, headers)
+            self._heed(current, placement.runner, head)
             if head.did_not_run:
                 begin.take_back()
                 return exchange.NotRun(status, head.is_wrong_runner)
@@ -200,6 +204,25 @@
             self._learn_end(current)
         return result
 
+    def _heed(
+        self,
+        current: exchange.Exchange,
+        runner: runners.Runner,
+        head: calls.AnswerHead,
+    ) -> None:
+        """Take what the runner says of itself, if it is the one meant.
+
+        Whoever else has its address, or answers late in place of another, says
+        nothing of this runner.
+        """
+        is_own_word = head.is_sealed or head.did_not_run
+        if (
+            is_own_word
+            and not head.is_wrong_runner
+            and head.call_id in {None, current.call.id}
+        ):
+            self._limits.note_answer(runner, head.signals, current.sent_at)
+
     def _learn_end(self, current: exchange.Exchange) -> None:
         # Before a first event a request may wait for a slot, which would
         # make slots look slower the longer the queue is.
--- a/packages/daemon/src/martenquay_daemon/forwarding/metrics.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/metrics.py
@@ -75,6 +75,12 @@
             registry=registry,
         )
 
+        self._runner_signals = aioprometheus.Counter(
+            "martenquay_runner_signals_total",
+            "Changes of what runners say of themselves, by kind and source.",
+            registry=registry,
+        )
+
         self._units_asked_s = aioprometheus.Histogram(
             "martenquay_units_asked_seconds",
             "What it took to ask another daemon for units, by outcome.",
@@ -94,6 +100,10 @@
         """Count a request under which a runner ended."""
         self._strikes.inc({})
 
+    def count_runner_signal(self, signal: str, source: str) -> None:
+        """Count a change of what a runner says of itself."""
+        self._runner_signals.inc({"signal": signal, "source": source})
+
     def count_own_answer(self, code: results.ResultCode) -> None:
         """Count an answer of the daemon itself."""
         self._own_answers.inc({"code": str(int(code))})
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -15,6 +15,7 @@
     rights,
     terms,
 )
+from martenquay_daemon.backpressure import runner_limits
 from martenquay_daemon.discovery import (
     catalog_sink,
     catalog_store,
@@ -367,6 +368,7 @@
         """Drop what was learnt of a runner's process before this one."""
         self._ejector.forget(runner_id)
         self._loads.forget_runner(runner_id)
+        self._limits.forget(runner_id)
 
     def _build_allowances(self) -> None:
         bounds = self._settings.bounds
@@ -424,6 +426,8 @@
         self._stop_window = stop_window.StopWindow(streams)
         self._usage = usage_counts.UsageCounts(bounds.window_s)
         self._ejector = ejection.Ejector()
+        self._limits = runner_limits.RunnerLimits()
+        self._limits.observe = self.metrics.count_runner_signal
         self._directory.on_restart = self._forget_runner
         self._build_allowances()
         codec = self._ports.calls
@@ -454,6 +458,7 @@
                 self._estimates,
                 streams,
                 self._tell_loads_soon,
+                self._limits,
             ),
             retries=self._retries,
             ejector=self._ejector,
--- a/tests/serving_scene.py
+++ b/tests/serving_scene.py
@@ -12,6 +12,7 @@
 
 from martenquay_core.serving import ports
 from martenquay_daemon.allowances import gate, terms
+from martenquay_daemon.backpressure import runner_limits
 from martenquay_daemon.discovery import (
     catalog_store,
     contact,
@@ -87,6 +88,7 @@
         meter: Tokens that engines have to read.
         streams: How long streams took.
         stop: Keeps requests out that a stop would cut off.
+        limits: What runners say that they take.
         hurries: How often others were to be told soon.
     """
 
@@ -121,6 +123,7 @@
         self.streams = lengths.StreamLengths()
         self.stop = stop_window.StopWindow(self.streams)
         self.hurries = 0
+        self.limits = runner_limits.RunnerLimits()
         ejector = ejection.Ejector()
         self.quarantine = desk.create_desk(self.log, builders.TOPICS.strikes)
         self.strikes = keyed_follower.KeyedFollower(
@@ -161,6 +164,7 @@
                 self.estimates,
                 self.streams,
                 self._note_hurry,
+                self.limits,
             ),
             retries=retry_window.RetryWindow(bounds, lambda: 1),
             ejector=ejector,
--- a/tests/test_daemon/test_gateway.py
+++ b/tests/test_daemon/test_gateway.py
@@ -2,28 +2,19 @@
 
 from __future__ import annotations
 
-import contextlib
 import math
-from typing import TYPE_CHECKING
 
 import msgspec
 import testtools
 import trio
 
 from martenquay_core.settings import gateway as settings_module
-from martenquay_daemon import gateway_parts, gateway_ports
 from martenquay_daemon.engines import loads
-from martenquay_platform import codec
-from martenquay_standins.ports import cloud, log
 from martenquay_standins.ports import runner as scripted
+from tests import gateway_fleet
 from tests import serving_builders as builders
-from tests import serving_scene
-
-if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
 
 _HANG_S = 60.0
-_CALL = b"GET /lookup/7 HTTP/1.1\r\nhost: desk.example\r\n\r\n"
 _FAILED = scripted.Script(
     (b"HTTP/1.1 500 X\r\nserver-seal: s\r\ncontent-length: 0\r\n\r\n",)
 )
@@ -32,103 +23,17 @@
 )
 
 
-class _Platform:
-    """The fakes that all daemons of a test share."""
-
-    def __init__(self) -> None:
-        self.log = log.MemoryLog()
-        self.cloud = cloud.MemoryCloud()
-        self.records = builders.FakeRecords()
-
-    def slow_down(self, seconds: float) -> None:
-        """Have each first read of a topic take so long."""
-        read_newest = self.log.read_newest
-
-        async def read_late(topic: str):
-            await trio.sleep(seconds)
-            return await read_newest(topic)
-
-        self.log.read_newest = read_late
-
-    def put_catalog(self, version: int, **changes: object) -> None:
-        """Have operators put a version in force."""
-        raw = b"catalog %d" % version
-        self.records.catalogs[raw] = builders.build_catalog(
-            version=version, **changes
-        )
-        self.log.put("catalog", "config", raw)
-
-    def put_order(self, service: str, version: str, within_s: float) -> None:
-        """Have operators order a service's move to a version."""
-        value = f"{service} {version} {within_s}".encode()
-        self.log.put("catalog", f"rollout/{service}", value)
-
-    def list_status(self) -> list[str]:
-        """Return what operators were told."""
-        return [
-            self.log.split_keyed(payload, 0).value.decode()
-            for payload in self.log.list_payloads("status")
-        ]
-
-    def put_runner(self, address: str, **changes: object) -> None:
-        """Have a runner write its entry."""
-        fields = {"id": "runner-1", "address": address} | changes
-        runner = builders.build_runner(**fields)
-        raw = repr(runner).encode()
-        self.records.runners[raw] = runner
-        self.log.put("runners", runner.id, raw)
-
-
-class _Daemon:
-    """One daemon and where it serves callers."""
-
-    def __init__(self, name: str, platform: _Platform) -> None:
-        settings = msgspec.convert(
-            builders.build_gateway_settings(instance=name),
-            settings_module.GatewaySettings,
-        )
-        self.parts = gateway_parts.create_parts(
-            settings,
-            gateway_ports.GatewayPorts(
-                log=platform.log,
-                cloud=platform.cloud,
-                calls=codec.create_codec(),
-                records=platform.records,
-                topics=builders.TOPICS,
-            ),
-        )
-        self.address = ""
-
-    async def ask(self) -> serving_scene.Reply:
-        """Send one call."""
-        host, _, port = self.address.rpartition(":")
-        async with await trio.open_tcp_stream(host, int(port)) as stream:
-            await stream.send_all(_CALL)
-            return await serving_scene.read_reply(stream)
-
-
-@contextlib.asynccontextmanager
-async def _open_daemons(
-    platform: _Platform, count: int
-) -> AsyncIterator[list[_Daemon]]:
-    daemons = [_Daemon(f"entry-{n}", platform) for n in range(count)]
-    async with trio.open_nursery() as nursery:
-        for one in daemons:
-            one.address = await nursery.start(one.parts.listener.run)
-            await nursery.start(one.parts.run)
-        yield daemons
-        nursery.cancel_scope.cancel()
-
-
 class GatewayTest(testtools.TestCase):
     def _run(self, scenario, count: int = 1) -> None:
         async def run() -> None:
-            platform = _Platform()
+            platform = gateway_fleet.Platform()
             runner = scripted.ScriptedRunner([_GOOD])
             with trio.fail_after(_HANG_S):
                 async with trio.open_nursery() as nursery:
                     await nursery.start(runner.run)
-                    async with _open_daemons(platform, count) as daemons:
+                    async with gateway_fleet.open_daemons(
+                        platform, count
+                    ) as daemons:
                         await scenario(platform, daemons, runner)
                     nursery.cancel_scope.cancel()
 
@@ -154,7 +59,7 @@
         self,
     ) -> None:
         async def run() -> None:
-            platform = _Platform()
+            platform = gateway_fleet.Platform()
             runner = scripted.ScriptedRunner([_GOOD])
             with trio.fail_after(_HANG_S):
                 async with trio.open_nursery() as nursery:
@@ -162,7 +67,7 @@
                     platform.put_catalog(3)
                     platform.put_runner(runner.address)
                     platform.slow_down(0.05)
-                    one = _Daemon("entry-0", platform)
+                    one = gateway_fleet.Daemon("entry-0", platform)
                     one.address = await nursery.start(one.parts.listener.run)
                     nursery.start_soon(one.parts.run)
                     self.assertEqual(200, (await one.ask()).status)
--- a/tests/test_platform/test_codec.py
+++ b/tests/test_platform/test_codec.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from martenquay_core.serving import calls
+from martenquay_core.serving import calls, signals
 from martenquay_platform import codec
 
 _HEADERS = [
@@ -129,3 +129,43 @@
         headers = dict(self.codec.encode_own_answer("9c41", 0.25))
         self.assertEqual(b"0.250", headers[b"retry-after"])
         self.assertNotIn(b"server-seal", headers)
+
+
+class RunnerSignalsTest(testtools.TestCase):
+    """What a header of a runner's own state means, odd values included."""
+
+    def _read(self, *values: bytes) -> signals.RunnerSignals:
+        headers = [(b"server-limit", value) for value in values]
+        return codec.create_codec().decode_answer(200, headers).signals
+
+    def test_a_number_of_zero_or_more_is_a_limit(self) -> None:
+        for text, limit in [
+            (b"1", 1.0),
+            (b" 2.5 ", 2.5),
+            (b".5", 0.5),
+            (b"0", 0.0),
+            (b"1e308", 1e308),
+        ]:
+            self.assertEqual(signals.RunnerSignals(limit), self._read(text))
+
+    def test_without_the_header_no_limit_is_named(self) -> None:
+        self.assertEqual(signals.NO_SIGNALS, self._read())
+
+    def test_what_is_no_number_tells_nothing(self) -> None:
+        for text in [
+            b"",
+            b"-1",
+            b"nan",
+            b"inf",
+            b"1e999",
+            b"1_0",
+            b"\xff",
+            b"x",
+        ]:
+            told = self._read(text)
+            self.assertTrue(told.is_limit_unreadable, text)
+            self.assertIsNone(told.limit_per_s)
+
+    def test_of_several_the_least_counts(self) -> None:
+        self.assertEqual(2.0, self._read(b"3", b"2").limit_per_s)
+        self.assertEqual(2.0, self._read(b"3, 2, x").limit_per_s)
