--- /dev/null
+++ b/tests/test_promises/test_runner_limit.py
@@ -0,0 +1,80 @@
+"""A runner that names a limit gets no more from all daemons together.
+
+An engine named a limit of 1 request a second in its answers. It got 12
+requests in 4 s from eight daemons that it had told so, 41 in 20 s, as many as
+its neighbours which had named none; 11 in 4 s are borne.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import testtools
+import trio
+
+from tests import telling_fleet
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+_HANG_S = 60.0
+_DAEMONS = 6
+_RUNNERS = 3
+_LIMIT_PER_S = 1.0
+_WINDOW_S = 4.0
+# What is borne: one and a half times the limit, and five requests.
+_MOST = 1.5 * _LIMIT_PER_S * _WINDOW_S + 5
+# Within this all daemons in touch go by what they were told.
+_CONTACT_S = 3.0
+_PER_DAEMON_S = 8.0
+
+
+class RunnerLimitTest(testtools.TestCase):
+    def test_the_sum_over_all_daemons_keeps_the_limit(self) -> None:
+        async def scenario(fleet: telling_fleet.TellingFleet) -> None:
+            limited = fleet.runners[0]
+            limited.lines = (b"server-limit: 1",)
+            since = trio.current_time()
+            await fleet.press(_PER_DAEMON_S, _CONTACT_S + 3 * _WINDOW_S)
+            most = limited.count_most(_WINDOW_S, since + _CONTACT_S)
+            self.assertLessEqual(most, _MOST)
+            # It is not given up either.
+            self.assertGreater(most, 0)
+
+        self._run(scenario)
+
+    def test_others_serve_what_it_does_not_take(self) -> None:
+        async def scenario(fleet: telling_fleet.TellingFleet) -> None:
+            fleet.runners[0].lines = (b"server-limit: 1",)
+            await fleet.press(_PER_DAEMON_S, _CONTACT_S)
+            statuses = {reply.status for reply in fleet.replies}
+            self.assertEqual({200}, statuses)
+
+        self._run(scenario)
+
+    def test_it_gets_its_part_again_once_it_names_no_limit(self) -> None:
+        async def scenario(fleet: telling_fleet.TellingFleet) -> None:
+            limited = fleet.runners[0]
+            limited.lines = (b"server-limit: 1",)
+            await fleet.press(_PER_DAEMON_S, _CONTACT_S)
+            limited.lines = ()
+            await fleet.press(_PER_DAEMON_S, 2 * _CONTACT_S)
+            end = trio.current_time()
+            last = [a for a in limited.arrivals if a.at > end - 1.0]
+            fair = _DAEMONS * _PER_DAEMON_S / _RUNNERS
+            self.assertGreater(len(last), fair / 2)
+
+        self._run(scenario)
+
+    def _run(
+        self,
+        scenario: Callable[[telling_fleet.TellingFleet], Awaitable[None]],
+    ) -> None:
+        async def run() -> None:
+            with trio.fail_after(_HANG_S):
+                async with telling_fleet.open_fleet(
+                    _DAEMONS, _RUNNERS
+                ) as fleet:
+                    await scenario(fleet)
+
+        trio.run(run)
