Read in answers that a runner leaves or asks for rest, and say so in lines

Sight, before any mend: an attempt's line now has what the runner said of itself (its limit, that it leaves, for how long it wants rest), so that a word that is dropped can be told from one that is kept and lost again. Nothing decides by it yet.

--- a/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
@@ -8,7 +8,7 @@
 import trio
 
 from martenquay_core import logs
-from martenquay_core.serving import calls, catalog
+from martenquay_core.serving import calls, catalog, signals
 from martenquay_daemon.engines import model
 from martenquay_daemon.forwarding import (
     begins,
@@ -87,6 +87,7 @@
         """
         runner = placement.runner
         current.stage = departure.Stage.CONNECTING
+        current.told = signals.NO_SIGNALS
         self._note_demand(current, placement)
         result: exchange.AttemptResult = exchange.TimedOut()
         limit = trio.move_on_at(current.deadline + _ANSWER_GRACE_S)
@@ -225,6 +226,7 @@
             and not head.is_wrong_runner
             and head.call_id in {None, current.call.id}
         ):
+            current.told = head.signals
             self._gate.note_answer(runner, head.signals, current.sent_at)
 
     def _learn_end(self, current: exchange.Exchange) -> None:
--- a/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
@@ -5,6 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from martenquay_core.serving import signals
 from martenquay_daemon.allowances import terms
 from martenquay_daemon.forwarding import departure
 
@@ -60,6 +61,7 @@
         content: Its content's digest; empty until it is needed.
         strikes_seen: The latest strike known of its content when it was sent.
         has_runner_ended: The runner of the present attempt ended under it.
+        told: What the runner of the present attempt said of itself.
     """
 
     call: calls.Call
@@ -85,6 +87,7 @@
     content: str = ""
     strikes_seen: int = 0
     has_runner_ended: bool = False
+    told: signals.RunnerSignals = signals.NO_SIGNALS
 
     @property
     def units(self) -> float:
--- a/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
@@ -436,6 +436,9 @@
             or getattr(result, "status", None),
             content=current.content or None,
             has_runner_ended=current.has_runner_ended,
+            runner_limit_per_s=current.told.limit_per_s,
+            runner_leaves=current.told.is_leaving or None,
+            runner_rest_s=current.told.rest_s,
         )
 
     def _note_departure(self, current: exchange.Exchange) -> None:
--- a/tests/test_platform/test_codec.py
+++ b/tests/test_platform/test_codec.py
@@ -166,6 +166,50 @@
             self.assertTrue(told.is_limit_unreadable, text)
             self.assertIsNone(told.limit_per_s)
 
+    def test_only_a_one_says_that_the_runner_leaves(self) -> None:
+        decode = codec.create_codec().decode_answer
+        for text, is_leaving in [
+            (b"1", True),
+            (b" 1 ", True),
+            (b"0, 1", True),
+            (b"0", False),
+            (b"", False),
+            (b"true", False),
+        ]:
+            told = decode(200, [(b"server-leaving", text)]).signals
+            self.assertEqual(is_leaving, told.is_leaving, text)
+
+    def test_a_refusal_may_ask_for_rest(self) -> None:
+        decode = codec.create_codec().decode_answer
+        refused = (b"not-executed", b"1")
+        for texts, rest_s in [
+            ([b"3"], 3.0),
+            ([b"0.25"], 0.25),
+            ([b"0"], 0.0),
+            ([b"1", b"2"], 2.0),
+            ([b"1e308"], 1e308),
+            ([b"-1"], None),
+            ([b"nan"], None),
+            ([b""], None),
+            ([b"Thu, 01 Jan 1970 00:00:00 GMT"], None),
+        ]:
+            lines = [(b"retry-after", text) for text in texts]
+            for status in (429, 503):
+                told = decode(status, [refused, *lines]).signals
+                self.assertEqual(rest_s, told.rest_s, texts)
+                self.assertEqual(rest_s is None, told.is_rest_unreadable)
+
+    def test_what_has_run_or_may_have_asks_for_no_rest(self) -> None:
+        decode = codec.create_codec().decode_answer
+        line = (b"retry-after", b"3")
+        refused = (b"not-executed", b"1")
+        for head in (
+            decode(503, [line]),
+            decode(200, [line, refused]),
+            decode(421, [line]),
+        ):
+            self.assertEqual(signals.NO_SIGNALS, head.signals)
+
     def test_of_several_the_least_counts(self) -> None:
         self.assertEqual(2.0, self._read(b"3", b"2").limit_per_s)
         self.assertEqual(2.0, self._read(b"3, 2, x").limit_per_s)
