--- a/tests/telling_fleet.py
+++ b/tests/telling_fleet.py
@@ -47,6 +47,16 @@
                     nursery.start_soon(self._ask, daemon)
                 await trio.sleep(1 / per_daemon_s)
 
+    def put_entry(self, number: int, **changes: object) -> None:
+        """Have a runner write its entry, with changes."""
+        fields: dict[str, object] = {
+            "id": f"runner-{number}",
+            "zone": "a",
+            "born_ms": 1,
+        }
+        address = self.runners[number].address
+        self.platform.put_runner(address, **(fields | changes))
+
     async def _ask(self, daemon: gateway_fleet.Daemon) -> None:
         self.replies.append(await daemon.ask())
 
@@ -58,13 +68,12 @@
     platform.put_catalog(1)
     found = [telling_runner.TellingRunner() for _ in range(runners)]
     async with trio.open_nursery() as nursery:
+        fleet = TellingFleet(platform, [], found)
         for number, one in enumerate(found):
             await nursery.start(one.run)
-            platform.put_runner(
-                one.address, id=f"runner-{number}", zone="a", born_ms=1
-            )
+            fleet.put_entry(number)
         async with gateway_fleet.open_daemons(platform, daemons) as started:
-            fleet = TellingFleet(platform, started, found)
+            fleet.daemons += started
             with trio.fail_after(_READY_S):
                 while not await _is_each_runner_used(fleet):
                     await trio.sleep(_LOOK_S)
