Send nothing to a runner whose answers say that it leaves

Callers saw: requests sent to an engine that was about to end, 2.3 and 2.5 s after it had said so, while the platform's log was away.

Cause: the same as of the limit: what an answer says of its runner was dropped at the border, so a daemon believed the log alone, which could not tell.

A runner that ends after it said so in an answer has not crashed, so it gives a content no strike. Why it holds: what a process says of itself is kept apart from what the log holds, under the process's own start.

--- a/packages/daemon/src/martenquay_daemon/backpressure/runner_gate.py
+++ b/packages/daemon/src/martenquay_daemon/backpressure/runner_gate.py
@@ -8,7 +8,7 @@
     from collections.abc import Iterable
 
     from martenquay_core.serving import runners, signals
-    from martenquay_daemon.backpressure import runner_limits
+    from martenquay_daemon.backpressure import leaving_words, runner_limits
 
 __all__ = ["RunnerGate"]
 
@@ -20,8 +20,13 @@
     what it takes gets no more when nobody else is left.
     """
 
-    def __init__(self, limits: runner_limits.RunnerLimits) -> None:
+    def __init__(
+        self,
+        limits: runner_limits.RunnerLimits,
+        leaving: leaving_words.LeavingWords,
+    ) -> None:
         self._limits = limits
+        self._leaving = leaving
 
     def note_answer(
         self,
@@ -37,6 +42,8 @@
             sent_at: When the request was sent, in trio's time.
         """
         self._limits.note_answer(runner, told, sent_at)
+        if told.is_leaving:
+            self._leaving.note_answer(runner)
 
     def keep_open(
         self, found: Iterable[runners.Runner]
@@ -45,7 +52,8 @@
         return [
             runner
             for runner in found
-            if self._limits.find_wait_s(runner) <= 0.0
+            if not self._leaving.holds(runner)
+            and self._limits.find_wait_s(runner) <= 0.0
         ]
 
     def is_whole(self, runner: runners.Runner) -> bool:
@@ -58,6 +66,8 @@
         Asked right before it is sent: what the runner has said may be younger
         than the choice. A turn that is taken is used up.
         """
+        if self._leaving.holds(runner):
+            return "the runner says that it leaves"
         if not self._limits.take_turn(runner):
             return "over the limit that the runner names"
         return ""
@@ -69,7 +79,11 @@
         the next request may be sent from wherever.
         """
         return min(
-            (self._limits.find_next_s(runner) for runner in found),
+            (
+                self._limits.find_next_s(runner)
+                for runner in found
+                if not self._leaving.holds(runner)
+            ),
             default=None,
         )
 
--- a/packages/daemon/src/martenquay_daemon/discovery/runner_directory.py
+++ b/packages/daemon/src/martenquay_daemon/discovery/runner_directory.py
@@ -8,6 +8,7 @@
 import trio
 
 from martenquay_core import logs
+from martenquay_daemon.backpressure import leaving_words
 from martenquay_daemon.discovery import runner_entries
 
 if TYPE_CHECKING:
@@ -36,6 +37,7 @@
 
     Attributes:
         entries: What the log holds of them; goes to other daemons.
+        leaving: The runners that have said in answers that they leave.
         on_restart: Told the id of a runner whose process is a new one and
             knows nothing of what was learnt of the one before.
         on_unusable: Told the key of an entry that names no runner.
@@ -44,6 +46,7 @@
     def __init__(
         self, codec: ports.PlatformCodec, log_contact: contact.LogContact
     ) -> None:
+        self.leaving = leaving_words.LeavingWords()
         self.entries = runner_entries.RunnerEntries(codec)
         self.on_restart: Callable[[str], None] = _ignore
         self.on_unusable: Callable[[str], None] = _ignore
@@ -96,9 +99,13 @@
         return [
             runner
             for runner in self.list_all(service)
-            if not runner.is_leaving and runner.id not in self._gone
+            if not self.is_leaving(runner) and runner.id not in self._gone
         ]
 
+    def is_leaving(self, runner: runners.Runner) -> bool:
+        """Tell whether a runner has said that it leaves, by whatever way."""
+        return runner.is_leaving or self.leaving.holds(runner)
+
     def list_zones(self, service: str) -> set[str]:
         """Return the zones in which a service has ever had a runner."""
         return set(self._zones.get(service, ()))
--- a/packages/daemon/src/martenquay_daemon/fleet/links.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/links.py
@@ -29,7 +29,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
 
-    from martenquay_daemon.fleet import limit_news, view
+    from martenquay_daemon.fleet import runner_news, view
 
 __all__ = ["FleetLinks", "Listeners"]
 
@@ -65,6 +65,7 @@
             and before it that there will be one if that takes a moment.
         find_zone_end: Returns how far all daemons of a zone have read who
             announced themselves.
+        runner_news: Of what runners say of themselves.
     """
 
     take_digest: Callable[[messages.Digest], None]
@@ -78,7 +79,7 @@
         Awaitable[None],
     ]
     find_zone_end: Callable[[str], int]
-    limits: limit_news.LimitNews
+    runner_news: runner_news.RunnerNews
 
 
 @dataclasses.dataclass
@@ -137,7 +138,7 @@
         self._asked_hubs: dict[str, float] = {}
         self.desk = unit_desk.UnitDesk(self)
         self._zone.find_members_end = self._find_zone_end
-        self._zone.list_limits = self._list_limits
+        self._zone.create_runner_words = self._create_runner_words
 
     async def run(
         self, *, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
@@ -262,7 +263,7 @@
             case messages.DigestNote(digest=digest):
                 self._take_digest(digest)
             case messages.ZoneExchange():
-                self._take_limits(message.limits)
+                self._take_runner_words(message.runner_words)
                 self._zone.take_exchange(message)
             case messages.FleetReport():
                 self._take_report(message)
@@ -312,7 +313,7 @@
             topology.PeerAddress(digest.address, digest.zone, digest.capacity)
         )
         self._zone.take_digest(digest)
-        self._take_limits(digest.limits)
+        self._take_runner_words(digest.runner_words)
         if self.listeners is None:
             return
         if self.is_mesh():
@@ -325,18 +326,20 @@
     def _take_report(self, report: messages.FleetReport) -> None:
         if self.is_mesh():
             return
-        self._take_limits(report.limits)
+        self._take_runner_words(report.runner_words)
         if not self._zone.take_report(report):
             return
         if self.listeners is not None:
             self.listeners.take_report(report)
 
-    def _take_limits(self, lines: dict[str, messages.LimitLine]) -> None:
+    def _take_runner_words(self, words: messages.RunnerWords) -> None:
         if self.listeners is not None:
-            self.listeners.limits.take(lines)
+            self.listeners.runner_news.take(words)
 
-    def _list_limits(self) -> dict[str, messages.LimitLine]:
-        return {} if self.listeners is None else self.listeners.limits.relay()
+    def _create_runner_words(self) -> messages.RunnerWords:
+        if self.listeners is None:
+            return messages.NO_WORDS
+        return self.listeners.runner_news.create(is_hub=True)
 
     def _find_zone_end(self) -> int:
         if self.listeners is None:
--- a/packages/daemon/src/martenquay_daemon/fleet/messages.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/messages.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "NO_WINDOW",
+    "NO_WORDS",
     "Digest",
     "DigestNote",
     "FleetMessage",
@@ -25,6 +26,7 @@
     "PeerLine",
     "PoolLine",
     "ReadingLine",
+    "RunnerWords",
     "SideLine",
     "StateCopy",
     "TrialLine",
@@ -72,6 +74,22 @@
     heard_ms: int
 
 
+class RunnerWords(msgspec.Struct, frozen=True, array_like=True):
+    """What runners have said of themselves in answers.
+
+    Attributes:
+        limits: What they said of their limits, by runner id.
+        leaving: Those that leave, with the start of the process that said so.
+    """
+
+    limits: dict[str, LimitLine]
+    leaving: dict[str, int | None]
+
+
+# What runners that are well say.
+NO_WORDS = RunnerWords({}, {})
+
+
 class ReadingLine(msgspec.Struct, frozen=True, array_like=True):
     """What results say of how fast a service's engines read prompts.
 
@@ -232,7 +250,7 @@
         reading: What its results say of engines, by service.
         trials: What versions on trial answered, by service.
         orders: Orders that it has learnt of lately.
-        limits: What runners have told it of their limits lately, by runner.
+        runner_words: What runners have told it of themselves lately.
     """
 
     member: str
@@ -255,7 +273,7 @@
     reading: dict[str, ReadingLine]
     trials: dict[str, TrialLine]
     orders: list[OrderLine]
-    limits: dict[str, LimitLine]
+    runner_words: RunnerWords
 
 
 class ZoneSummary(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -326,12 +344,12 @@
     Attributes:
         summary: Of its own zone.
         loads: What its zone's daemons have at runners, by runner id.
-        limits: What it knows of runners' limits, by runner id.
+        runner_words: What it knows of what runners say of themselves.
     """
 
     summary: ZoneSummary
     loads: dict[str, LoadLine]
-    limits: dict[str, LimitLine]
+    runner_words: RunnerWords
 
 
 class FleetReport(msgspec.Struct, frozen=True, array_like=True, tag="r"):
@@ -347,7 +365,7 @@
         number: Counts the hub's rounds of reports.
         reading: What all other daemons' results say of engines, by service.
         orders: Orders that the hub has learnt of lately.
-        limits: What it knows of runners' limits, by runner id.
+        runner_words: What it knows of what runners say of themselves.
     """
 
     hub: str
@@ -357,7 +375,7 @@
     number: int
     reading: dict[str, ReadingLine]
     orders: list[OrderLine]
-    limits: dict[str, LimitLine]
+    runner_words: RunnerWords
 
 
 class PeerLine(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/daemon/src/martenquay_daemon/fleet/limit_news.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/runner_news.py
@@ -1,4 +1,4 @@
-"""Tell other daemons of the limits that runners name, and hear of them."""
+"""Tell other daemons what runners say of themselves, and hear of it."""
 
 from __future__ import annotations
 
@@ -10,34 +10,44 @@
 from martenquay_daemon.fleet import messages
 
 if TYPE_CHECKING:
-    from martenquay_daemon.backpressure import runner_limits
+    from martenquay_daemon.backpressure import leaving_words, runner_limits
 
-__all__ = ["LimitNews", "write_words"]
+__all__ = ["RunnerNews"]
 
 _MS = 1000
 
 
-class LimitNews:
-    """Limits as daemons tell them to each other.
+class RunnerNews:
+    """What runners say, as daemons tell it to each other.
 
-    A daemon tells what runners told it; a hub tells all that it knows, for
-    its zone and the other zones hear of each other through hubs alone.
+    Of limits a daemon tells what runners told it; a hub tells all that it
+    knows, for its zone and the other zones hear of each other through hubs
+    alone. A limit has an age; what was told of it in a circle would have none.
     """
 
-    def __init__(self, limits: runner_limits.RunnerLimits) -> None:
+    def __init__(
+        self,
+        limits: runner_limits.RunnerLimits,
+        leaving: leaving_words.LeavingWords,
+    ) -> None:
         self._limits = limits
+        self._leaving = leaving
 
-    def take(self, lines: dict[str, messages.LimitLine]) -> None:
+    def take(self, words: messages.RunnerWords) -> None:
         """Take what another daemon tells."""
-        if lines:
-            self._limits.take_told(_read_words(lines))
+        self._limits.take_told(_read_words(words.limits))
+        self._leaving.take_told(words.leaving)
 
-    def relay(self) -> dict[str, messages.LimitLine]:
-        """Return what a hub tells, as old as it is now."""
-        return write_words(self._limits.list_heard(is_relayed=True))
+    def create(self, *, is_hub: bool) -> messages.RunnerWords:
+        """Return what to tell, as old as it is now."""
+        limits = self._limits.list_heard(is_relayed=is_hub)
+        leaving = self._leaving.list_heard()
+        if not limits and not leaving:
+            return messages.NO_WORDS
+        return messages.RunnerWords(_write_words(limits), leaving)
 
 
-def write_words(
+def _write_words(
     words: list[tuple[str, limit_words.LimitWord]],
 ) -> dict[str, messages.LimitLine]:
     """Return lines for words, by runner id."""
--- a/packages/daemon/src/martenquay_daemon/fleet/shared_state.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/shared_state.py
@@ -7,10 +7,9 @@
 
 from martenquay_core.serving import rollouts
 from martenquay_daemon.engines import loads, model
-from martenquay_daemon.fleet import limit_news, messages, trial_lines
+from martenquay_daemon.fleet import messages, trial_lines
 
 if TYPE_CHECKING:
-    from martenquay_daemon.backpressure import runner_limits
     from martenquay_daemon.discovery import (
         catalog_store,
         contact,
@@ -18,7 +17,13 @@
     )
     from martenquay_daemon.duties import lease, usage_counts
     from martenquay_daemon.engines import demand
-    from martenquay_daemon.fleet import links, roster, unit_news, view
+    from martenquay_daemon.fleet import (
+        links,
+        roster,
+        runner_news,
+        unit_news,
+        view,
+    )
     from martenquay_daemon.rollouts import book, tallies
 
 __all__ = ["Identity", "SharedState", "StateSources"]
@@ -58,7 +63,7 @@
         units: What teams may spend, told and heard.
         listed: Who announced themselves, and how far others know that.
         loads: What runs at runners.
-        limits: What runners say that they take.
+        runner_news: What runners say of themselves.
         usage: Requests begun.
         meter: Tokens that engines have to read.
         estimates: How fast they are.
@@ -75,7 +80,7 @@
     units: unit_news.UnitNews
     listed: roster.Roster
     loads: loads.LoadLedger
-    limits: runner_limits.RunnerLimits
+    runner_news: runner_news.RunnerNews
     usage: usage_counts.UsageCounts
     meter: demand.DemandMeter
     estimates: model.RunnerModel
@@ -137,9 +142,7 @@
                 _write_order(rollout)
                 for rollout in sources.orders.list_recent()
             ],
-            limits=limit_news.write_words(
-                sources.limits.list_heard(is_relayed=False)
-            ),
+            runner_words=sources.runner_news.create(is_hub=False),
         )
 
     def take_digest(self, digest: messages.Digest) -> None:
--- a/packages/daemon/src/martenquay_daemon/fleet/zone_mode.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/zone_mode.py
@@ -87,7 +87,7 @@
         report_s: Between two of its reports.
         find_members_end: Returns how far all listed daemons of this zone have
             read who announced themselves.
-        list_limits: Returns what is known of runners' limits.
+        create_runner_words: Returns what is known of what runners say.
     """
 
     def __init__(
@@ -99,7 +99,9 @@
     ) -> None:
         self.is_hub = False
         self.find_members_end: Callable[[], int] = lambda: 0
-        self.list_limits: Callable[[], dict[str, messages.LimitLine]] = dict
+        self.create_runner_words: Callable[[], messages.RunnerWords] = lambda: (
+            messages.NO_WORDS
+        )
         self.report_s = zone_pace.report_s
         self._is_first = False
         self._place = place
@@ -366,5 +368,5 @@
             state.find_runners_age_ms(),
             int(age_s * _MS),
             self.find_members_end(),
-            self.list_limits(),
+            self.create_runner_words(),
         )
--- a/packages/daemon/src/martenquay_daemon/forwarding/content_guard.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/content_guard.py
@@ -61,7 +61,9 @@
         current.has_runner_ended = await self._has_ended(runner.address)
         # One that said that it leaves has ended as it was to.
         known = self._directory.find(runner.id)
-        if not current.has_runner_ended or known is None or known.is_leaving:
+        if not current.has_runner_ended or known is None:
+            return
+        if self._directory.is_leaving(known):
             return
         crash = records.Crash(current.service, current.route.name)
         self._quarantine.note_crash(
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -36,9 +36,9 @@
 from martenquay_daemon.engines import demand, lengths, loads, model, placer
 from martenquay_daemon.fleet import (
     announcements,
-    limit_news,
     links,
     roster,
+    runner_news,
     shared_state,
     state_copies,
     topology,
@@ -347,7 +347,7 @@
                 units=self._unit_news,
                 listed=self._roster,
                 loads=self._loads,
-                limits=self._limits,
+                runner_news=self._runner_news,
                 usage=self._usage,
                 meter=self._meter,
                 estimates=self._estimates,
@@ -367,7 +367,7 @@
             self._unit_news.take_note,
             self._unit_news.answer,
             self._unit_news.find_zone_end,
-            limit_news.LimitNews(self._limits),
+            self._runner_news,
         )
         self._view.listen_for_ends(self._shared.end_member)
 
@@ -429,7 +429,11 @@
         self._limits = runner_limits.RunnerLimits(order.find_place)
         self._limits.observe = self.metrics.count_runner_signal
         self._limits.hurry = self._tell_peers_soon
-        self._runner_gate = runner_gate.RunnerGate(self._limits)
+        leaving = self._directory.leaving
+        leaving.observe = self.metrics.count_runner_signal
+        leaving.hurry = self._tell_peers_soon
+        self._runner_gate = runner_gate.RunnerGate(self._limits, leaving)
+        self._runner_news = runner_news.RunnerNews(self._limits, leaving)
 
     def _build_forwarding(self) -> None:
         bounds = self._settings.bounds
--- a/tests/serving_builders.py
+++ b/tests/serving_builders.py
@@ -13,6 +13,7 @@
     topics,
 )
 from martenquay_daemon.backpressure import (
+    leaving_words,
     runner_gate,
     runner_limits,
     send_shares,
@@ -133,7 +134,9 @@
 
 def build_runner_gate() -> runner_gate.RunnerGate:
     """Return what a daemon that is alone has been told of runners: nothing."""
-    return runner_gate.RunnerGate(build_runner_limits())
+    return runner_gate.RunnerGate(
+        build_runner_limits(), leaving_words.LeavingWords()
+    )
 
 
 def build_digest(**changes: Any) -> messages.Digest:
@@ -159,7 +162,7 @@
         "reading": {},
         "trials": {},
         "orders": [],
-        "limits": {},
+        "runner_words": messages.NO_WORDS,
     }
     return messages.Digest(**(fields | changes))
 
--- a/tests/test_engines/test_placer.py
+++ b/tests/test_engines/test_placer.py
@@ -49,7 +49,7 @@
         self.silent: set[str] = set()
         self.ejector = ejection.Ejector()
         self.limits = builders.build_runner_limits()
-        self.gate = runner_gate.RunnerGate(self.limits)
+        self.gate = runner_gate.RunnerGate(self.limits, directory.leaving)
         return placer.Placer(
             "a",
             directory,
--- a/tests/test_fleet/test_links.py
+++ b/tests/test_fleet/test_links.py
@@ -18,10 +18,10 @@
     runner_directory,
 )
 from martenquay_daemon.fleet import (
-    limit_news,
     links,
     messages,
     pace,
+    runner_news,
     state_copies,
     topology,
     unit_desk,
@@ -80,6 +80,9 @@
             place, self.view, state, self._digest, _PACE, _PACE
         )
         self.limits = builders.build_runner_limits()
+        self.runner_news = runner_news.RunnerNews(
+            self.limits, self.directory.leaving
+        )
         self.links.listeners = links.Listeners(
             self.digests.append,
             self.reports.append,
@@ -89,7 +92,7 @@
             self.notes.append,
             self._answer_units,
             lambda _: 9,
-            limit_news.LimitNews(self.limits),
+            self.runner_news,
         )
 
     def find_place(self) -> topology.PeerAddress:
@@ -122,9 +125,7 @@
             log_age_ms=int(age_s * 1000),
             capacity=self.place.capacity,
             loads={self.name: messages.LoadLine(1, 10)},
-            limits=limit_news.write_words(
-                self.limits.list_heard(is_relayed=False)
-            ),
+            runner_words=self.runner_news.create(is_hub=False),
         )
 
 
--- a/tests/test_fleet/test_zone_mode.py
+++ b/tests/test_fleet/test_zone_mode.py
@@ -64,7 +64,14 @@
         )
         return one.take_report(
             messages.FleetReport(
-                "entry-1.aa", [summary], {}, 0, number, {}, [], {}
+                "entry-1.aa",
+                [summary],
+                {},
+                0,
+                number,
+                {},
+                [],
+                messages.NO_WORDS,
             )
         )
 
@@ -82,7 +89,7 @@
                 zone="a", address=_FIRST.address, runners_age_ms=600
             )
             report = messages.FleetReport(
-                "entry-1.aa", [summary], {}, 7, 1, {}, [], {}
+                "entry-1.aa", [summary], {}, 7, 1, {}, [], messages.NO_WORDS
             )
             one.take_report(report)
             # However late the report is, it was made after that digest.
@@ -100,7 +107,7 @@
                 zone="a", address=_FIRST.address, runners_changed=40
             )
             report = messages.FleetReport(
-                "entry-1.aa", [summary], {}, 7, 1, {}, [], {}
+                "entry-1.aa", [summary], {}, 7, 1, {}, [], messages.NO_WORDS
             )
             one.take_report(report)
             self.assertEqual(math.inf, self.follower.copy_age.age_s)
