Have the soak's runners say what they need, and judge whether it is heeded

The soak's runners name limits, say in their answers alone that they leave, and turn requests away with a time; the judge has the three rules, counted at the runners by the daemon process that each request went to. Faults of a daemon, of its way to the runner or of all excuse; a log that is away excuses nothing.

--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -20,6 +20,7 @@
 _SERIES = flags.DEFINE_integer("series", 8, "Planned series a seed.")
 _DAEMONS = flags.DEFINE_integer("daemons", 6, "Daemons.")
 _LETHAL = flags.DEFINE_integer("lethal", 1, "Callers that crash runners.")
+_NEEDS = flags.DEFINE_integer("needs", 9, "Runners that say what they need.")
 _RUNNERS = flags.DEFINE_integer("runners", 3, "Runners of each service.")
 
 # The verdict on a request that crashes runners is known 3 s after the third
@@ -40,6 +41,7 @@
             daemons=_DAEMONS.value,
             runners=_RUNNERS.value,
             lethal=_LETHAL.value,
+            needs=_NEEDS.value,
             calm_s=_CALM_S if _LETHAL.value else 0.0,
         )
         report = trio.run(soak.run_soak, plan)
--- /dev/null
+++ b/tests/test_platform/test_need_rules.py
@@ -0,0 +1,96 @@
+"""The judge sees when daemons do not heed what runners say of themselves."""
+
+from __future__ import annotations
+
+import testtools
+
+from martenquay_platform_standins import history, need_rules
+from martenquay_platform_standins.history import CallKind, NeedKind
+
+_RUNNER = "runner-1"
+
+
+class NeedRulesTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.seen = history.History()
+
+    def _send(self, at: float, process: str = "entry-0.1") -> str:
+        """Have a request come to the runner."""
+        call_id = f"call-{len(self.seen.calls)}"
+        self.seen.calls[call_id] = history.Call(
+            call_id, CallKind.LOOK, "/look/1", "florists", process, at - 0.01
+        )
+        self.seen.arrivals.append(history.Arrival(at, _RUNNER, call_id))
+        return call_id
+
+    def _tell(
+        self, at: float, kind: NeedKind, value: float, *processes: str
+    ) -> None:
+        """Have the runner say something to daemons, and mean it."""
+        need = history.Need(_RUNNER, kind, value, at, at + 20.0)
+        self.seen.needs.append(need)
+        for process in processes or ("entry-0.1",):
+            call_id = self._send(at, process)
+            told = history.Told(at, _RUNNER, call_id, kind, value)
+            self.seen.said.append(told)
+
+    def _count_breaches(self) -> int:
+        return len(need_rules.find_need_breaches(self.seen))
+
+    def test_a_limit_counts_over_all_daemons_that_were_told(self) -> None:
+        daemons = [f"entry-{number}.1" for number in range(6)]
+        self._tell(10.0, NeedKind.LIMIT, 1.0, *daemons)
+        for number in range(11):
+            self._send(14.0 + number / 4, daemons[number % 6])
+        self.assertEqual(0, self._count_breaches())
+        self._send(16.9, daemons[5])
+        self.assertEqual(1, self._count_breaches())
+
+    def test_who_was_not_told_of_a_limit_is_not_bound(self) -> None:
+        self._tell(10.0, NeedKind.LIMIT, 1.0)
+        for _ in range(20):
+            self._send(15.0, "entry-3.1")
+        self.assertEqual(0, self._count_breaches())
+
+    def test_a_limit_binds_from_the_contact_time_to_its_end(self) -> None:
+        self._tell(10.0, NeedKind.LIMIT, 1.0)
+        for at in (12.9, 30.1):
+            for _ in range(20):
+                self._send(at)
+        self.assertEqual(0, self._count_breaches())
+
+    def test_a_request_long_after_the_word_of_leaving_is_a_breach(self) -> None:
+        self._tell(10.0, NeedKind.LEAVES, 1.0)
+        self._send(11.9)
+        self.assertEqual(0, self._count_breaches())
+        self._send(12.2)
+        self.assertEqual(1, self._count_breaches())
+
+    def test_another_process_was_not_told(self) -> None:
+        self._tell(10.0, NeedKind.LEAVES, 1.0)
+        self._send(15.0, "entry-0.2")
+        self.assertEqual(0, self._count_breaches())
+
+    def test_three_requests_in_a_rest_are_a_breach(self) -> None:
+        self._tell(10.0, NeedKind.REST, 3.0)
+        for at in (10.4, 11.0, 12.9, 13.1):
+            self._send(at)
+        self.assertEqual(0, self._count_breaches())
+        self._send(12.0)
+        self.assertEqual(1, self._count_breaches())
+
+    def test_a_daemon_in_a_fault_is_excused(self) -> None:
+        self._tell(10.0, NeedKind.REST, 3.0)
+        for _ in range(5):
+            self._send(12.0)
+        freeze = history.Disturbance("freeze", "entry-0", 10.5, 11.5)
+        self.seen.disturbances.append(freeze)
+        self.assertEqual(0, self._count_breaches())
+
+    def test_a_store_that_is_away_excuses_nothing(self) -> None:
+        self._tell(10.0, NeedKind.LEAVES, 1.0)
+        self._send(15.0)
+        away = history.Disturbance("store down", "store", 9.0, 16.0)
+        self.seen.disturbances.append(away)
+        self.assertEqual(1, self._count_breaches())
