Order engines in place of what those with a limit do not take

Cause: an engine that names a limit counted as a whole one for orders, so callers of the others waited for what it did not take. It now counts as the part of the requests that it takes of what an engine usually reads; the size of a request comes of the meter of demand.

Ruled out: to count it as none (one with a limit of 50 a second is whole).

--- a/packages/daemon/src/martenquay_daemon/backpressure/leaving_words.py
+++ b/packages/daemon/src/martenquay_daemon/backpressure/leaving_words.py
@@ -60,6 +60,11 @@
         self.hurry: Callable[[], None] = _do_nothing
         self._words: dict[str, _Word] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no runner has said anything."""
+        return not self._words
+
     def note_answer(self, runner: runners.Runner) -> None:
         """Note that a runner has said so in an answer."""
         if self._keep(runner.id, runner.born_ms, "answer"):
--- a/packages/daemon/src/martenquay_daemon/backpressure/runner_limits.py
+++ b/packages/daemon/src/martenquay_daemon/backpressure/runner_limits.py
@@ -76,6 +76,11 @@
         self._find_share = find_share
         self._known: dict[str, _Known] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no runner has said anything."""
+        return not self._known
+
     def note_answer(
         self,
         runner: runners.Runner,
@@ -133,6 +138,11 @@
         found.sort(key=lambda one: one[1].heard_at, reverse=True)
         return found[:_MOST_TOLD]
 
+    def find_limit(self, runner: runners.Runner) -> float | None:
+        """Return the requests a second that a runner takes, if it says so."""
+        known = self._find_limited(runner)
+        return None if known is None else known.word.limit_per_s
+
     def is_limited(self, runner: runners.Runner) -> bool:
         """Tell whether a runner takes less than usual."""
         return self._find_limited(runner) is not None
--- a/packages/daemon/src/martenquay_daemon/duties/capacity_keeper.py
+++ b/packages/daemon/src/martenquay_daemon/duties/capacity_keeper.py
@@ -23,6 +23,7 @@
     from collections.abc import Callable
 
     from martenquay_core.serving import catalog, runners
+    from martenquay_daemon.backpressure import runner_limits
     from martenquay_daemon.discovery import catalog_store, runner_directory
     from martenquay_daemon.duties import lease
     from martenquay_daemon.engines import loads, model
@@ -64,6 +65,7 @@
         ledger: What runs at runners.
         estimates: How fast they are.
         fleet: What other daemons tell.
+        limits: What runners in need say that they take.
         list_serving: Returns, of a service's usable runners, those of versions
             that carry its requests. Those on trial are the platform's to give.
     """
@@ -77,6 +79,7 @@
     ledger: loads.LoadLedger
     estimates: model.RunnerModel
     fleet: view.FleetView
+    limits: runner_limits.RunnerLimits
     list_serving: Callable[[str, list[runners.Runner]], list[runners.Runner]]
 
 
@@ -186,8 +189,10 @@
         measured = self._measure(service.name)
         foreseen = self._foresee(service.name, measured, state.limits)
         rise = foreseen.count_needed(slots)
-        count = measured.count_needed(slots)
-        comfortable = measured.count_busy(slots)
+        # Who takes a request now and then is no whole engine.
+        missing = self._count_missing(service.name, state, measured)
+        count = measured.count_needed(slots) + missing
+        comfortable = measured.count_busy(slots) + missing
         if not self._parts.estimates.find(service.name).is_learnt:
             # What is only assumed of engines keeps what runs and buys nothing.
             count = min(count, len(state.runners))
@@ -219,6 +224,18 @@
         self._note_target(service.name, target, measured)
         return target
 
+    def _count_missing(
+        self,
+        service: str,
+        state: capacity_plan.ServiceState,
+        measured: capacity_plan.CapacityNeed,
+    ) -> int:
+        """Return how many engines those with a limit fall short of."""
+        found = [self._parts.limits.find_limit(one) for one in state.runners]
+        limits = [limit for limit in found if limit is not None]
+        tokens = self._parts.meter.find_size(service)
+        return measured.find_missing(limits, tokens)
+
     def _note_target(
         self,
         service: str,
--- a/packages/daemon/src/martenquay_daemon/duties/capacity_plan.py
+++ b/packages/daemon/src/martenquay_daemon/duties/capacity_plan.py
@@ -14,6 +14,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from martenquay_core.serving import catalog, runners
 
 __all__ = [
@@ -60,6 +62,19 @@
     read_tokens_per_s: float
     unread_tokens: int = 0
 
+    def find_missing(self, limits: Sequence[float], tokens: float) -> int:
+        """Return how many engines runners in need fall short of.
+
+        Args:
+            limits: The requests a second that each of them takes.
+            tokens: That an engine has to read for a request.
+        """
+        if tokens <= 0:
+            return 0
+        usual_per_s = self.read_tokens_per_s * _READ_LOAD / tokens
+        parts = [min(1.0, limit / usual_per_s) for limit in limits]
+        return round(len(parts) - sum(parts))
+
     def count_needed(self, slots: int) -> int:
         """Return the engines that take what comes in."""
         return self._count(slots * _SLOT_LOAD, self.tokens_per_s)
--- a/packages/daemon/src/martenquay_daemon/duties/parts.py
+++ b/packages/daemon/src/martenquay_daemon/duties/parts.py
@@ -15,6 +15,7 @@
     from martenquay_core.serving import ports as port_types
     from martenquay_core.settings import gateway
     from martenquay_daemon import gateway_ports
+    from martenquay_daemon.backpressure import runner_limits
     from martenquay_daemon.discovery import catalog_store, runner_directory
     from martenquay_daemon.duties import lease, usage_counts
     from martenquay_daemon.engines import demand, loads, model
@@ -39,6 +40,7 @@
         estimates: How fast they are.
         usage: Requests begun.
         fleet: What other daemons tell.
+        limits: What runners in need say that they take.
         roster: Who announced themselves.
         links: Where daemons are linked to.
         rollouts: Orders of versions.
@@ -54,6 +56,7 @@
     estimates: model.RunnerModel
     usage: usage_counts.UsageCounts
     fleet: view.FleetView
+    limits: runner_limits.RunnerLimits
     roster: roster.Roster
     links: links.FleetLinks
     rollouts: rollout_parts.RolloutState
@@ -107,6 +110,7 @@
             ledger=sources.ledger,
             estimates=sources.estimates,
             fleet=sources.fleet,
+            limits=sources.limits,
             list_serving=sources.rollouts.versions.list_serving,
         )
     )
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -326,6 +326,7 @@
                 estimates=self._estimates,
                 usage=self._usage,
                 fleet=self._view,
+                limits=self._limits,
                 roster=self._roster,
                 links=self.links,
                 rollouts=self._rollouts,
--- a/tests/test_duties/test_capacity.py
+++ b/tests/test_duties/test_capacity.py
@@ -138,6 +138,15 @@
         self.assertEqual(3, reading.count_needed(128))
         self.assertEqual(4, slots.count_busy(128))
 
+    def test_engines_that_name_a_limit_are_parts_of_engines(self) -> None:
+        need = capacity_plan.CapacityNeed(45_000.0, 1, 30_000.0)
+        # One engine reads 19,500 tokens a second, so 10 requests of 1,950.
+        self.assertEqual(0, need.find_missing([], 1950.0))
+        self.assertEqual(0, need.find_missing([50.0], 1950.0))
+        self.assertEqual(1, need.find_missing([1.0], 1950.0))
+        self.assertEqual(2, need.find_missing([0.0, 1.0, 9.0], 1950.0))
+        self.assertEqual(0, need.find_missing([0.0], 0.0))
+
     def test_cheap_runners_leave_more_slots_free_than_dear_ones(self) -> None:
         need = capacity_plan.CapacityNeed(10.0, 240, 30_000.0)
         self.assertEqual(3, need.count_needed(128))
--- a/tests/test_duties/test_capacity_keeper.py
+++ b/tests/test_duties/test_capacity_keeper.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from martenquay_core.serving import catalog, ports
+from martenquay_core.serving import catalog, ports, signals
 from martenquay_daemon.discovery import (
     catalog_store,
     contact,
@@ -39,6 +39,7 @@
         )
         self.meter = demand.DemandMeter()
         self.estimates = model.RunnerModel()
+        self.limits = builders.build_runner_limits()
         fleet = view.FleetView("entry-1")
         self.lease = lease.create_lease(
             log.MemoryLog(), "lease", "entry-1.aa", "entry-1", 3.0, fleet
@@ -54,6 +55,7 @@
                 ledger=loads.LoadLedger(),
                 estimates=self.estimates,
                 fleet=fleet,
+                limits=self.limits,
                 list_serving=lambda _, usable: usable,
             )
         )
@@ -256,6 +258,24 @@
             result = model.FirstEvent(own, own, 0.05 + own / tokens_per_s)
             self.estimates.note_first_event("model", result)
 
+    def test_an_engine_that_takes_little_is_made_up_for(self) -> None:
+        async def find_most(*limited: int) -> int:
+            for number in limited:
+                runner = self.directory.find(f"r-{number}")
+                told = signals.RunnerSignals(limit_per_s=0.1)
+                self.limits.note_answer(runner, told, trio.current_time())
+            self.cloud.received.clear()
+            await self._teach_and_load(3.0, 35_000.0)
+            return max(o.wanted for o in self.cloud.list_orders())
+
+        async def scenario() -> None:
+            await self._teach_and_load(30.0, 35_000.0)
+            before = await find_most()
+            # Engines read 13,000 tokens a second: the two take a tenth of it.
+            self.assertGreater(await find_most(1, 2), before)
+
+        self._run(scenario)
+
     def test_what_is_only_assumed_of_engines_buys_none(self) -> None:
         async def scenario() -> None:
             await self._load(25.0, 200_000.0)
