Ask only of the runners that have said something

Cause: with one runner in need, each request asked three tables of each runner: 819 us at 790 runners, half of what a daemon may spend on control at 10 requests a second. The ids that have said anything are gathered first: 196 us with 20 of 790 limited, 48 us with none. What is decided is the same; 51 tests of the gate, the placer and the forwarder pass.

--- a/packages/daemon/src/martenquay_daemon/backpressure/leaving_words.py
+++ b/packages/daemon/src/martenquay_daemon/backpressure/leaving_words.py
@@ -60,10 +60,9 @@
         self.hurry: Callable[[], None] = _do_nothing
         self._words: dict[str, _Word] = {}
 
-    @property
-    def is_empty(self) -> bool:
-        """Whether no runner has said anything."""
-        return not self._words
+    def list_ids(self) -> set[str]:
+        """Return the ids of the runners of which something is known."""
+        return set(self._words)
 
     def note_answer(self, runner: runners.Runner) -> None:
         """Note that a runner has said so in an answer."""
--- a/packages/daemon/src/martenquay_daemon/backpressure/rests.py
+++ b/packages/daemon/src/martenquay_daemon/backpressure/rests.py
@@ -55,10 +55,9 @@
         self.observe: Callable[[str, str], None] = _ignore
         self._rests: dict[str, _Rest] = {}
 
-    @property
-    def is_empty(self) -> bool:
-        """Whether no runner has said anything."""
-        return not self._rests
+    def list_ids(self) -> set[str]:
+        """Return the ids of the runners of which something is known."""
+        return set(self._rests)
 
     def note_refusal(self, runner: runners.Runner, rest_s: float) -> None:
         """Note that a runner has turned a request away and asks for rest."""
--- a/packages/daemon/src/martenquay_daemon/backpressure/runner_gate.py
+++ b/packages/daemon/src/martenquay_daemon/backpressure/runner_gate.py
@@ -70,14 +70,27 @@
         self, found: Iterable[runners.Runner]
     ) -> list[runners.Runner]:
         """Return the runners that take a request of this daemon now."""
-        if self._is_silent():
-            # As nearly always; else each request would ask of each runner.
-            return list(found)
-        return [one for one in found if not self._find_problem(one)]
+        # Few say anything; to ask of each of hundreds would hold up each
+        # request.
+        told = self._limits.list_ids()
+        told |= self._leaving.list_ids()
+        told |= self._rests.list_ids()
+        return [
+            runner
+            for runner in found
+            if runner.id not in told or not self._find_problem(runner)
+        ]
 
-    def is_whole(self, runner: runners.Runner) -> bool:
-        """Tell whether a runner takes as much as any other."""
-        return self._limits.is_empty or not self._limits.is_limited(runner)
+    def keep_whole(
+        self, found: Iterable[runners.Runner]
+    ) -> list[runners.Runner]:
+        """Return the runners that take as much as any other."""
+        told = self._limits.list_ids()
+        return [
+            runner
+            for runner in found
+            if runner.id not in told or not self._limits.is_limited(runner)
+        ]
 
     def take_turn(self, runner: runners.Runner) -> str:
         """Return why a request must not be sent now, or nothing.
@@ -112,13 +125,6 @@
         self._limits.forget(runner_id)
         self._rests.forget(runner_id)
 
-    def _is_silent(self) -> bool:
-        return (
-            self._leaving.is_empty
-            and self._rests.is_empty
-            and self._limits.is_empty
-        )
-
     def _find_problem(self, runner: runners.Runner) -> str:
         if self._leaving.holds(runner):
             return "the runner says that it leaves"
--- a/packages/daemon/src/martenquay_daemon/backpressure/runner_limits.py
+++ b/packages/daemon/src/martenquay_daemon/backpressure/runner_limits.py
@@ -76,10 +76,9 @@
         self._find_share = find_share
         self._known: dict[str, _Known] = {}
 
-    @property
-    def is_empty(self) -> bool:
-        """Whether no runner has said anything."""
-        return not self._known
+    def list_ids(self) -> set[str]:
+        """Return the ids of the runners of which something is known."""
+        return set(self._known)
 
     def note_answer(
         self,
--- a/packages/daemon/src/martenquay_daemon/engines/placer.py
+++ b/packages/daemon/src/martenquay_daemon/engines/placer.py
@@ -189,7 +189,7 @@
         One that takes a request now and then is nobody's home: what shares a
         prompt would change runners with each turn, and be read again there.
         """
-        whole = [one for one in candidates if self._gate.is_whole(one)]
+        whole = self._gate.keep_whole(candidates)
         return _choose_home(call, whole) if whole else None
 
     def _sample(
