--- a/packages/daemon/src/martenquay_daemon/backpressure/runner_gate.py
+++ b/packages/daemon/src/martenquay_daemon/backpressure/runner_gate.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+import dataclasses
 import math
 from typing import TYPE_CHECKING
 
@@ -17,9 +19,27 @@
         runner_limits,
     )
 
-__all__ = ["RunnerGate"]
+__all__ = ["ClosedRunners", "RunnerGate"]
 
 _LOG = logs.create_log("backpressure")
+_LEAVES = "the runner says that it leaves"
+_RESTS = "the runner has asked for rest"
+_OVER = "over the limit that the runner names"
+
+
+@dataclasses.dataclass(frozen=True)
+class ClosedRunners:
+    """Runners that take no request of this daemon now.
+
+    Attributes:
+        leaving: They leave.
+        resting: They have asked for rest.
+        limited: Their limit leaves this daemon no turn now.
+    """
+
+    leaving: int
+    resting: int
+    limited: int
 
 
 class RunnerGate:
@@ -120,6 +140,15 @@
         ]
         return min(filter(math.isfinite, waits), default=None)
 
+    def count_closed(self, found: Iterable[runners.Runner]) -> ClosedRunners:
+        """Count the runners that take nothing now, by their first reason."""
+        problems = collections.Counter(
+            self._find_problem(runner) for runner in found
+        )
+        return ClosedRunners(
+            problems[_LEAVES], problems[_RESTS], problems[_OVER]
+        )
+
     def forget(self, runner_id: str) -> None:
         """Drop what a runner has said: its process is a new one."""
         self._limits.forget(runner_id)
@@ -127,9 +156,9 @@
 
     def _find_problem(self, runner: runners.Runner) -> str:
         if self._leaving.holds(runner):
-            return "the runner says that it leaves"
+            return _LEAVES
         if self._rests.find_wait_s(runner) > 0:
-            return "the runner has asked for rest"
+            return _RESTS
         if self._limits.find_wait_s(runner) > 0:
-            return "over the limit that the runner names"
+            return _OVER
         return ""
--- a/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
@@ -329,8 +329,20 @@
 
     def _describe_none(self, current: exchange.Exchange) -> answers.OwnAnswer:
         """Return the answer if there is no runner to send to."""
-        usable = self._parts.directory.list_usable(current.service)
-        retry_s = self._parts.runner_gate.find_retry_s(usable)
+        parts = self._parts
+        usable = parts.directory.list_usable(current.service)
+        retry_s = parts.runner_gate.find_retry_s(usable)
+        known = parts.directory.list_all(current.service)
+        closed = parts.runner_gate.count_closed(known)
+        _LOG.write(
+            f"No runner of {current.service} is left to send to.",
+            request=current.call.id,
+            known=len(known),
+            leaving=closed.leaving,
+            resting=closed.resting,
+            limited=closed.limited,
+            retry_s=retry_s,
+        )
         if current.may_have_run or not retry_s:
             return own_answers.describe_failure(current)
         return own_answers.describe_backpressure(current, retry_s)
--- a/tests/test_backpressure/test_runner_gate.py
+++ b/tests/test_backpressure/test_runner_gate.py
@@ -3,17 +3,14 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
 
 import trio
 
 from martenquay_core.serving import calls, signals
+from martenquay_daemon.backpressure import runner_gate
 from tests import clocked
 from tests import serving_builders as builders
 
-if TYPE_CHECKING:
-    from martenquay_daemon.backpressure import runner_gate
-
 _RUNNER = builders.build_runner(born_ms=7)
 _LIMITED = signals.RunnerSignals(limit_per_s=2.0)
 _LEAVES = signals.RunnerSignals(is_leaving=True)
@@ -65,6 +62,19 @@
 
         self.run_clocked(scenario)
 
+    def test_what_keeps_runners_out_is_counted(self) -> None:
+        async def scenario() -> None:
+            gate = builders.build_runner_gate()
+            other = builders.build_runner(id="runner-2")
+            _note(gate, _RESTS, did_not_run=True)
+            found = gate.count_closed([_RUNNER, other])
+            self.assertEqual(runner_gate.ClosedRunners(0, 1, 0), found)
+            _note(gate, _LEAVES)
+            found = gate.count_closed([_RUNNER, other])
+            self.assertEqual(runner_gate.ClosedRunners(1, 0, 0), found)
+
+        self.run_clocked(scenario)
+
     def test_nobody_is_told_to_wait_for_a_runner_that_leaves(self) -> None:
         async def scenario() -> None:
             gate = builders.build_runner_gate()
