--- a/packages/daemon/src/martenquay_daemon/backpressure/leaving_words.py
+++ b/packages/daemon/src/martenquay_daemon/backpressure/leaving_words.py
@@ -13,6 +13,7 @@
 import trio
 
 from martenquay_core import logs
+from martenquay_daemon.backpressure import observers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -33,14 +34,6 @@
 _MOST_RUNNERS = 4000
 
 
-def _ignore(signal: str, source: str) -> None:
-    del signal, source
-
-
-def _do_nothing() -> None:
-    """Nobody is to be told."""
-
-
 @dataclasses.dataclass(frozen=True)
 class _Word:
     born_ms: int | None
@@ -56,8 +49,8 @@
     """
 
     def __init__(self) -> None:
-        self.observe: Callable[[str, str], None] = _ignore
-        self.hurry: Callable[[], None] = _do_nothing
+        self.observe: Callable[[str, str], None] = observers.ignore_change
+        self.hurry: Callable[[], None] = observers.tell_nobody
         self._words: dict[str, _Word] = {}
 
     def list_ids(self) -> set[str]:
--- /dev/null
+++ b/packages/daemon/src/martenquay_daemon/backpressure/parts.py
@@ -0,0 +1,62 @@
+"""Build what heeds the words of runners."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from martenquay_daemon.backpressure import (
+    leaving_words,
+    rests,
+    runner_gate,
+    runner_limits,
+    send_order,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from martenquay_daemon.fleet import roster
+
+__all__ = ["Backpressure", "create_backpressure"]
+
+
+@dataclasses.dataclass(frozen=True)
+class Backpressure:
+    """What runners say of themselves, and the gate that goes by it.
+
+    Attributes:
+        limits: Limits that they name.
+        leaving: Those that leave.
+        gate: Asked before each request.
+    """
+
+    limits: runner_limits.RunnerLimits
+    leaving: leaving_words.LeavingWords
+    gate: runner_gate.RunnerGate
+
+
+def create_backpressure(
+    instance: str,
+    known: roster.Roster,
+    leaving: leaving_words.LeavingWords,
+    observe: Callable[[str, str], None],
+    hurry: Callable[[], None],
+) -> Backpressure:
+    """Return the parts, connected.
+
+    Args:
+        instance: This daemon's instance.
+        known: The instances that share what runners take.
+        leaving: The directory's: it lists none of those that leave.
+        observe: Told the kind and the source of each change.
+        hurry: Has other daemons told of a change soon.
+    """
+    order = send_order.SendOrder(instance, known)
+    limits = runner_limits.RunnerLimits(order.find_place)
+    asked_rests = rests.Rests()
+    for words in (limits, leaving, asked_rests):
+        words.observe = observe
+    limits.hurry = leaving.hurry = hurry
+    gate = runner_gate.RunnerGate(limits, leaving, asked_rests)
+    return Backpressure(limits, leaving, gate)
--- a/packages/daemon/src/martenquay_daemon/backpressure/rests.py
+++ b/packages/daemon/src/martenquay_daemon/backpressure/rests.py
@@ -9,6 +9,7 @@
 import trio
 
 from martenquay_core import logs
+from martenquay_daemon.backpressure import observers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -25,10 +26,6 @@
 _MOST_RUNNERS = 4000
 
 
-def _ignore(signal: str, source: str) -> None:
-    del signal, source
-
-
 @dataclasses.dataclass
 class _Rest:
     """One runner's rest.
@@ -52,7 +49,7 @@
     """
 
     def __init__(self) -> None:
-        self.observe: Callable[[str, str], None] = _ignore
+        self.observe: Callable[[str, str], None] = observers.ignore_change
         self._rests: dict[str, _Rest] = {}
 
     def list_ids(self) -> set[str]:
--- a/packages/daemon/src/martenquay_daemon/backpressure/runner_limits.py
+++ b/packages/daemon/src/martenquay_daemon/backpressure/runner_limits.py
@@ -9,7 +9,11 @@
 import trio
 
 from martenquay_core import logs
-from martenquay_daemon.backpressure import limit_words, send_shares
+from martenquay_daemon.backpressure import (
+    limit_words,
+    observers,
+    send_shares,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -30,14 +34,6 @@
 _MOST_TOLD = 32
 
 
-def _ignore(signal: str, source: str) -> None:
-    del signal, source
-
-
-def _do_nothing() -> None:
-    """Nobody is to be told."""
-
-
 @dataclasses.dataclass
 class _Known:
     """What is known of one runner's limit.
@@ -70,8 +66,8 @@
             [float, send_shares.Place], send_shares.Share
         ] = send_shares.find_share,
     ) -> None:
-        self.observe: Callable[[str, str], None] = _ignore
-        self.hurry: Callable[[], None] = _do_nothing
+        self.observe: Callable[[str, str], None] = observers.ignore_change
+        self.hurry: Callable[[], None] = observers.tell_nobody
         self._find_place = find_place
         self._find_share = find_share
         self._known: dict[str, _Known] = {}
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -15,12 +15,7 @@
     rights,
     terms,
 )
-from martenquay_daemon.backpressure import (
-    rests,
-    runner_gate,
-    runner_limits,
-    send_order,
-)
+from martenquay_daemon.backpressure import parts as backpressure_parts
 from martenquay_daemon.discovery import (
     catalog_sink,
     catalog_store,
@@ -326,7 +321,7 @@
                 estimates=self._estimates,
                 usage=self._usage,
                 fleet=self._view,
-                limits=self._limits,
+                limits=self._backpressure.limits,
                 roster=self._roster,
                 links=self.links,
                 rollouts=self._rollouts,
@@ -335,6 +330,9 @@
 
     def _share_state(self) -> None:
         settings = self._settings
+        news = runner_news.RunnerNews(
+            self._backpressure.limits, self._backpressure.leaving
+        )
         self._shared = shared_state.SharedState(
             shared_state.Identity(
                 self.member,
@@ -349,7 +347,7 @@
                 units=self._unit_news,
                 listed=self._roster,
                 loads=self._loads,
-                runner_news=self._runner_news,
+                runner_news=news,
                 usage=self._usage,
                 meter=self._meter,
                 estimates=self._estimates,
@@ -369,7 +367,7 @@
             self._unit_news.take_note,
             self._unit_news.answer,
             self._unit_news.find_zone_end,
-            self._runner_news,
+            news,
         )
         self._view.listen_for_ends(self._shared.end_member)
 
@@ -377,7 +375,7 @@
         """Drop what was learnt of a runner's process before this one."""
         self._ejector.forget(runner_id)
         self._loads.forget_runner(runner_id)
-        self._runner_gate.forget(runner_id)
+        self._backpressure.gate.forget(runner_id)
 
     def _build_allowances(self) -> None:
         bounds = self._settings.bounds
@@ -426,21 +424,6 @@
         # The lease is built after what asks for it.
         return self._lease.is_held()
 
-    def _build_backpressure(self) -> None:
-        order = send_order.SendOrder(self.instance, self._roster)
-        self._limits = runner_limits.RunnerLimits(order.find_place)
-        self._limits.observe = self.metrics.count_runner_signal
-        self._limits.hurry = self._tell_peers_soon
-        leaving = self._directory.leaving
-        leaving.observe = self.metrics.count_runner_signal
-        leaving.hurry = self._tell_peers_soon
-        asked_rests = rests.Rests()
-        asked_rests.observe = self.metrics.count_runner_signal
-        self._runner_gate = runner_gate.RunnerGate(
-            self._limits, leaving, asked_rests
-        )
-        self._runner_news = runner_news.RunnerNews(self._limits, leaving)
-
     def _build_forwarding(self) -> None:
         bounds = self._settings.bounds
         self._loads = loads.LoadLedger()
@@ -450,7 +433,13 @@
         self._stop_window = stop_window.StopWindow(streams)
         self._usage = usage_counts.UsageCounts(bounds.window_s)
         self._ejector = ejection.Ejector()
-        self._build_backpressure()
+        self._backpressure = backpressure_parts.create_backpressure(
+            self.instance,
+            self._roster,
+            self._directory.leaving,
+            self.metrics.count_runner_signal,
+            self._tell_peers_soon,
+        )
         self._directory.on_restart = self._forget_runner
         self._build_allowances()
         codec = self._ports.calls
@@ -471,7 +460,7 @@
                 self._rng,
                 self._view.is_zone_silent,
                 lambda: self._view.is_mesh,
-                self._runner_gate,
+                self._backpressure.gate,
                 self._rollouts.versions.choose,
             ),
             attempts=attempt.AttemptMaker(
@@ -482,11 +471,11 @@
                 self._estimates,
                 streams,
                 self._tell_peers_soon,
-                self._runner_gate,
+                self._backpressure.gate,
             ),
             retries=self._retries,
             ejector=self._ejector,
-            runner_gate=self._runner_gate,
+            runner_gate=self._backpressure.gate,
             guard=content_guard.ContentGuard(self._quarantine, self._directory),
             stop=self._stop_window,
             trials=trial_notes.TrialNotes(
--- a/packages/standins/src/martenquay_standins/ports/telling_runner.py
+++ b/packages/standins/src/martenquay_standins/ports/telling_runner.py
@@ -6,6 +6,8 @@
 
 import trio
 
+from martenquay_standins import windows
+
 __all__ = ["Arrival", "TellingRunner"]
 
 _RECEIVE_BYTES = 65_536
@@ -55,13 +57,7 @@
     def count_most(self, window_s: float, from_at: float) -> int:
         """Return the most requests that came in any window from a time on."""
         times = [one.at for one in self.arrivals if one.at >= from_at]
-        return max(
-            (
-                sum(start <= at < start + window_s for at in times)
-                for start in times
-            ),
-            default=0,
-        )
+        return windows.count_most(times, window_s)
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         try:
--- a/tests/limit_days.py
+++ b/tests/limit_days.py
@@ -18,6 +18,7 @@
 from martenquay_core.serving import signals
 from martenquay_core.util import rendezvous
 from martenquay_daemon.backpressure import runner_limits, send_shares
+from martenquay_standins import windows
 from tests import serving_builders as builders
 
 if TYPE_CHECKING:
@@ -331,19 +332,8 @@
         ]
         learnt_s = self._learnt_s
         return Played(
-            most=_count_most(bound),
-            most_of_all=_count_most(all_times),
+            most=windows.count_most(bound, WINDOW_S),
+            most_of_all=windows.count_most(all_times, WINDOW_S),
             got_per_s=len(all_times) / (self._over_s - since),
             learnt_s=self._day.after_s if learnt_s is None else learnt_s,
         )
-
-
-def _count_most(times: list[float]) -> int:
-    """Return the most times within any window."""
-    most = 0
-    first = 0
-    for last, at in enumerate(times):
-        while times[first] <= at - WINDOW_S:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
--- a/tests/telling_fleet.py
+++ b/tests/telling_fleet.py
@@ -6,18 +6,20 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+import testtools
 import trio
 
 from martenquay_standins.ports import telling_runner
 from tests import gateway_fleet
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from tests import serving_scene
 
-__all__ = ["TellingFleet", "open_fleet"]
+__all__ = ["TellingFleet", "TellingTestCase", "open_fleet"]
 
+_HANG_S = 60.0
 _READY_S = 10.0
 _LOOK_S = 0.05
 
@@ -86,3 +88,27 @@
     for daemon in fleet.daemons:
         await daemon.ask()
     return all(one.arrivals for one in fleet.runners)
+
+
+class TellingTestCase(testtools.TestCase):
+    """Tests over a fleet of their own.
+
+    Attributes:
+        daemons: How many there are.
+        runners: How many runners of one service.
+    """
+
+    daemons = 1
+    runners = 2
+
+    def run_fleet(
+        self, scenario: Callable[[TellingFleet], Awaitable[None]]
+    ) -> None:
+        """Run a scenario to its end."""
+
+        async def run() -> None:
+            with trio.fail_after(_HANG_S):
+                async with open_fleet(self.daemons, self.runners) as fleet:
+                    await scenario(fleet)
+
+        trio.run(run)
--- a/tests/test_promises/test_leaving_in_answers.py
+++ b/tests/test_promises/test_leaving_in_answers.py
@@ -9,17 +9,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
-import testtools
 import trio
 
 from tests import telling_fleet
 
-if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
-
-_HANG_S = 60.0
 _LEAVES = (b"server-leaving: 1",)
 # Within this all that a daemon has sent on is at its runner.
 _SETTLED_S = 0.5
@@ -27,7 +20,10 @@
 _PER_DAEMON_S = 10.0
 
 
-class LeavingInAnswersTest(testtools.TestCase):
+class LeavingInAnswersTest(telling_fleet.TellingTestCase):
+    daemons = 3
+    runners = 3
+
     def test_daemons_that_were_told_send_it_nothing(self) -> None:
         async def scenario(fleet: telling_fleet.TellingFleet) -> None:
             leaving = fleet.runners[0]
@@ -39,7 +35,7 @@
             self.assertEqual([], late)
             self.assertEqual({200}, {one.status for one in fleet.replies})
 
-        self._run(scenario)
+        self.run_fleet(scenario)
 
     def test_an_entry_that_says_ready_does_not_bring_it_back(self) -> None:
         async def scenario(fleet: telling_fleet.TellingFleet) -> None:
@@ -52,7 +48,7 @@
             late = [a for a in leaving.arrivals if a.at > since + _SETTLED_S]
             self.assertEqual([], late)
 
-        self._run(scenario)
+        self.run_fleet(scenario)
 
     def test_its_next_process_gets_work(self) -> None:
         async def scenario(fleet: telling_fleet.TellingFleet) -> None:
@@ -65,7 +61,7 @@
             await fleet.press(_PER_DAEMON_S, _PRESS_S)
             self.assertTrue([a for a in runner.arrivals if a.at > since])
 
-        self._run(scenario)
+        self.run_fleet(scenario)
 
     def test_where_all_leave_callers_are_told_at_once(self) -> None:
         async def scenario(fleet: telling_fleet.TellingFleet) -> None:
@@ -77,15 +73,4 @@
             self.assertEqual(503, reply.status)
             self.assertLess(trio.current_time() - since, _SETTLED_S)
 
-        self._run(scenario)
-
-    def _run(
-        self,
-        scenario: Callable[[telling_fleet.TellingFleet], Awaitable[None]],
-    ) -> None:
-        async def run() -> None:
-            with trio.fail_after(_HANG_S):
-                async with telling_fleet.open_fleet(3, 3) as fleet:
-                    await scenario(fleet)
-
-        trio.run(run)
+        self.run_fleet(scenario)
--- a/tests/test_promises/test_runner_limit.py
+++ b/tests/test_promises/test_runner_limit.py
@@ -10,17 +10,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
-import testtools
 import trio
 
 from tests import telling_fleet
 
-if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
-
-_HANG_S = 60.0
 _DAEMONS = 6
 _RUNNERS = 3
 _LIMIT_PER_S = 1.0
@@ -32,7 +25,10 @@
 _PER_DAEMON_S = 8.0
 
 
-class RunnerLimitTest(testtools.TestCase):
+class RunnerLimitTest(telling_fleet.TellingTestCase):
+    daemons = _DAEMONS
+    runners = _RUNNERS
+
     def test_the_sum_over_all_daemons_keeps_the_limit(self) -> None:
         async def scenario(fleet: telling_fleet.TellingFleet) -> None:
             limited = fleet.runners[0]
@@ -44,7 +40,7 @@
             # It is not given up either.
             self.assertGreater(most, 0)
 
-        self._run(scenario)
+        self.run_fleet(scenario)
 
     def test_others_serve_what_it_does_not_take(self) -> None:
         async def scenario(fleet: telling_fleet.TellingFleet) -> None:
@@ -53,7 +49,7 @@
             statuses = {reply.status for reply in fleet.replies}
             self.assertEqual({200}, statuses)
 
-        self._run(scenario)
+        self.run_fleet(scenario)
 
     def test_it_gets_its_part_again_once_it_names_no_limit(self) -> None:
         async def scenario(fleet: telling_fleet.TellingFleet) -> None:
@@ -67,17 +63,4 @@
             fair = _DAEMONS * _PER_DAEMON_S / _RUNNERS
             self.assertGreater(len(last), fair / 2)
 
-        self._run(scenario)
-
-    def _run(
-        self,
-        scenario: Callable[[telling_fleet.TellingFleet], Awaitable[None]],
-    ) -> None:
-        async def run() -> None:
-            with trio.fail_after(_HANG_S):
-                async with telling_fleet.open_fleet(
-                    _DAEMONS, _RUNNERS
-                ) as fleet:
-                    await scenario(fleet)
-
-        trio.run(run)
+        self.run_fleet(scenario)
--- a/tests/test_promises/test_runner_rest.py
+++ b/tests/test_promises/test_runner_rest.py
@@ -14,17 +14,13 @@
 
 from typing import TYPE_CHECKING
 
-import testtools
 import trio
 
 from tests import telling_fleet
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
-
     from martenquay_standins.ports import telling_runner
 
-_HANG_S = 60.0
 _REST_S = 3.0
 _RESTS = (b"retry-after: 3",)
 # What is under way when a runner first asks for rest may still come.
@@ -36,7 +32,10 @@
 _TRIAL_S = 0.5
 
 
-class RunnerRestTest(testtools.TestCase):
+class RunnerRestTest(telling_fleet.TellingTestCase):
+    daemons = 1
+    runners = 2
+
     def test_a_daemon_that_was_told_keeps_away(self) -> None:
         async def scenario(fleet: telling_fleet.TellingFleet) -> None:
             fleet.runners[0].refusal = _RESTS
@@ -44,7 +43,7 @@
             self.assertLessEqual(_count_most(fleet.runners[0]), _MOST)
             self.assertEqual({200}, {one.status for one in fleet.replies})
 
-        self._run(scenario, runners=2)
+        self.run_fleet(scenario)
 
     def test_it_gets_work_again_after_the_time(self) -> None:
         async def scenario(fleet: telling_fleet.TellingFleet) -> None:
@@ -58,7 +57,7 @@
             # More than the requests that only try whether it takes one.
             self.assertGreater(len(recent), _REST_S / _TRIAL_S)
 
-        self._run(scenario, runners=2)
+        self.run_fleet(scenario)
 
     def test_after_the_time_one_request_goes_first(self) -> None:
         async def scenario(fleet: telling_fleet.TellingFleet) -> None:
@@ -69,7 +68,7 @@
             # The first ones, and one each time that the rest is over.
             self.assertLessEqual(len(refused), 2 + 2)
 
-        self._run(scenario, runners=2)
+        self.run_fleet(scenario)
 
     def test_where_all_rest_callers_are_told_when_to_come_back(self) -> None:
         async def scenario(fleet: telling_fleet.TellingFleet) -> None:
@@ -87,19 +86,7 @@
             after = sum(len(one.arrivals) for one in fleet.runners)
             self.assertEqual(before, after)
 
-        self._run(scenario, runners=2)
-
-    def _run(
-        self,
-        scenario: Callable[[telling_fleet.TellingFleet], Awaitable[None]],
-        runners: int,
-    ) -> None:
-        async def run() -> None:
-            with trio.fail_after(_HANG_S):
-                async with telling_fleet.open_fleet(1, runners) as fleet:
-                    await scenario(fleet)
-
-        trio.run(run)
+        self.run_fleet(scenario)
 
 
 def _count_most(runner: telling_runner.TellingRunner) -> int:
