--- a/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
@@ -16,6 +16,7 @@
     exchange,
     first_tries,
     own_answers,
+    request_lines,
     stop_window,
 )
 
@@ -104,6 +105,7 @@
     def __init__(self, parts: ForwarderParts) -> None:
         self._parts = parts
         self._first_tries = first_tries.FirstTries()
+        self._lines = request_lines.RequestLines(parts.store, parts.metrics)
 
     async def handle(
         self,
@@ -241,26 +243,26 @@
         try:
             await self._forward(current)
         except exchange.CallerLeftError:
-            self._note_departure(current)
+            self._lines.note_departure(current)
         except (trio.BrokenResourceError, trio.Cancelled):
             # A stop of the daemon cancels too.
             if current.writer.has_left:
-                self._note_departure(current)
+                self._lines.note_departure(current)
             raise
 
     async def _forward(self, current: exchange.Exchange) -> None:
         final = await self._try_runners(current)
         match final:
             case None:
-                self._note_end(current, "delivered", 0)
+                self._lines.note_end(current, "delivered", 0)
             case exchange.Whole(head=head, body=body):
                 await current.writer.start(head.status, head.headers, len(body))
                 await current.writer.write(body)
                 await current.writer.finish()
-                self._note_end(current, "answered", head.status)
+                self._lines.note_end(current, "answered", head.status)
             case answers.OwnAnswer() if current.writer.has_started:
                 current.writer.abort()
-                self._note_end(current, f"cut off: {final.message}", 0)
+                self._lines.note_end(current, f"cut off: {final.message}", 0)
             case answers.OwnAnswer():
                 await self._answer(current.call, current.writer, final)
 
@@ -282,7 +284,9 @@
             )
             await parts.guard.note_result(current, placement.runner, result)
             parts.trials.note_result(current, placement.runner, result)
-            self._note_attempt(current, placement, result)
+            if isinstance(result, exchange.Delivered | exchange.Whole):
+                parts.ejector.note_success(placement.runner.id)
+            self._lines.note_attempt(current, placement, result)
             match result:
                 case exchange.Delivered():
                     return None
@@ -416,75 +420,6 @@
             writer, self._parts.codec, call.id, answer
         )
 
-    def _note_attempt(
-        self,
-        current: exchange.Exchange,
-        placement: placer.Placement,
-        result: exchange.AttemptResult,
-    ) -> None:
-        outcome = type(result).__name__
-        if isinstance(result, exchange.Delivered | exchange.Whole):
-            self._parts.ejector.note_success(placement.runner.id)
-        self._parts.metrics.count_attempt(current.service, outcome)
-        first_event_s = current.first_event_s
-        if first_event_s is not None:
-            self._parts.metrics.note_first_event(
-                current.service, placement.expected_s, first_event_s
-            )
-        _LOG.write(
-            f"Attempt {current.attempts}: {outcome}.",
-            request=current.call.id,
-            runner=placement.runner.id,
-            zone=placement.runner.zone,
-            expected_ms=round(placement.expected_s * 1000, 1),
-            considered=placement.considered,
-            first_event_ms=first_event_s and round(first_event_s * 1000, 1),
-            uncached=placement.uncached_tokens,
-            unread=placement.unread_tokens,
-            has_free_slot=placement.has_free_slot,
-            entries_age_ms=current.entries_age_ms,
-            events=current.events,
-            detail=getattr(result, "reason", None)
-            or getattr(result, "status", None),
-            content=current.content or None,
-            has_runner_ended=current.has_runner_ended,
-            runner_limit_per_s=current.told.limit_per_s,
-            runner_leaves=current.told.is_leaving or None,
-            runner_rest_s=current.told.rest_s,
-        )
-
-    def _note_departure(self, current: exchange.Exchange) -> None:
-        departure.log_departure(
-            current.call.id,
-            current.stage,
-            current.received_at,
-            route=current.route.name,
-            team=current.team and current.team.name,
-            attempts=current.attempts,
-            events=current.events,
-        )
-
-    def _note_end(
-        self, current: exchange.Exchange, outcome: str, status: int
-    ) -> None:
-        elapsed_s = trio.current_time() - current.received_at
-        self._parts.metrics.note_answer(current.service, elapsed_s)
-        _LOG.write(
-            f"Request {outcome}.",
-            request=current.call.id,
-            route=current.route.name,
-            team=current.team and current.team.name,
-            status=status,
-            units=current.units,
-            kept_at=current.granted.kept_at,
-            there=round(current.granted.units.there),
-            owed=round(current.granted.units.owed),
-            attempts=current.attempts,
-            events=current.events,
-            elapsed_ms=round(elapsed_s * 1000, 1),
-            version=self._parts.store.version,
-        )
-
 
 def _find_patience(current: exchange.Exchange) -> float:
     """Return how long to wait where nothing is known of a team's units."""
