Show that a request sent on by another runner at the address counts as no retry

The daemon takes such a send for no attempt and asks the retry window nothing. The test fails on the code as it is.

--- a/tests/test_forwarding/test_forwarder.py
+++ b/tests/test_forwarding/test_forwarder.py
@@ -5,6 +5,7 @@
 import trio
 
 from martenquay_core.serving import catalog
+from martenquay_daemon.forwarding import retry_window
 from martenquay_standins.ports.runner import Script
 from tests import forwarder_case as case
 from tests import serving_builders as builders
@@ -157,6 +158,28 @@
 
         self.run_scene(scenario, [moved], [case.GOOD])
 
+    def test_a_request_that_met_another_runner_counts_as_sent_again(
+        self,
+    ) -> None:
+        """Each runner that a request reaches counts against the retries.
+
+        With runners that had started again at each other's addresses, one
+        request reached three that turned it away before the one that served
+        it, and none of the three was counted: 598 arrivals beyond the first
+        of their request came in 10 s where 536 are borne.
+        """
+        moved = Script((case.build_answer(421),))
+
+        async def scenario(scene: serving_scene.Scene) -> None:
+            scene.parts.retries.bounds = retry_window.RetryBounds(0, 10.0, 0)
+            raw = case.CALL % (b"GET /lookup/7", 5000)
+            reply = await scene.ask(raw)
+            self.assertEqual(503, reply.status)
+            sent = [len(runner.requests) for runner in scene.runners]
+            self.assertEqual([0, 0, 1], sorted(sent))
+
+        self.run_scene(scenario, [moved], [moved], [moved])
+
 
 class AllowanceTest(case.ForwarderTestCase):
     def _build_limited(self) -> catalog.Catalog:
