Count a request that met another runner at its address as sent again

Callers saw nothing of it at first; a service whose runners had changed addresses got more repeats than it bears, just while it recovered.

Cause: a runner that answers for another (421) was taken for no attempt, so the next send asked the retry window nothing, up to four times a request. The bound counts what arrives, run or not. Now each such send takes a repeat from the window, and where there is none the request is told at once that it has not run.

--- a/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
@@ -50,6 +50,7 @@
         last_event: The last event delivered, or that the caller had before.
         events: Events delivered.
         unsent: Runners that could not be reached or were not ours.
+        misdirected: Runners that were sent it and are not those meant.
         fallback: A failed answer to give if no other comes.
         tried: Runners not to try again.
         sent_at: When it was last sent to a runner, in trio's time.
@@ -77,6 +78,7 @@
     last_event: int | None = None
     events: int = 0
     unsent: int = 0
+    misdirected: int = 0
     fallback: Whole | None = None
     tried: set[str] = dataclasses.field(default_factory=set)
     sent_at: float = 0.0
--- a/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
@@ -311,7 +311,8 @@
         current.check_caller()
         if trio.current_time() >= current.deadline:
             return current.fallback or own_answers.describe_timeout(current)
-        if current.attempts and not self._may_try_again(current):
+        is_repeat = current.attempts > 0 or current.misdirected > 0
+        if is_repeat and not self._may_try_again(current):
             return current.fallback or own_answers.describe_failure(current)
         # Else a runner that has said that it leaves may get work for as
         # long as the news of it are under way: 3.1 s with 2 to 3 allowed.
@@ -375,7 +376,9 @@
         current.tried.add(runner_id)
         match result:
             case exchange.NotRun(is_wrong_runner=True):
-                # That was no runner of the service, so it is no attempt.
+                # That was not the runner meant, so it is no attempt; but some
+                # runner got it, which the bound on retries counts.
+                current.misdirected += 1
                 current.unsent += 1
                 current.attempts -= 1
                 self._parts.directory.note_gone(runner_id)
