--- a/bench/platform_mutations.py
+++ b/bench/platform_mutations.py
@@ -7,6 +7,7 @@
 __all__ = ["PLATFORM_MUTATIONS"]
 
 _FORWARDER = "tests.test_forwarding.test_forwarder"
+_BACKPRESSURE = "tests.test_backpressure"
 _RIGHTS = "tests.test_allowances.test_rights"
 _LEASE = "tests.test_duties.test_lease"
 _SILENT_CONNECTIONS = "tests.test_forwarding.test_silent_connections"
@@ -279,4 +280,53 @@
         "if False:",
         "tests.test_forwarding.test_content_guard",
     ),
+    Mutation(
+        "a limit has few holders",
+        f"{DAEMON}/backpressure/send_shares.py",
+        "    if place.rank < holders:",
+        "    if place.rank < daemons:",
+        f"{_BACKPRESSURE}.test_send_shares",
+    ),
+    Mutation(
+        "a slot that was not used is gone",
+        f"{DAEMON}/backpressure/runner_limits.py",
+        "    within_s = past_s % slot.period_s",
+        "    within_s = 0.0",
+        f"{_BACKPRESSURE}.test_runner_limits.RunnerLimitsTest",
+    ),
+    Mutation(
+        "an overtaken answer ends no limit",
+        f"{DAEMON}/backpressure/limit_words.py",
+        "    if word.sent_at >= known.heard_at:",
+        "    if word.sent_at >= known.sent_at:",
+        f"{_BACKPRESSURE}.test_limit_words",
+    ),
+    Mutation(
+        "the gate is asked at the sending",
+        f"{DAEMON}/backpressure/runner_gate.py",
+        "        problem = self._find_problem(runner)",
+        '        problem = ""',
+        f"{_BACKPRESSURE}.test_runner_gate",
+    ),
+    Mutation(
+        "no entry brings a leaving runner back",
+        f"{DAEMON}/discovery/runner_directory.py",
+        "runner.is_leaving or self.leaving.holds(runner)",
+        "runner.is_leaving",
+        f"{_BACKPRESSURE}.test_leaving_words",
+    ),
+    Mutation(
+        "after a rest one request goes first",
+        f"{DAEMON}/backpressure/rests.py",
+        "max(rest.until, rest.tried_at + _TRIAL_S)",
+        "rest.until",
+        f"{_BACKPRESSURE}.test_rests",
+    ),
+    Mutation(
+        "a misdirected send is a repeat",
+        f"{DAEMON}/forwarding/forwarder.py",
+        "current.attempts > 0 or current.misdirected > 0",
+        "current.attempts > 0",
+        f"{_FORWARDER}.AtMostOnceTest",
+    ),
 )
