Tell the end of a runner's limit for a while only

Read in the code: each answer of a runner whose limit had ended made the word of its end young again, so digests and reports would have held it for as long as it served, and the table would have kept it. Red before (the line was still told after 60 s of answers).

--- a/packages/daemon/src/martenquay_daemon/backpressure/limit_words.py
+++ b/packages/daemon/src/martenquay_daemon/backpressure/limit_words.py
@@ -45,7 +45,10 @@
         return None if word.limit_per_s is None else word
     if known.limit_per_s is None:
         # An answer that is older than the limit's end does not bring it back.
-        return word if word.sent_at >= known.sent_at else known
+        is_named_again = word.limit_per_s is not None
+        return (
+            word if is_named_again and word.sent_at >= known.sent_at else known
+        )
     if word.sent_at >= known.heard_at:
         return word
     if word.limit_per_s is None or word.sent_at < known.sent_at:
--- a/packages/daemon/src/martenquay_daemon/backpressure/runner_gate.py
+++ b/packages/daemon/src/martenquay_daemon/backpressure/runner_gate.py
@@ -10,7 +10,7 @@
 from martenquay_core import logs
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
     from martenquay_core.serving import calls, runners
     from martenquay_daemon.backpressure import (
@@ -92,9 +92,7 @@
         """Return the runners that take a request of this daemon now."""
         # Few say anything; to ask of each of hundreds would hold up each
         # request.
-        told = self._limits.list_ids()
-        told |= self._leaving.list_ids()
-        told |= self._rests.list_ids()
+        told = self._list_told()
         return [
             runner
             for runner in found
@@ -124,12 +122,15 @@
             self._rests.note_sent(runner)
         return problem
 
-    def find_retry_s(self, found: Iterable[runners.Runner]) -> float | None:
+    def find_retry_s(self, found: Sequence[runners.Runner]) -> float | None:
         """Return when one of the runners takes a request; None if none does.
 
         A caller that comes back may come to any daemon, so of a limit it counts
         when the next request may be sent from wherever.
         """
+        told = self._list_told()
+        if any(runner.id not in told for runner in found):
+            return 0.0
         waits = [
             max(
                 self._limits.find_next_s(runner),
@@ -142,8 +143,9 @@
 
     def count_closed(self, found: Iterable[runners.Runner]) -> ClosedRunners:
         """Count the runners that take nothing now, by their first reason."""
+        told = self._list_told()
         problems = collections.Counter(
-            self._find_problem(runner) for runner in found
+            self._find_problem(runner) for runner in found if runner.id in told
         )
         return ClosedRunners(
             problems[_LEAVES], problems[_RESTS], problems[_OVER]
@@ -154,6 +156,11 @@
         self._limits.forget(runner_id)
         self._rests.forget(runner_id)
 
+    def _list_told(self) -> set[str]:
+        """Return the ids of the runners that have said anything."""
+        told = self._limits.list_ids() | self._leaving.list_ids()
+        return told | self._rests.list_ids()
+
     def _find_problem(self, runner: runners.Runner) -> str:
         if self._leaving.holds(runner):
             return _LEAVES
--- a/packages/daemon/src/martenquay_daemon/backpressure/runner_limits.py
+++ b/packages/daemon/src/martenquay_daemon/backpressure/runner_limits.py
@@ -96,7 +96,7 @@
             )
             self.observe("limit-unreadable", "answer")
             return
-        if told.limit_per_s is None and runner.id not in self._known:
+        if told.limit_per_s is None and not self._has_word(runner.id):
             return
         word = limit_words.LimitWord(
             told.limit_per_s, runner.born_ms, sent_at, trio.current_time()
@@ -187,6 +187,16 @@
             return None
         return known
 
+    def _has_word(self, runner_id: str) -> bool:
+        """Tell whether there is a word that another may change."""
+        known = self._known.get(runner_id)
+        if known is None:
+            return False
+        oldest = trio.current_time() - _FORGET_END_S
+        if known.word.limit_per_s is None and known.word.heard_at < oldest:
+            del self._known[runner_id]
+        return True
+
     def _find_word(self, runner_id: str) -> limit_words.LimitWord | None:
         known = self._known.get(runner_id)
         return None if known is None else known.word
--- a/tests/test_backpressure/test_runner_limits.py
+++ b/tests/test_backpressure/test_runner_limits.py
@@ -144,6 +144,21 @@
 
         self.run_clocked(scenario)
 
+    def test_the_end_of_a_limit_is_told_for_a_while_only(self) -> None:
+        async def scenario() -> None:
+            limits = builders.build_runner_limits()
+            limits.note_answer(_RUNNER, _LIMITED, trio.current_time())
+            for _ in range(60):
+                await trio.sleep(1.0)
+                limits.note_answer(
+                    _RUNNER, signals.NO_SIGNALS, trio.current_time()
+                )
+            # Answers of a runner that is well are no news.
+            self.assertEqual([], limits.list_heard(is_relayed=True))
+            self.assertEqual(set(), limits.list_ids())
+
+        self.run_clocked(scenario)
+
     def test_memory_is_bounded(self) -> None:
         async def scenario() -> None:
             limits = builders.build_runner_limits()
