Let requests go on at once while the log is known to be away

Callers saw: most plain calls late for as long as the platform's log was away, though their runners were well.

Cause: what is known of the runners was too old, and each request waited up to 0.15 s for a read that could not come, during each of the reads, which take 1.5 s to fail. Now the first wait that is in vain, or the first read that fails, says that the log is away; from then on nobody waits. It is read each half second, until 3 s after the last request that wanted it, so one that is back has been read when the next request comes.

What an old copy may cost is as before: a request that had waited in vain went on with the same copy 0.15 s later.

--- a/packages/daemon/src/martenquay_daemon/discovery/refresher.py
+++ b/packages/daemon/src/martenquay_daemon/discovery/refresher.py
@@ -25,9 +25,11 @@
 # A read takes 4 to 30 ms; on a connection that has gone silent 0.3 s, and the
 # requests that come meanwhile wait no longer than this.
 _WAIT_S = 0.15
-# After a read that failed nobody waits for the next one for so long, and none
-# is made: a log that is away would hold up each request.
+# Between two reads of a log that is away.
 _PAUSE_S = 0.5
+# It is read on until it is back, so that the next request need not wait, for
+# so long after the last one that wanted it.
+_INTEREST_S = 3.0
 
 
 @dataclasses.dataclass
@@ -56,16 +58,20 @@
         self._oldest_s = oldest_s
         self._wanted = trio.Event()
         self._round = _Round()
-        self._failed_at = -math.inf
+        self._is_away = False
+        self._wanted_at = -math.inf
 
     async def run(self) -> None:
         """Read when it is asked for, until cancelled."""
         while True:
             await self._wanted.wait()
             await self._read()
-            self._wanted = trio.Event()
             self._round.done.set()
             self._round = _Round()
+            if self._is_away:
+                await trio.sleep(_PAUSE_S)
+            if not self._is_away or not self._is_of_interest():
+                self._wanted = trio.Event()
 
     async def refresh(self) -> None:
         """Return when the copy is young enough or nothing newer is to be had.
@@ -74,18 +80,25 @@
         """
         if self.age.age_s <= self._oldest_s:
             return
-        if trio.current_time() - self._failed_at < _PAUSE_S:
-            return
+        self._wanted_at = trio.current_time()
         self._wanted.set()
-        with trio.move_on_after(_WAIT_S):
+        # A log that is away would hold up each request and tell none of them
+        # anything; one that is back has been read when the next one comes.
+        if self._is_away:
+            return
+        with trio.move_on_after(_WAIT_S) as limit:
             await self._round.done.wait()
+        if limit.cancelled_caught:
+            self._is_away = True
+
+    def _is_of_interest(self) -> bool:
+        return trio.current_time() - self._wanted_at < _INTEREST_S
 
     async def _read(self) -> None:
         before_s = self.age.age_s
         started = trio.current_time()
         is_read = await self._follower.read_now()
-        if not is_read:
-            self._failed_at = trio.current_time()
+        self._is_away = not is_read
         _LOG.write(
             f"The {self._name} were too old and are read before use.",
             age_ms=round(before_s * 1000) if before_s < math.inf else None,
