--- a/tests/test_platform/test_need_rules.py
+++ b/tests/test_platform/test_need_rules.py
@@ -4,12 +4,26 @@
 
 import testtools
 
-from martenquay_platform_standins import history, need_rules
+from martenquay_platform_standins import history, need_rules, runner
 from martenquay_platform_standins.history import CallKind, NeedKind
 
 _RUNNER = "runner-1"
 
 
+class SelectNeedsTest(testtools.TestCase):
+    def test_only_a_refusal_asks_for_rest(self) -> None:
+        """A served answer once did, in the moment a runner began to rest.
+
+        The judge then held the daemon to it: "logged of the word: Attempt 1:
+        Whole", though a request that was served asks for nothing.
+        """
+        needs = {"rest": 3.0, "leaves": 1.0}
+        served = runner.select_needs(needs, is_refused=False)
+        refused = runner.select_needs(needs, is_refused=True)
+        self.assertEqual([(NeedKind.LEAVES, 1.0)], served)
+        self.assertIn((NeedKind.REST, 3.0), refused)
+
+
 class NeedRulesTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
