Tell the end of a runner's limit anew for a while

A test of links failed once beside load (18 on 8 cores): 18 daemons had not all heard of a limit's end. Traced: news of the limit came later than its end was apart from it, so to a daemon the one word of the end seemed the older one, and nothing said it again; it would have gone by the limit until it asked the runner itself, 5 s or more later.

--- a/packages/daemon/src/martenquay_daemon/backpressure/limit_words.py
+++ b/packages/daemon/src/martenquay_daemon/backpressure/limit_words.py
@@ -9,7 +9,7 @@
 
 import dataclasses
 
-__all__ = ["LimitWord", "fold_told", "fold_word"]
+__all__ = ["LimitWord", "choose_later_end", "fold_told", "fold_word"]
 
 # A word that comes back from the daemons that were told it seems younger by
 # the time of its way; taken for a new one it would never grow old.
@@ -61,6 +61,13 @@
     )
 
 
+def choose_later_end(known: LimitWord, word: LimitWord) -> LimitWord:
+    """Return the later of two words that say that there is no limit."""
+    if _is_later_process(known, word) or word.sent_at < known.sent_at:
+        return known
+    return word
+
+
 def fold_told(known: LimitWord | None, word: LimitWord) -> LimitWord | None:
     """Return the newest word, with one that another daemon has told."""
     if (
--- a/packages/daemon/src/martenquay_daemon/backpressure/runner_limits.py
+++ b/packages/daemon/src/martenquay_daemon/backpressure/runner_limits.py
@@ -43,12 +43,14 @@
         is_own: An answer to this daemon said so, not another daemon.
         since: Since when this daemon goes by a limit, in trio's time.
         sent_at: When it last sent a request there.
+        over_since: Since when it goes by the end of a limit, in trio's time.
     """
 
     word: limit_words.LimitWord
     is_own: bool
     since: float = -math.inf
     sent_at: float = -math.inf
+    over_since: float = -math.inf
 
 
 class RunnerLimits:
@@ -96,7 +98,7 @@
             )
             self.observe("limit-unreadable", "answer")
             return
-        if told.limit_per_s is None and not self._has_word(runner.id):
+        if told.limit_per_s is None and self._renew_end(runner, sent_at):
             return
         word = limit_words.LimitWord(
             told.limit_per_s, runner.born_ms, sent_at, trio.current_time()
@@ -187,14 +189,24 @@
             return None
         return known
 
-    def _has_word(self, runner_id: str) -> bool:
-        """Tell whether there is a word that another may change."""
-        known = self._known.get(runner_id)
+    def _renew_end(self, runner: runners.Runner, sent_at: float) -> bool:
+        """Tell whether an answer without a limit says nothing but that.
+
+        For a while it makes the end of a limit younger: to daemons that heard
+        of the limit late, the first word of its end may seem the older one.
+        """
+        known = self._known.get(runner.id)
         if known is None:
+            return True
+        if known.word.limit_per_s is not None:
             return False
-        oldest = trio.current_time() - _FORGET_END_S
-        if known.word.limit_per_s is None and known.word.heard_at < oldest:
-            del self._known[runner_id]
+        now = trio.current_time()
+        if known.word.heard_at < now - _FORGET_END_S:
+            del self._known[runner.id]
+        elif now < known.over_since + _TELL_S:
+            word = limit_words.LimitWord(None, runner.born_ms, sent_at, now)
+            known.word = limit_words.choose_later_end(known.word, word)
+            known.is_own = True
         return True
 
     def _find_word(self, runner_id: str) -> limit_words.LimitWord | None:
@@ -224,6 +236,8 @@
             return False
         if old is None:
             known.since = trio.current_time()
+        if word.limit_per_s is None:
+            known.over_since = trio.current_time()
         self._note_change(runner_id, old, word, is_own=is_own)
         return True
 
--- a/tests/test_backpressure/test_runner_limits.py
+++ b/tests/test_backpressure/test_runner_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 
 import trio
@@ -144,6 +145,36 @@
 
         self.run_clocked(scenario)
 
+    def test_who_heard_of_a_limit_late_hears_of_its_end(self) -> None:
+        """On a busy machine the news of a limit took longer than its end.
+
+        One answer without a limit was told, and a daemon that had heard of the
+        limit 0.4 s late took it for older than that: it went by the limit
+        until it asked the runner itself.
+        """
+
+        async def scenario() -> None:
+            told = builders.build_runner_limits()
+            late = builders.build_runner_limits(rank=5, daemons=6)
+            told.note_answer(_RUNNER, _LIMITED, trio.current_time())
+            words = told.list_heard(is_relayed=False)
+            await trio.sleep(0.4)
+            late.take_told(
+                [
+                    (one, dataclasses.replace(w, heard_at=w.heard_at + 0.4))
+                    for one, w in words
+                ]
+            )
+            for _ in range(4):
+                await trio.sleep(0.1)
+                told.note_answer(
+                    _RUNNER, signals.NO_SIGNALS, trio.current_time()
+                )
+                late.take_told(told.list_heard(is_relayed=False))
+            self.assertFalse(late.is_limited(_RUNNER))
+
+        self.run_clocked(scenario)
+
     def test_the_end_of_a_limit_is_told_for_a_while_only(self) -> None:
         async def scenario() -> None:
             limits = builders.build_runner_limits()
