Give the small and the large fleet a test of their own

Cause: one test of links ran two fleets in one time limit of 30 s; beside a load of 26 on 8 cores it took 29 s. Each has the limit to itself now; checks are the same.

--- a/tests/test_fleet/test_links.py
+++ b/tests/test_fleet/test_links.py
@@ -258,6 +258,13 @@
     def test_all_hear_of_a_limit_that_one_was_told_and_of_its_end(
         self,
     ) -> None:
+        self._spread_limit(3)
+
+    def test_in_a_large_fleet_all_hear_of_a_limit_and_of_its_end(self) -> None:
+        self._spread_limit(18, 2)
+
+    def _spread_limit(self, count: int, zones: int = 1) -> None:
+        """Have all hear of a limit, and of its end, that one was told."""
         runner = builders.build_runner(born_ms=1)
 
         async def scenario(daemons: list[_Daemon]) -> None:
@@ -277,8 +284,7 @@
                 # What is told in the same moment counts as older.
                 await trio.sleep(0.5)
 
-        self._run(scenario, 3)
-        self._run(scenario, 18, 2)
+        self._run(scenario, count, zones)
 
     def test_in_a_large_fleet_all_others_are_counted_once(self) -> None:
         async def scenario(daemons: list[_Daemon]) -> None:
