Judge by three seconds whether a runner gets its part after a limit

Traced in three plays: all daemons go by no limit within a second of its end, and by seconds the runner then got 8 to 22 of some 48, for daemons choose among equal runners by chance. The same part, half of what is fair, is now asked for over the last three seconds and of what came at all runners, so a busy machine that sends less changes nothing. 3 tests pass.

--- a/tests/test_promises/test_runner_limit.py
+++ b/tests/test_promises/test_runner_limit.py
@@ -58,9 +58,12 @@
             await fleet.press(_PER_DAEMON_S, _CONTACT_S)
             limited.lines = ()
             await fleet.press(_PER_DAEMON_S, 2 * _CONTACT_S)
-            end = trio.current_time()
-            last = [a for a in limited.arrivals if a.at > end - 1.0]
-            fair = _DAEMONS * _PER_DAEMON_S / _RUNNERS
-            self.assertGreater(len(last), fair / 2)
+            last = trio.current_time() - _CONTACT_S
+            counts = [
+                sum(arrival.at > last for arrival in runner.arrivals)
+                for runner in fleet.runners
+            ]
+            # One second would say little: daemons choose by chance.
+            self.assertGreater(counts[0], sum(counts) / _RUNNERS / 2)
 
         self.run_fleet(scenario)
