Have the programs of the stop tests sleep in short pieces

Traced: the test sends its signal right behind the program's word, and one that comes between the interpreter's last look for signals and the system call of a sleep is handled only after that sleep, here of 60 s. Brought about apart from the test: 2 of 4,939 signals sent right behind a word were handled after a sleep of 20 ms, not in it. Daemons wait in trio, which is woken by signals, so it is the test's program.

--- a/tests/test_platform/test_soak_stops.py
+++ b/tests/test_platform/test_soak_stops.py
@@ -19,6 +19,10 @@
 _SAY = "print('{}', flush=True)"
 # More than the interpreter's first moments.
 _WORK = "while time.process_time() < 0.3: pass"
+# A signal that comes in the moment before a sleep is handled only after it (2 of
+# 4,939 that were sent right behind a word): in one long sleep it was lost, and
+# the program did not stop in time.
+_REST = "for _ in range(1200): time.sleep(0.05)"
 _LIMIT_S = 60.0
 
 
@@ -29,7 +33,7 @@
 
     async def _start_ready(self, *lines: str) -> programs.Program:
         """Start a program and wait until it is past its first moments."""
-        end = (_WORK, _SAY.format("{}"), "time.sleep(60)")
+        end = (_WORK, _SAY.format("{}"), _REST)
         program = await self._start(*lines, *end)
         await self._read_word(program)
         return program
@@ -140,7 +144,7 @@
                 _SAY.format("{}"),
                 _WORK,
                 _SAY.format("{}"),
-                "time.sleep(60)",
+                _REST,
             )
             await self._read_word(program)
             program.send_early_or_late(signal.SIGHUP)
