--- a/tests/test_platform/test_soak_stops.py
+++ b/tests/test_platform/test_soak_stops.py
@@ -19,9 +19,8 @@
 _SAY = "print('{}', flush=True)"
 # More than the interpreter's first moments.
 _WORK = "while time.process_time() < 0.3: pass"
-# A signal that comes in the moment before a sleep is handled only after it (2 of
-# 4,939 that were sent right behind a word): in one long sleep it was lost, and
-# the program did not stop in time.
+# A signal that comes in the moment before a sleep is handled only after it; in
+# one long sleep it was lost, and the program did not stop in time.
 _REST = "for _ in range(1200): time.sleep(0.05)"
 _LIMIT_S = 60.0
 
