Add settings for the decisions under load

Cause: the new decisions under load must be switched by settings, so that each can be turned off alone. Nothing reads them yet.

Ruled out: one switch for all, as single mechanisms could not be measured; a switch by deployment name.

--- a/packages/core/src/martenquay_core/settings/gateway.py
+++ b/packages/core/src/martenquay_core/settings/gateway.py
@@ -11,6 +11,7 @@
     "GatewayListen",
     "GatewayPlatform",
     "GatewaySettings",
+    "LoadSettings",
 ]
 
 # A port or octet out of range would otherwise fail only when the daemon binds
@@ -24,6 +25,7 @@
 Seconds = Annotated[float, msgspec.Meta(gt=0)]
 NotNegative = Annotated[float, msgspec.Meta(ge=0)]
 Milliseconds = Annotated[float, msgspec.Meta(gt=0)]
+Fraction = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Port = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
 
 
@@ -105,6 +107,31 @@
     allowance_slack: NotNegative = 0.0
 
 
+class LoadSettings(_Strict, kw_only=True, frozen=True):
+    """Which decisions under load the daemon makes.
+
+    Each one also depends on the operators' configuration: overload admission
+    on routes with a latency target, stream migration on engines that can move
+    a KV cache, capacity memory on services whose runners can be ordered.
+
+    Attributes:
+        overload_admission: Reject requests by priority while a service's
+            runners cannot begin all of them within their targets.
+        runner_speeds: Learn and gossip the speed of each engine.
+        stream_migration: Move streams off engines that are about to leave.
+        capacity_memory: Keep learnt speeds and demand in the log for the next
+            lease holder.
+        expected_demand: Demand assumed before any is measured, as a share of
+            the sum of the teams' rates; 0 assumes none.
+    """
+
+    overload_admission: bool = True
+    runner_speeds: bool = True
+    stream_migration: bool = True
+    capacity_memory: bool = True
+    expected_demand: Fraction = 0.0
+
+
 class GatewaySettings(_Strict, kw_only=True, frozen=True):
     """All settings of a daemon that runs on a platform.
 
@@ -117,6 +144,7 @@
         seeds: Addresses of other daemons, possibly outdated.
         link_mbps: Network bandwidth of the instance in Mbit/s; 0 if unknown.
             In a large fleet the daemons with the most become hubs.
+        load: Which decisions under load the daemon makes.
     """
 
     instance: Text
@@ -126,3 +154,4 @@
     bounds: BoundSettings = BoundSettings()
     seeds: list[str] = []
     link_mbps: NotNegative = 0.0
+    load: LoadSettings = LoadSettings()
