Correct the start-up bias of the measured demand

Cause: the demand is an exponential mean over 8 s that starts at 0. An engine takes 4 s to start, so these orders came a boot time and more too late.

Each daemon now divides its mean by the part of the window that has passed since it or, by gossip, the fleet saw the first request. The trend takes samples from 2 s on, extrapolates from four samples on, and looks ahead by the mean age of the window instead of always by 8 s.

Ruled out by replay: a shortest window of 2 s (15 to 16 engines seen after 2 s instead of 1 to 1.5 s); feeding the trend from the shortest window on (forecast of 31 to 33 engines for 15 at 2.5 s).

--- a/packages/daemon/src/martenquay_daemon/duties/capacity_controller.py
+++ b/packages/daemon/src/martenquay_daemon/duties/capacity_controller.py
@@ -17,7 +17,6 @@
     delayed_decrease,
     demand_trend,
 )
-from martenquay_daemon.engines import demand
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,7 +25,7 @@
     from martenquay_daemon.backpressure import runner_limits
     from martenquay_daemon.discovery import catalog_store, runner_directory
     from martenquay_daemon.duties import lease
-    from martenquay_daemon.engines import loads, model
+    from martenquay_daemon.engines import demand, loads, model
     from martenquay_daemon.fleet import view
 
 __all__ = ["CapacityController", "CapacityParts"]
@@ -276,8 +275,10 @@
     ) -> capacity_plan.ServiceDemand:
         """Return the demand expected when runners ordered now will serve."""
         trend = self._trends.setdefault(service, demand_trend.DemandTrend())
-        trend.add_rate(trio.current_time(), measured.tokens_per_s)
-        rate = trend.forecast_rate(demand.DECAY_TIME_S + limits.boot_s)
+        meter = self._parts.meter
+        if meter.is_settled(service):
+            trend.add_rate(trio.current_time(), measured.tokens_per_s)
+        rate = trend.forecast_rate(meter.find_lag_s(service) + limits.boot_s)
         return dataclasses.replace(measured, tokens_per_s=rate)
 
     def _measure_demand(self, service: str) -> capacity_plan.ServiceDemand:
--- a/packages/daemon/src/martenquay_daemon/duties/demand_trend.py
+++ b/packages/daemon/src/martenquay_daemon/duties/demand_trend.py
@@ -13,6 +13,8 @@
 # would be extrapolated.
 _SIGNIFICANT_ERRORS = 1.25
 _VARIANCE_SAMPLES = 20
+# Fewer samples neither show a trend nor how much the rate varies.
+_MIN_SAMPLES = 4
 # Bound on the forecast: a zone that reconnects adds its whole demand at once,
 # which is no trend.
 _MAX_GROWTH = 2.0
@@ -53,7 +55,7 @@
             return 0.0
         first_at, first = self._rates[0]
         last_at, last = self._rates[-1]
-        if last <= first or last_at <= first_at:
+        if last <= first or len(self._rates) < _MIN_SAMPLES:
             return last
         rise = last - first - _SIGNIFICANT_ERRORS * self._find_standard_error()
         slope = max(0.0, rise) / (last_at - first_at)
--- a/packages/daemon/src/martenquay_daemon/fleet/state_gossip.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/state_gossip.py
@@ -110,6 +110,7 @@
         sources = self._sources
         self._number += 1
         log_age_s = min(sources.contact.age_s, _MAX_AGE_S)
+        sources.meter.note_fleet_demand(sources.fleet.list_demanded())
         # Read first: `create_delegation` holds this offset back when it
         # delegates a smaller share than before.
         members_end = sources.quota_exchange.find_members_end()
--- a/packages/daemon/src/martenquay_daemon/fleet/view.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/view.py
@@ -105,15 +105,16 @@
 
     def sum_demand(self, service: str) -> float:
         """Return others' uncached prompt tokens a second for a service."""
-        if self.is_mesh:
-            found = [known.digest.demand for known in self.list_fresh()]
-        else:
-            found = [
-                known.summary.demand
-                for known in self.zones.list_active()
-                if trio.current_time() - known.heard_at <= self.silent_s
-            ]
-        return sum(demand.get(service, 0.0) for demand in found)
+        return sum(demand.get(service, 0.0) for demand in self._list_demand())
+
+    def list_demanded(self) -> set[str]:
+        """Return the services for which other daemons have demand."""
+        return {
+            service
+            for demand in self._list_demand()
+            for service, rate in demand.items()
+            if rate > 0
+        }
 
     def has_closed(self, window: int) -> bool:
         """Return whether the daemons' counts of a usage window are final."""
@@ -142,6 +143,15 @@
             default=None,
         )
 
+    def _list_demand(self) -> list[dict[str, float]]:
+        if self.is_mesh:
+            return [known.digest.demand for known in self.list_fresh()]
+        return [
+            known.summary.demand
+            for known in self.zones.list_active()
+            if trio.current_time() - known.heard_at <= self.silent_s
+        ]
+
     def _count_heard(self) -> int:
         oldest = trio.current_time() - _COUNTED_S
         if self.is_mesh:
