Order runners for an expected demand before any was measured

With load.expected_demand above 0, that share of the sum of the teams' token rates counts as demand until demand has been seen for the warm-up time of 15 s. Teams without a limit and teams limited in requests are left out, since their rates do not tell a demand in tokens. The sum is divided evenly over the services with an engine and scaling limits, since the configuration does not tell which services a team uses. The speed is the prior until results come.

The interface of capacity_plan.py is unchanged.

--- a/packages/daemon/src/martenquay_daemon/duties/capacity_controller.py
+++ b/packages/daemon/src/martenquay_daemon/duties/capacity_controller.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import math
 from typing import TYPE_CHECKING
 
 import trio
@@ -14,19 +13,15 @@
 from martenquay_daemon.duties import (
     capacity_order,
     capacity_plan,
-    delayed_decrease,
-    demand_trend,
+    capacity_target,
 )
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from martenquay_core.serving import catalog, runners
-    from martenquay_daemon.backpressure import runner_limits
     from martenquay_daemon.discovery import catalog_store, runner_directory
     from martenquay_daemon.duties import lease
-    from martenquay_daemon.engines import demand, loads, model
-    from martenquay_daemon.fleet import view
 
 __all__ = ["CapacityController", "CapacityParts"]
 
@@ -39,14 +34,6 @@
 _MIN_LEASE_S = 0.5
 # A refusal counts as a shortage until the refused order has been retried.
 _REFUSAL_VALID_S = 2.5
-# The target falls only after the need has stayed lower for this long, since
-# runners take seconds to boot.
-_SCALE_DOWN_DELAY_S = 12.0
-# Until demand has been observed for this long, this fraction of the initial
-# runners is required and all of them are desired: restarted engines have empty
-# caches.
-_WARMUP_S = 15.0
-_WARMUP_FRACTION = 0.6
 _HTTP_CONFLICT = 409
 
 
@@ -60,11 +47,7 @@
         lease: The lease that permits orders.
         store: The catalog.
         directory: The known runners.
-        meter: Rates of uncached prompt tokens at this daemon.
-        ledger: Requests in progress at runners.
-        estimates: Prefill speed of each service's engines.
-        fleet: What other daemons gossip.
-        limits: Rate limits that runners reported.
+        targets: What the number of runners is found from.
         list_serving: Returns those of a service's usable runners whose
             version receives its regular requests, canaries excluded.
     """
@@ -74,11 +57,7 @@
     lease: lease.Lease
     store: catalog_store.CatalogStore
     directory: runner_directory.RunnerDirectory
-    meter: demand.DemandMeter
-    ledger: loads.LoadLedger
-    estimates: model.RunnerModel
-    fleet: view.FleetView
-    limits: runner_limits.RunnerLimits
+    targets: capacity_target.TargetSources
     list_serving: Callable[[str, list[runners.Runner]], list[runners.Runner]]
 
 
@@ -87,17 +66,11 @@
 
     def __init__(self, parts: CapacityParts) -> None:
         self._parts = parts
+        self._targets = capacity_target.TargetFinder(parts.targets)
         self._orders: dict[
             tuple[str, str, bool], capacity_order.CapacityOrder
         ] = {}
-        self._required: dict[str, delayed_decrease.DelayedDecrease] = {}
-        self._desired: dict[str, delayed_decrease.DelayedDecrease] = {}
-        self._forecasts: dict[str, delayed_decrease.DelayedDecrease] = {}
-        self._targets: dict[str, capacity_plan.CapacityTarget] = {}
-        self._trends: dict[str, demand_trend.DemandTrend] = {}
-        self._initial_counts: dict[str, int] = {}
         self._fence = 0
-        self._first_demand_at: float | None = None
 
     async def run(self) -> None:
         """Reconcile all services until cancelled."""
@@ -115,7 +88,9 @@
         state = self._build_state(service.name, limits)
         # The target is kept up to date without the lease as well, so that a
         # successor starts from the current need.
-        target = self._update_target(service, state)
+        target = self._targets.update(
+            service, state, is_leading=self._parts.lease.is_held()
+        )
         if not self._parts.lease.is_held(_MIN_LEASE_S):
             return
         if self._fence != self._parts.lease.fence:
@@ -182,120 +157,6 @@
                 )
         return tuple(found)
 
-    def _update_target(
-        self, service: catalog.Service, state: capacity_plan.ServiceState
-    ) -> capacity_plan.CapacityTarget:
-        """Return the current target; it falls only after a delay."""
-        now = trio.current_time()
-        slots = service.engine.slots if service.engine else 1
-        measured = self._measure_demand(service.name)
-        forecast = self._forecast_demand(service.name, measured, state.limits)
-        forecast_count = forecast.count_required(slots)
-        # A rate-limited runner provides only part of its capacity.
-        lost_to_limits = self._count_lost_to_limits(
-            service.name, state, measured
-        )
-        count = measured.count_required(slots) + lost_to_limits
-        desired = measured.count_desired(slots) + lost_to_limits
-        if not self._parts.estimates.find(service.name).is_learnt:
-            # Before the prefill speed is known, an assumed speed must not cause
-            # orders of additional runners.
-            count = min(count, len(state.runners))
-            desired = min(desired, len(state.runners))
-            forecast_count = 0
-        if measured.tokens_per_s > 0 and self._first_demand_at is None:
-            self._first_demand_at = now
-        if (
-            self._first_demand_at is None
-            or now - self._first_demand_at < _WARMUP_S
-        ):
-            initial_count = self._initial_counts.setdefault(
-                service.name, len(state.runners)
-            )
-            count = max(count, math.ceil(_WARMUP_FRACTION * initial_count))
-            desired = max(desired, initial_count)
-        # A forecast that demand has not confirmed after one boot time is
-        # dropped.
-        held_forecast = self._forecasts.setdefault(
-            service.name, delayed_decrease.DelayedDecrease(state.limits.boot_s)
-        )
-        forecast_count = held_forecast.update(now, forecast_count)
-        held_required = self._required.setdefault(
-            service.name, delayed_decrease.DelayedDecrease(_SCALE_DOWN_DELAY_S)
-        )
-        held_desired = self._desired.setdefault(
-            service.name, delayed_decrease.DelayedDecrease(_SCALE_DOWN_DELAY_S)
-        )
-        target = capacity_plan.CapacityTarget(
-            max(forecast_count, held_required.update(now, count)),
-            max(forecast_count, held_desired.update(now, desired)),
-        )
-        self._log_new_target(service.name, target, measured)
-        return target
-
-    def _count_lost_to_limits(
-        self,
-        service: str,
-        state: capacity_plan.ServiceState,
-        measured: capacity_plan.ServiceDemand,
-    ) -> int:
-        """Return how many runners' worth of capacity rate limits take away."""
-        known_limits = [
-            self._parts.limits.find_limit(one) for one in state.runners
-        ]
-        limits = [limit for limit in known_limits if limit is not None]
-        tokens = self._parts.meter.find_mean_tokens(service)
-        return measured.count_lost_to_limits(limits, tokens)
-
-    def _log_new_target(
-        self,
-        service: str,
-        target: capacity_plan.CapacityTarget,
-        measured: capacity_plan.ServiceDemand,
-    ) -> None:
-        if self._targets.get(service) == target:
-            return
-        self._targets[service] = target
-        _LOG.write(
-            f"Needs {target.required} engines, {target.desired} with headroom.",
-            service=service,
-            tokens_per_s=round(measured.tokens_per_s),
-            read_tokens_per_s=round(measured.read_tokens_per_s),
-            requests=measured.requests,
-            unread=measured.unread_tokens,
-            learnt=self._parts.estimates.find(service).is_learnt,
-            leads=self._parts.lease.is_held(),
-        )
-
-    def _forecast_demand(
-        self,
-        service: str,
-        measured: capacity_plan.ServiceDemand,
-        limits: catalog.ScalingLimits,
-    ) -> capacity_plan.ServiceDemand:
-        """Return the demand expected when runners ordered now will serve."""
-        trend = self._trends.setdefault(service, demand_trend.DemandTrend())
-        meter = self._parts.meter
-        if meter.is_settled(service):
-            trend.add_rate(trio.current_time(), measured.tokens_per_s)
-        rate = trend.forecast_rate(meter.find_lag_s(service) + limits.boot_s)
-        return dataclasses.replace(measured, tokens_per_s=rate)
-
-    def _measure_demand(self, service: str) -> capacity_plan.ServiceDemand:
-        parts = self._parts
-        rate = parts.meter.list_rates().get(service, 0.0)
-        rate += parts.fleet.sum_demand(service)
-        runner_loads = [
-            parts.ledger.find(runner.id)
-            for runner in parts.directory.list_all(service)
-        ]
-        return capacity_plan.ServiceDemand(
-            rate,
-            sum(load.requests for load in runner_loads),
-            parts.estimates.find(service).read_tokens_per_s,
-            sum(load.unread_tokens for load in runner_loads),
-        )
-
     async def _send_order(
         self,
         service: str,
--- a/packages/daemon/src/martenquay_daemon/duties/parts.py
+++ b/packages/daemon/src/martenquay_daemon/duties/parts.py
@@ -5,7 +5,11 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from martenquay_daemon.duties import capacity_controller, usage_reporter
+from martenquay_daemon.duties import (
+    capacity_controller,
+    capacity_target,
+    usage_reporter,
+)
 from martenquay_daemon.fleet import announcements
 from martenquay_daemon.rollouts import controller as rollout_controller
 
@@ -106,11 +110,16 @@
             lease=sources.lease,
             store=sources.store,
             directory=sources.directory,
-            meter=sources.meter,
-            ledger=sources.ledger,
-            estimates=sources.estimates,
-            fleet=sources.fleet,
-            limits=sources.limits,
+            targets=capacity_target.TargetSources(
+                store=sources.store,
+                directory=sources.directory,
+                meter=sources.meter,
+                ledger=sources.ledger,
+                estimates=sources.estimates,
+                fleet=sources.fleet,
+                limits=sources.limits,
+                expected_share=sources.settings.load.expected_demand,
+            ),
             list_serving=sources.rollouts.versions.list_serving,
         )
     )
