Keep learnt speeds and demand in the log across restarts

Cause: after a restart of all daemons, speed starts from the assumed 30,000 tokens/s and demand from 0.

The lease holder writes speed, hold times and demand by service in one record (capacity_memory.py), at most every 5 s, if they changed by over a tenth or the record is 30 s old: an unchanged one would otherwise become older than the 60 s after which it is ignored. The record shares the topic of the rollout steps, which each daemon reads once at its start, so reading it costs no call. Its speed and hold times become the model's prior, and its demand counts until 15 s of demand have been seen, in place of the expected demand.

Age: the record holds a mark of the runners' topic (end, runners, records per second). Runners append heartbeats at a constant rate also while no daemon runs, so the growth of that topic since the mark tells the age (heartbeat_clock.py). If the runners became fewer, the lower number counts. Without a mark, or if the topic is shorter than at the mark, only speed and hold times are used.

Ruled out: wall clocks of instances, which may differ; the offset of the lease topic, which stands still while no daemon runs; a topic of its own, which costs a call by each starting daemon.

--- a/packages/daemon/src/martenquay_daemon/discovery/runner_directory.py
+++ b/packages/daemon/src/martenquay_daemon/discovery/runner_directory.py
@@ -89,6 +89,11 @@
         self._apply_deadlines()
         return self._runners.get(runner_id)
 
+    def count(self) -> int:
+        """Return the number of runners of all services."""
+        self._apply_deadlines()
+        return len(self._runners)
+
     def list_all(self, service: str) -> list[runners.Runner]:
         """Return the runners of a service, draining ones included."""
         self._apply_deadlines()
--- a/packages/daemon/src/martenquay_daemon/duties/capacity_target.py
+++ b/packages/daemon/src/martenquay_daemon/duties/capacity_target.py
@@ -10,6 +10,7 @@
 
 from martenquay_core import logs
 from martenquay_daemon.duties import (
+    capacity_memory,
     capacity_plan,
     delayed_decrease,
     demand_trend,
@@ -50,6 +51,7 @@
         limits: Rate limits that runners reported.
         expected_share: Demand assumed before any is measured, as a share of
             the sum of the teams' rates.
+        memory: What an earlier lease holder learnt; gets what is learnt here.
     """
 
     store: catalog_store.CatalogStore
@@ -60,6 +62,7 @@
     fleet: view.FleetView
     limits: runner_limits.RunnerLimits
     expected_share: float = 0.0
+    memory: capacity_memory.CapacityMemory | None = None
 
 
 class TargetFinder:
@@ -106,6 +109,7 @@
             count = min(count, len(state.runners))
             desired = min(desired, len(state.runners))
             forecast_count = 0
+        assumed_per_s = 0.0
         if measured.tokens_per_s > 0 and self._first_demand_at is None:
             self._first_demand_at = now
         if (
@@ -116,12 +120,15 @@
                 service.name, len(state.runners)
             )
             expected = self._assume_demand(service.name, measured)
+            assumed_per_s = expected.tokens_per_s
             count = max(
                 count,
                 math.ceil(_WARMUP_FRACTION * initial_count),
                 expected.count_required(slots),
             )
             desired = max(desired, initial_count, expected.count_desired(slots))
+        else:
+            self._note_learnt(service.name, measured)
         # A forecast that demand has not confirmed after one boot time is
         # dropped.
         held_forecast = self._forecasts.setdefault(
@@ -138,13 +145,27 @@
             max(forecast_count, held_required.update(now, count)),
             max(forecast_count, held_desired.update(now, desired)),
         )
-        self._log_new_target(service.name, target, measured, is_leading)
+        self._log_new_target(
+            service.name, target, measured, assumed_per_s, is_leading
+        )
         return target
 
     def _assume_demand(
         self, service: str, measured: capacity_plan.ServiceDemand
     ) -> capacity_plan.ServiceDemand:
-        """Return the demand to plan for until enough has been measured."""
+        """Return the demand to plan for until enough has been measured.
+
+        What an earlier lease holder measured is nearer to the present demand
+        than a share of the teams' rates.
+        """
+        memory = self._sources.memory
+        remembered = memory.load() if memory is not None else None
+        if remembered is not None and remembered.age_s is not None:
+            known = remembered.services.get(service)
+            if known is not None:
+                return capacity_plan.ServiceDemand(
+                    known.tokens_per_s, 0, measured.read_tokens_per_s
+                )
         rate = expected_demand.find_expected_rate(
             self._sources.store.table.catalog,
             service,
@@ -152,6 +173,22 @@
         )
         return capacity_plan.ServiceDemand(rate, 0, measured.read_tokens_per_s)
 
+    def _note_learnt(
+        self, service: str, measured: capacity_plan.ServiceDemand
+    ) -> None:
+        estimate = self._sources.estimates.find(service)
+        if self._sources.memory is None or not estimate.is_learnt:
+            # An assumed speed must not be passed on as a learnt one.
+            return
+        self._sources.memory.note(
+            service,
+            capacity_memory.ServiceMemory(
+                round(measured.tokens_per_s),
+                round(estimate.read_tokens_per_s),
+                round(estimate.hold_s, 4),
+            ),
+        )
+
     def _count_lost_to_limits(
         self,
         service: str,
@@ -200,6 +237,7 @@
         service: str,
         target: capacity_plan.CapacityTarget,
         measured: capacity_plan.ServiceDemand,
+        assumed_per_s: float,
         is_leading: bool,
     ) -> None:
         if self._targets.get(service) == target:
@@ -213,5 +251,6 @@
             requests=measured.requests,
             unread=measured.unread_tokens,
             learnt=self._sources.estimates.find(service).is_learnt,
+            assumed=round(assumed_per_s),
             leads=is_leading,
         )
--- a/packages/daemon/src/martenquay_daemon/duties/parts.py
+++ b/packages/daemon/src/martenquay_daemon/duties/parts.py
@@ -16,12 +16,14 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    import trio
+
     from martenquay_core.serving import ports as port_types
     from martenquay_core.settings import gateway
     from martenquay_daemon import gateway_ports
     from martenquay_daemon.backpressure import runner_limits
     from martenquay_daemon.discovery import catalog_store, runner_directory
-    from martenquay_daemon.duties import lease, usage_counts
+    from martenquay_daemon.duties import capacity_memory, lease, usage_counts
     from martenquay_daemon.engines import demand, loads, model
     from martenquay_daemon.fleet import links, roster, view
     from martenquay_daemon.rollouts import parts as rollout_parts
@@ -48,6 +50,8 @@
         roster: Announced daemons.
         links: Connections to other daemons.
         rollouts: Rollout orders and their state.
+        memory: What an earlier lease holder learnt.
+        runners_read: Set once the runners' entries were read.
     """
 
     ports: gateway_ports.GatewayPorts
@@ -64,6 +68,8 @@
     roster: roster.Roster
     links: links.FleetLinks
     rollouts: rollout_parts.RolloutState
+    memory: capacity_memory.CapacityMemory
+    runners_read: trio.Event
 
 
 def list_tasks(
@@ -75,13 +81,19 @@
         sources: Dependencies of the tasks.
         cloud: Accepts usage reports and orders of runners.
     """
-    return {
+    tasks = {
         "lease": sources.lease.run,
         "usage": _create_reporter(sources, cloud).run,
         "capacity": _create_capacity_controller(sources, cloud).run,
         "rollouts": _create_rollout_controller(sources).run,
         "list": _create_remover(sources).run,
     }
+    if sources.settings.load.capacity_memory:
+        tasks["capacity memory"] = lambda: sources.memory.run(
+            [sources.rollouts.follower.first_read, sources.runners_read],
+            sources.lease.is_held,
+        )
+    return tasks
 
 
 def _create_reporter(
@@ -119,6 +131,7 @@
                 fleet=sources.fleet,
                 limits=sources.limits,
                 expected_share=sources.settings.load.expected_demand,
+                memory=sources.memory,
             ),
             list_serving=sources.rollouts.versions.list_serving,
         )
--- a/packages/daemon/src/martenquay_daemon/engines/model.py
+++ b/packages/daemon/src/martenquay_daemon/engines/model.py
@@ -7,7 +7,7 @@
 
 import trio
 
-__all__ = ["Estimate", "FirstEvent", "PrefillSums", "RunnerModel"]
+__all__ = ["Estimate", "FirstEvent", "PrefillSums", "Prior", "RunnerModel"]
 
 # Short enough to notice within two cold starts that engines slow down.
 _DECAY_TIME_S = 20.0
@@ -31,6 +31,24 @@
 _PRIOR_HOLD_S = 0.02
 
 
+@dataclasses.dataclass(frozen=True)
+class Prior:
+    """Performance assumed until enough results are there.
+
+    Attributes:
+        read_tokens_per_s: Prefill speed.
+        hold_s: Seconds that a request occupies a slot.
+        hold_results: Number of results that the latter counts for.
+    """
+
+    read_tokens_per_s: float = _PRIOR_TOKENS_PER_S
+    hold_s: float = _PRIOR_HOLD_S
+    hold_results: float = _PRIOR_RESULTS
+
+
+_DEFAULT_PRIOR = Prior(hold_results=1.0)
+
+
 @dataclasses.dataclass(frozen=True)
 class FirstEvent:
     """Time to first event of a stream, and the prompt tokens ahead of it.
@@ -89,7 +107,9 @@
             self.slowing + other.slowing,
         )
 
-    def find_token_s(self) -> float:
+    def find_token_s(
+        self, prior_tokens_per_s: float = _PRIOR_TOKENS_PER_S
+    ) -> float:
         """Return the prefill time of one token in seconds.
 
         Errors in the queued tokens of other daemons, which are known late,
@@ -98,7 +118,7 @@
         """
         prior_spread = _PRIOR_RESULTS * _PRIOR_SPREAD_TOKENS**2
         spread_sum = prior_spread + self.spread
-        slowing_sum = prior_spread / _PRIOR_TOKENS_PER_S + self.slowing
+        slowing_sum = prior_spread / prior_tokens_per_s + self.slowing
         slope = slowing_sum / spread_sum if spread_sum > 0 else 0.0
         slowest, fastest = 1 / _MIN_TOKENS_PER_S, 1 / _MAX_TOKENS_PER_S
         return min(max(slope, fastest), slowest)
@@ -159,9 +179,11 @@
         self.total_held_s *= factor
         self.ended_requests *= factor
 
-    def find_hold_s(self) -> float:
+    def find_hold_s(self, prior: Prior) -> float:
         """Return the mean seconds that a request occupies a slot."""
-        return (self.total_held_s + _PRIOR_HOLD_S) / (self.ended_requests + 1)
+        weight = prior.hold_results
+        total_s = self.total_held_s + weight * prior.hold_s
+        return total_s / (self.ended_requests + weight)
 
 
 def _find_decay_factor(elapsed_s: float, count: float) -> float:
@@ -182,6 +204,15 @@
         self._first_events: dict[str, dict[int, _FirstEventSums]] = {}
         self._hold_sums: dict[str, _HoldSums] = {}
         self._others: dict[str, dict[str, PrefillSums]] = {}
+        self._priors: dict[str, Prior] = {}
+
+    def set_prior(self, service: str, prior: Prior) -> None:
+        """Replace what is assumed of a service before results are there."""
+        speed = prior.read_tokens_per_s
+        speed = min(max(speed, _MIN_TOKENS_PER_S), _MAX_TOKENS_PER_S)
+        self._priors[service] = dataclasses.replace(
+            prior, read_tokens_per_s=speed, hold_s=max(0.0, prior.hold_s)
+        )
 
     def note_first_event(self, service: str, result: FirstEvent) -> None:
         """Record the first event of a stream."""
@@ -210,9 +241,10 @@
         hold.decay(now)
         for gossiped in self._others.values():
             prefill = prefill.add(gossiped.get(service, PrefillSums()))
+        prior = self._priors.get(service, _DEFAULT_PRIOR)
         return Estimate(
-            1 / prefill.find_token_s(),
-            hold.find_hold_s(),
+            1 / prefill.find_token_s(prior.read_tokens_per_s),
+            hold.find_hold_s(prior),
             prefill.results >= _MIN_LEARNT_RESULTS,
         )
 
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -27,7 +27,12 @@
     refresher,
     runner_directory,
 )
-from martenquay_daemon.duties import lease, usage_counts
+from martenquay_daemon.duties import (
+    capacity_memory,
+    heartbeat_clock,
+    lease,
+    usage_counts,
+)
 from martenquay_daemon.duties import parts as duty_parts
 from martenquay_daemon.engines import demand, durations, loads, model, placer
 from martenquay_daemon.fleet import (
@@ -177,6 +182,16 @@
         self._runner_directory = runner_directory.RunnerDirectory(
             ports.records, self._contact
         )
+        self._runner_model = model.RunnerModel()
+        self._capacity_memory = capacity_memory.create_capacity_memory(
+            ports.log,
+            ports.topics.rollouts,
+            heartbeat_clock.HeartbeatClock(
+                lambda: self._runner_follower.end,
+                self._runner_directory.count,
+            ),
+            self._runner_model,
+        )
         self._rollouts = rollout_parts.create_rollout_state(
             ports.log,
             self._contact,
@@ -184,6 +199,7 @@
             ports.records,
             self._rng,
             self._count_daemons,
+            self._capacity_memory,
         )
         self._catalog_follower = keyed_follower.KeyedFollower(
             ports.log,
@@ -331,6 +347,8 @@
                 roster=self._roster,
                 links=self.links,
                 rollouts=self._rollouts,
+                memory=self._capacity_memory,
+                runners_read=self._runner_follower.first_read,
             )
             self._duties = duty_parts.list_tasks(sources, self._ports.cloud)
 
@@ -438,7 +456,6 @@
         bounds = self._settings.bounds
         self._loads = loads.LoadLedger()
         self._demand_meter = demand.DemandMeter()
-        self._runner_model = model.RunnerModel()
         streams = durations.StreamDurations()
         self._stop_window = stop_window.StopWindow(streams)
         self._usage = usage_counts.UsageCounts(bounds.window_s)
--- a/packages/daemon/src/martenquay_daemon/rollouts/parts.py
+++ b/packages/daemon/src/martenquay_daemon/rollouts/parts.py
@@ -5,7 +5,11 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from martenquay_daemon.discovery import keyed_follower, read_schedules
+from martenquay_daemon.discovery import (
+    fan_out_sink,
+    keyed_follower,
+    read_schedules,
+)
 from martenquay_daemon.rollouts import records, registry, tallies, versions
 
 if TYPE_CHECKING:
@@ -47,8 +51,19 @@
     codec: ports.PlatformCodec,
     rng: random.Random,
     count_daemons: Callable[[], int],
+    other_sink: keyed_follower.RecordSink,
 ) -> RolloutState:
-    """Return the rollout objects, connected to each other."""
+    """Return the rollout objects, connected to each other.
+
+    Args:
+        log: The platform's log.
+        log_contact: Whether and when the log answered.
+        names: Names of the log's topics.
+        codec: Decodes operators' orders.
+        rng: Chooses between versions.
+        count_daemons: Returns the number of daemons.
+        other_sink: Gets the records of the steps' topic as well.
+    """
     orders = registry.RolloutRegistry()
     return RolloutState(
         orders,
@@ -57,7 +72,7 @@
             log,
             log_contact,
             names.rollouts,
-            records.StepSink(orders),
+            fan_out_sink.FanOutSink(records.StepSink(orders), other_sink),
             read_schedules.STEPS,
             is_needed=orders.has_open,
         ),
--- a/packages/daemon/src/martenquay_daemon/rollouts/records.py
+++ b/packages/daemon/src/martenquay_daemon/rollouts/records.py
@@ -15,6 +15,8 @@
 __all__ = ["OrderSink", "StepSink", "encode_step"]
 
 _LOG = logs.create_log("rollouts")
+# Records of other parts in the same topic; no service's name begins so.
+_FOREIGN_KEY_PREFIX = "."
 
 
 class _StepRecord(msgspec.Struct, frozen=True):
@@ -51,8 +53,8 @@
             self.apply_change(record)
 
     def apply_change(self, record: ports.KeyedRecord) -> None:
-        """Register one step."""
-        if record.value is None:
+        """Register one step; records of other parts are ignored."""
+        if record.value is None or record.key.startswith(_FOREIGN_KEY_PREFIX):
             return
         try:
             found = msgspec.json.decode(record.value, type=_StepRecord)
--- a/tests/capacity_case.py
+++ b/tests/capacity_case.py
@@ -26,6 +26,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from martenquay_daemon.duties import capacity_memory
+
 __all__ = ["CapacityCase"]
 
 _ENGINE = catalog.EngineTraits(slots=128, kv_tokens=260_000)
@@ -44,6 +46,7 @@
         content: Fields of the catalog besides the service `model`.
         scaling: Changed fields of the service's scaling limits.
         expected_share: The setting `load.expected_demand`.
+        memory: What an earlier lease holder learnt.
     """
 
     def setUp(self) -> None:
@@ -51,6 +54,7 @@
         self.content: dict[str, Any] = {}
         self.scaling: dict[str, Any] = {"most": 6}
         self.expected_share = 0.0
+        self.memory: capacity_memory.CapacityMemory | None = None
 
     def _build(self) -> capacity_controller.CapacityController:
         self.cloud = cloud.MemoryCloud()
@@ -91,6 +95,7 @@
                     fleet=fleet,
                     limits=self.limits,
                     expected_share=self.expected_share,
+                    memory=self.memory,
                 ),
                 list_serving=lambda _, usable: usable,
             )
