Count platform calls, and have one hub of each zone follow the log

Cause: nothing told which calls a fleet makes to the log and the cloud API.

martenquay_platform_calls_total counts them by kind, topic and outcome at the ports (platform_calls.py).

Both hubs of each zone followed the catalog and the runners. The second one now relies on the reports of the first, as other daemons do, and reads the log itself once the first is silent for 1.2 s or has lost the log. The lease holder follows the log with the shortest pause wherever it runs, since it orders runners by their entries.

Ruled out: longer pauses of the remaining readers, which delay the news of draining runners; fewer renewals of the lease.

--- a/packages/daemon/src/martenquay_daemon/fleet/zone_mode.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/zone_mode.py
@@ -165,18 +165,25 @@
             report.heard > 0,
             now if is_new or last is None else last.reporting_since,
         )
-        if self.is_hub and own.address != self._own_address.address:
+        is_own = own.address == self._own_address.address
+        if not is_own and not self._is_first_log_reader():
+            self._note_relayed_reads(own, report.heard)
+        if self.is_hub and not is_own:
             # The other hub's sums would replace this hub's own sums.
             return False
-        if not self.is_hub and own.log_age_ms <= _MAX_LOG_AGE_MS:
-            self._state.contact.note_relayed(own.log_age_ms / _MS)
-        if not self.is_hub:
-            self._confirm_runner_entries(own, report.heard)
         applied = [
             self._view.zones.apply_summary(s, {}, now) for s in report.zones
         ]
         return applied[0]
 
+    def _note_relayed_reads(
+        self, summary: messages.ZoneSummary, digest_number: int
+    ) -> None:
+        """Take over what a hub that reads the log reports of it."""
+        if summary.log_age_ms <= _MAX_LOG_AGE_MS:
+            self._state.contact.note_relayed(summary.log_age_ms / _MS)
+        self._confirm_runner_entries(summary, digest_number)
+
     def _confirm_runner_entries(
         self, summary: messages.ZoneSummary, digest_number: int
     ) -> None:
@@ -337,14 +344,18 @@
         return self._sole_since
 
     def is_log_relayed(self) -> bool:
-        """Return whether a hub reads the log on behalf of this daemon."""
-        return not self.is_hub and self._has_other_log_reader()
+        """Return whether a hub reads the log on behalf of this daemon.
+
+        The second hub of a zone relies on the first one like any other daemon;
+        it reads the log itself once the first one is silent.
+        """
+        return not self._is_first_log_reader() and self._has_other_log_reader()
 
     def is_log_reader(self) -> bool:
         """Return whether the zone relies on this hub to read the log."""
         if not self.is_hub:
             return False
-        return self._is_first_hub or not self._has_other_log_reader()
+        return self._is_first_log_reader() or not self._has_other_log_reader()
 
     def list_peer_states(self) -> Iterator[state_copies.PeerState]:
         """Return the versions of catalog and runner entries at the hubs."""
@@ -358,6 +369,9 @@
                 summary.log_age_ms,
             )
 
+    def _is_first_log_reader(self) -> bool:
+        return self.is_hub and self._is_first_hub
+
     def _has_other_log_reader(self) -> bool:
         oldest = trio.current_time() - _REPORT_TIMEOUT_S
         return any(
--- a/packages/daemon/src/martenquay_daemon/forwarding/metrics.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/metrics.py
@@ -88,6 +88,18 @@
             registry=registry,
         )
 
+        self._platform_calls = aioprometheus.Counter(
+            "martenquay_platform_calls_total",
+            "Calls to the log and the cloud API, by kind, topic and outcome.",
+            registry=registry,
+        )
+
+    def count_platform_call(self, kind: str, topic: str, outcome: str) -> None:
+        """Count a call to the log or the cloud API; topic "" for the latter."""
+        self._platform_calls.inc(
+            {"call": kind, "topic": topic, "outcome": outcome}
+        )
+
     def observe_quota_request(self, outcome: str, took_s: float) -> None:
         """Observe a quota request to another daemon: outcome and duration."""
         self._quota_request_s.observe({"outcome": outcome}, took_s)
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from martenquay_daemon import supervision
+from martenquay_daemon import platform_calls, supervision
 from martenquay_daemon.allowances import (
     gate,
     quota_ledger,
@@ -97,13 +97,15 @@
     ) -> None:
         self.instance = settings.instance
         self._settings = settings
-        self._ports = ports
+        self.metrics = metrics.create_metrics()
+        self._ports = platform_calls.count_calls(
+            ports, self.metrics.count_platform_call
+        )
         self._is_stopping = False
         # A new id per process tells peers that the quota and counts of the
         # previous process are lost.
         self.member = f"{settings.instance}.{secrets.token_hex(4)}"
         self._rng = random.Random(settings.instance)
-        self.metrics = metrics.create_metrics()
         self._build_discovery()
         self._build_fleet()
         self._build_quarantine()
@@ -311,10 +313,11 @@
         return not self.links.is_mesh()
 
     def _relies_on_hub_reads(self) -> bool:
-        return not self.links.leads_reading()
+        return not (self.links.leads_reading() or self._is_lease_held())
 
     def _needs_log(self) -> bool:
-        return self.links.needs_log()
+        # Orders of runners follow their entries without the delay of a hub.
+        return self.links.needs_log() or self._is_lease_held()
 
     def _create_digest(self) -> messages.Digest:
         # A method, since `_state_gossip` is built after `links`.
--- a/tests/test_fleet/test_zone_mode.py
+++ b/tests/test_fleet/test_zone_mode.py
@@ -148,6 +148,39 @@
 
         self.run_clocked(scenario)
 
+    def test_the_second_hub_relies_on_the_first_while_that_reads_the_log(
+        self,
+    ) -> None:
+        """Both hubs of each zone made calls for the same records."""
+
+        async def scenario() -> None:
+            mode = self._build(_SECOND)
+            mode.select_peers([_FIRST, *_SUBSCRIBERS])
+            self.assertFalse(mode.is_log_relayed())
+            self._apply_report(mode, 1, 100)
+            self.assertTrue(mode.is_log_relayed())
+            # Otherwise the zone would take this hub for one without a log.
+            self.assertAlmostEqual(0.1, self.contact.age_s)
+            await trio.sleep(1.0)
+            self.assertTrue(mode.is_log_relayed())
+            await trio.sleep(0.3)
+            self.assertFalse(mode.is_log_relayed())
+
+        self.run_clocked(scenario)
+
+    def test_the_first_hub_relies_on_no_other(self) -> None:
+        """Two hubs that rely on each other would read nothing."""
+
+        async def scenario() -> None:
+            mode = self._build(topology.PeerAddress("127.0.0.1:9", "a", 200.0))
+            mode.select_peers([_FIRST, _SECOND, *_SUBSCRIBERS])
+            self._apply_report(mode, 1, 100)
+            self.assertFalse(mode.is_log_relayed())
+            self.assertTrue(mode.is_log_reader())
+            self.assertEqual(math.inf, self.contact.age_s)
+
+        self.run_clocked(scenario)
+
     def test_the_log_is_relayed_while_a_hub_reports_and_reads_it(self) -> None:
         async def scenario() -> None:
             mode = self._build(_SUBSCRIBERS[0])
