Sample the heartbeats' rate over at least 8 s

Cause: test_the_age_is_told_by_heartbeats failed once in a run of 372 tests (4.6 s off, 4.0 s allowed). Runners that were started together write together, so the records of a sample are uncertain by one heartbeat of each, a tenth of 5 s.

The allowance of the test is unchanged.

--- a/packages/daemon/src/martenquay_daemon/duties/heartbeat_clock.py
+++ b/packages/daemon/src/martenquay_daemon/duties/heartbeat_clock.py
@@ -19,10 +19,10 @@
 
 __all__ = ["HeartbeatClock", "HeartbeatMark"]
 
-# Long enough to hold several heartbeats of each runner, and to average reads
-# that come in batches.
-_SAMPLE_TIME_S = 10.0
-_MIN_SAMPLE_S = 5.0
+# Runners that were started together write together, so the number of records
+# in a sample is uncertain by one heartbeat of each: 0.5 s.
+_SAMPLE_TIME_S = 20.0
+_MIN_SAMPLE_S = 8.0
 
 
 class HeartbeatMark(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_duties/test_capacity_memory.py
+++ b/tests/test_duties/test_capacity_memory.py
@@ -66,13 +66,13 @@
 
     def test_the_age_is_told_by_heartbeats(self) -> None:
         async def scenario(scene: _Scene) -> None:
-            # Written without a mark after 1 s, and with one after 9 s. Over
-            # 5 s, a heartbeat every 0.5 s tells the rate to a tenth.
-            await self._write(scene, 10.0)
+            # Written without a mark after 1 s, and with one after 11 s. Over
+            # 8 s, a heartbeat every 0.5 s tells the rate to one sixteenth.
+            await self._write(scene, 13.0)
             await trio.sleep(30.0)
             async with scene.open_daemon(is_holder=False) as started:
                 age_s = started.memory.load().age_s
-                self.assertLess(abs(age_s - 31.5), 4.0)
+                self.assertLess(abs(age_s - 32.0), 4.0)
 
         self._run(scenario)
 
@@ -100,7 +100,7 @@
                 holder.is_holder = True
                 await trio.sleep(1.0)
                 scene.known_end = None
-                for _ in range(12):
+                for _ in range(16):
                     holder.memory.note("model", memory_scene.build_learnt())
                     await trio.sleep(1.0)
             await trio.sleep(70.0)
