Repair the mutation of the pause after a refused order

It named a constant and file from before the last renaming, so it could not be applied. With a pause of 0 s, tests of the capacity controller fail (run by hand).

--- a/bench/platform_mutations.py
+++ b/bench/platform_mutations.py
@@ -192,9 +192,9 @@
     ),
     Mutation(
         "refused orders are not repeated in a loop",
-        f"{DAEMON}/duties/capacity_controller.py",
-        "_REFUSED_S = 1.5",
-        "_REFUSED_S = 0.0",
+        f"{DAEMON}/duties/capacity_order.py",
+        "_FIRST_RETRY_S = 1.5",
+        "_FIRST_RETRY_S = 0.0",
         "tests.test_duties.test_capacity_controller",
     ),
     Mutation(
