--- a/packages/daemon/src/martenquay_daemon/duties/parts.py
+++ b/packages/daemon/src/martenquay_daemon/duties/parts.py
@@ -5,19 +5,27 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from martenquay_daemon.duties import capacity_controller, usage_reporter
+from martenquay_daemon.duties import (
+    capacity_controller,
+    capacity_target,
+    lost_runners,
+    usage_reporter,
+)
 from martenquay_daemon.fleet import announcements
 from martenquay_daemon.rollouts import controller as rollout_controller
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    import trio
+
     from martenquay_core.serving import ports as port_types
+    from martenquay_core.serving import runners
     from martenquay_core.settings import gateway
     from martenquay_daemon import gateway_ports
     from martenquay_daemon.backpressure import runner_limits
     from martenquay_daemon.discovery import catalog_store, runner_directory
-    from martenquay_daemon.duties import lease, usage_counts
+    from martenquay_daemon.duties import capacity_memory, lease, usage_counts
     from martenquay_daemon.engines import demand, loads, model
     from martenquay_daemon.fleet import links, roster, view
     from martenquay_daemon.rollouts import parts as rollout_parts
@@ -44,6 +52,9 @@
         roster: Announced daemons.
         links: Connections to other daemons.
         rollouts: Rollout orders and their state.
+        memory: What an earlier lease holder learnt.
+        runners_read: Set once the runners' entries were read.
+        is_unreachable: Returns whether a runner refused a connection recently.
     """
 
     ports: gateway_ports.GatewayPorts
@@ -60,6 +71,9 @@
     roster: roster.Roster
     links: links.FleetLinks
     rollouts: rollout_parts.RolloutState
+    memory: capacity_memory.CapacityMemory
+    runners_read: trio.Event
+    is_unreachable: Callable[[str], bool]
 
 
 def list_tasks(
@@ -71,13 +85,19 @@
         sources: Dependencies of the tasks.
         cloud: Accepts usage reports and orders of runners.
     """
-    return {
+    tasks = {
         "lease": sources.lease.run,
         "usage": _create_reporter(sources, cloud).run,
         "capacity": _create_capacity_controller(sources, cloud).run,
         "rollouts": _create_rollout_controller(sources).run,
         "list": _create_remover(sources).run,
     }
+    if sources.settings.load.capacity_memory:
+        tasks["capacity memory"] = lambda: sources.memory.run(
+            [sources.rollouts.follower.first_read, sources.runners_read],
+            sources.lease.is_held,
+        )
+    return tasks
 
 
 def _create_reporter(
@@ -99,21 +119,40 @@
 def _create_capacity_controller(
     sources: DutySources, cloud: port_types.CloudPort
 ) -> capacity_controller.CapacityController:
-    return capacity_controller.CapacityController(
+    lost = lost_runners.LostRunners(
+        sources.is_unreachable, sources.fleet.is_zone_silent
+    )
+
+    def list_serving(
+        service: str, usable: list[runners.Runner]
+    ) -> list[runners.Runner]:
+        return sources.rollouts.versions.list_serving(
+            service, lost.filter_present(usable)
+        )
+
+    controller = capacity_controller.CapacityController(
         capacity_controller.CapacityParts(
             cloud=cloud,
             holder=sources.settings.instance,
             lease=sources.lease,
             store=sources.store,
             directory=sources.directory,
-            meter=sources.meter,
-            ledger=sources.ledger,
-            estimates=sources.estimates,
-            fleet=sources.fleet,
-            limits=sources.limits,
-            list_serving=sources.rollouts.versions.list_serving,
+            targets=capacity_target.TargetSources(
+                store=sources.store,
+                directory=sources.directory,
+                meter=sources.meter,
+                ledger=sources.ledger,
+                estimates=sources.estimates,
+                fleet=sources.fleet,
+                limits=sources.limits,
+                expected_share=sources.settings.load.expected_demand,
+                memory=sources.memory,
+            ),
+            list_serving=list_serving,
         )
     )
+    sources.directory.on_loss = controller.reconcile_soon
+    return controller
 
 
 def _create_rollout_controller(
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from martenquay_daemon import supervision
+from martenquay_daemon import platform_calls, supervision
 from martenquay_daemon.allowances import (
     gate,
     quota_ledger,
@@ -27,13 +27,19 @@
     refresher,
     runner_directory,
 )
-from martenquay_daemon.duties import lease, usage_counts
+from martenquay_daemon.duties import (
+    capacity_memory,
+    heartbeat_clock,
+    lease,
+    usage_counts,
+)
 from martenquay_daemon.duties import parts as duty_parts
 from martenquay_daemon.engines import demand, durations, loads, model, placer
 from martenquay_daemon.fleet import (
     announcements,
     links,
     quota_exchange,
+    record_relay,
     roster,
     runner_report_gossip,
     state_copies,
@@ -82,6 +88,7 @@
         member: Id of this process among the daemons.
         links: Links to other daemons.
         listener: Serves callers.
+        quarantine: Known crash records.
         metrics: Prometheus metrics.
     """
 
@@ -92,13 +99,15 @@
     ) -> None:
         self.instance = settings.instance
         self._settings = settings
-        self._ports = ports
+        self.metrics = metrics.create_metrics()
+        self._ports = platform_calls.count_calls(
+            ports, self.metrics.count_platform_call
+        )
         self._is_stopping = False
         # A new id per process tells peers that the quota and counts of the
         # previous process are lost.
         self.member = f"{settings.instance}.{secrets.token_hex(4)}"
         self._rng = random.Random(settings.instance)
-        self.metrics = metrics.create_metrics()
         self._build_discovery()
         self._build_fleet()
         self._build_quarantine()
@@ -165,7 +174,8 @@
             "members": self._member_follower.run,
             "entries": self._entry_refresher.run,
             "strikes": self._crash_follower.run,
-            "quarantine": self._quarantine.run,
+            "quarantine": self.quarantine.run,
+            "crash relay": self._crash_relay.run,
             "versions": self._rollouts.follower.run,
             **self._duties,
         }
@@ -177,6 +187,16 @@
         self._runner_directory = runner_directory.RunnerDirectory(
             ports.records, self._contact
         )
+        self._runner_model = model.RunnerModel()
+        self._capacity_memory = capacity_memory.create_capacity_memory(
+            ports.log,
+            ports.topics.rollouts,
+            heartbeat_clock.HeartbeatClock(
+                lambda: self._runner_follower.end,
+                self._runner_directory.count,
+            ),
+            self._runner_model,
+        )
         self._rollouts = rollout_parts.create_rollout_state(
             ports.log,
             self._contact,
@@ -184,6 +204,7 @@
             ports.records,
             self._rng,
             self._count_daemons,
+            self._capacity_memory,
         )
         self._catalog_follower = keyed_follower.KeyedFollower(
             ports.log,
@@ -295,10 +316,11 @@
         return not self.links.is_mesh()
 
     def _relies_on_hub_reads(self) -> bool:
-        return not self.links.leads_reading()
+        return not (self.links.leads_reading() or self._is_lease_held())
 
     def _needs_log(self) -> bool:
-        return self.links.needs_log()
+        # Orders of runners follow their entries without the delay of a hub.
+        return self.links.needs_log() or self._is_lease_held()
 
     def _create_digest(self) -> messages.Digest:
         # A method, since `_state_gossip` is built after `links`.
@@ -331,6 +353,9 @@
                 roster=self._roster,
                 links=self.links,
                 rollouts=self._rollouts,
+                memory=self._capacity_memory,
+                runners_read=self._runner_follower.first_read,
+                is_unreachable=self._ejector.is_unreachable,
             )
             self._duties = duty_parts.list_tasks(sources, self._ports.cloud)
 
@@ -374,6 +399,7 @@
             self._quota_exchange.answer,
             self._quota_exchange.find_zone_end,
             report_gossip,
+            self._crash_relay.apply_message,
         )
         self._fleet_view.listen_for_ends(self._state_gossip.end_member)
 
@@ -415,19 +441,27 @@
 
     def _build_quarantine(self) -> None:
         topic = self._ports.topics.strikes
-        self._quarantine = manager.create_quarantine_manager(
+        self.quarantine = manager.create_quarantine_manager(
             self._ports.log, topic
         )
-        self._quarantine.on_crash = self.metrics.count_crash
-        self._quarantine.may_tidy = self._is_lease_held
+        self.quarantine.on_crash = self.metrics.count_crash
+        self.quarantine.may_tidy = self._is_lease_held
+        self._crash_relay = record_relay.RecordRelay(
+            self.links.send_to_zone,
+            lambda: self._uses_hubs() and self.links.leads_reading(),
+        )
         self._crash_follower = keyed_follower.KeyedFollower(
             self._ports.log,
             self._contact,
             topic,
-            self._quarantine,
+            fan_out_sink.FanOutSink(self.quarantine, self._crash_relay),
             read_schedules.CRASH_RECORDS,
             self._uses_hubs,
+            lambda: (
+                self.links.needs_log() or self._crash_relay.is_read_needed()
+            ),
         )
+        self._crash_relay.follower = self._crash_follower
         self._crash_follower.on_unreadable = self.metrics.count_unusable_record
 
     def _is_lease_held(self) -> bool:
@@ -438,7 +472,6 @@
         bounds = self._settings.bounds
         self._loads = loads.LoadLedger()
         self._demand_meter = demand.DemandMeter()
-        self._runner_model = model.RunnerModel()
         streams = durations.StreamDurations()
         self._stop_window = stop_window.StopWindow(streams)
         self._usage = usage_counts.UsageCounts(bounds.window_s)
@@ -487,7 +520,7 @@
             ejector=self._ejector,
             runner_admission=self._backpressure.admission,
             quarantine=quarantine_filter.QuarantineFilter(
-                self._quarantine, self._runner_directory
+                self.quarantine, self._runner_directory
             ),
             stop=self._stop_window,
             trials=trial_recorder.TrialRecorder(
