--- a/packages/daemon/src/martenquay_daemon/duties/capacity_target.py
+++ b/packages/daemon/src/martenquay_daemon/duties/capacity_target.py
@@ -65,6 +65,21 @@
     memory: capacity_memory.CapacityMemory | None = None
 
 
+@dataclasses.dataclass(frozen=True)
+class _AssumedDemand:
+    """Demand to plan for before enough has been measured.
+
+    Attributes:
+        demand: The demand.
+        is_remembered: An earlier lease holder measured it. Otherwise only
+            reclaimable runners are ordered for it: on three deployments,
+            on-demand runners before any traffic cost more than they earned.
+    """
+
+    demand: capacity_plan.ServiceDemand
+    is_remembered: bool
+
+
 class TargetFinder:
     """Follows the need of each service; a target falls only after a delay."""
 
@@ -119,14 +134,14 @@
             initial_count = self._initial_counts.setdefault(
                 service.name, len(state.runners)
             )
-            expected = self._assume_demand(service.name, measured)
-            assumed_per_s = expected.tokens_per_s
-            count = max(
-                count,
-                math.ceil(_WARMUP_FRACTION * initial_count),
-                expected.count_required(slots),
+            count = max(count, math.ceil(_WARMUP_FRACTION * initial_count))
+            assumed = self._assume_demand(service.name, measured)
+            assumed_per_s = assumed.demand.tokens_per_s
+            if assumed.is_remembered:
+                count = max(count, assumed.demand.count_required(slots))
+            desired = max(
+                desired, initial_count, assumed.demand.count_desired(slots)
             )
-            desired = max(desired, initial_count, expected.count_desired(slots))
         else:
             self._note_learnt(service.name, measured)
         # A forecast that demand has not confirmed after one boot time is
@@ -152,7 +167,7 @@
 
     def _assume_demand(
         self, service: str, measured: capacity_plan.ServiceDemand
-    ) -> capacity_plan.ServiceDemand:
+    ) -> _AssumedDemand:
         """Return the demand to plan for until enough has been measured.
 
         What an earlier lease holder measured is nearer to the present demand
@@ -160,18 +175,21 @@
         """
         memory = self._sources.memory
         remembered = memory.load() if memory is not None else None
+        known = None
         if remembered is not None and remembered.age_s is not None:
             known = remembered.services.get(service)
-            if known is not None:
-                return capacity_plan.ServiceDemand(
-                    known.tokens_per_s, 0, measured.read_tokens_per_s
-                )
-        rate = expected_demand.find_expected_rate(
-            self._sources.store.table.catalog,
-            service,
-            self._sources.expected_share,
+        if known is not None:
+            rate = known.tokens_per_s
+        else:
+            rate = expected_demand.find_expected_rate(
+                self._sources.store.table.catalog,
+                service,
+                self._sources.expected_share,
+            )
+        return _AssumedDemand(
+            capacity_plan.ServiceDemand(rate, 0, measured.read_tokens_per_s),
+            is_remembered=known is not None,
         )
-        return capacity_plan.ServiceDemand(rate, 0, measured.read_tokens_per_s)
 
     def _note_learnt(
         self, service: str, measured: capacity_plan.ServiceDemand
