--- a/packages/daemon/src/martenquay_daemon/engines/placer.py
+++ b/packages/daemon/src/martenquay_daemon/engines/placer.py
@@ -5,7 +5,11 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from martenquay_core.util import rendezvous
+from martenquay_daemon.engines import (
+    first_event_costs,
+    prefix_homes,
+    speed_tracker,
+)
 
 if TYPE_CHECKING:
     import random
@@ -17,7 +21,7 @@
     from martenquay_daemon.engines import loads, model
     from martenquay_daemon.limits import ejection
 
-__all__ = ["Placement", "Placer", "PlacerWeights"]
+__all__ = ["Placement", "Placer"]
 
 
 # Random candidates beside the prompt's home, the runner that its shared prefix
@@ -42,22 +46,6 @@
     return usable
 
 
-@dataclasses.dataclass(frozen=True)
-class PlacerWeights:
-    """Weights of the terms of the estimate, in seconds.
-
-    Attributes:
-        slot_s: Delay per running request, as requests share the engine's steps.
-        other_zone_s: Round trip to another zone.
-        silent_zone_s: Penalty for a zone from which no daemon's messages
-            arrive; longer than a connection timeout.
-    """
-
-    slot_s: float = 0.004
-    other_zone_s: float = 0.004
-    silent_zone_s: float = 0.5
-
-
 @dataclasses.dataclass(frozen=True)
 class Placement:
     """The chosen runner and the estimate for it.
@@ -71,6 +59,9 @@
         has_free_slot: Whether it had fewer requests than slots.
         read_s: Expected prefill seconds of the uncached tokens.
         is_learnt: Whether enough results support the estimate.
+        work_s: Seconds in which an engine of the service's mean speed prefills
+            the uncached and the queued tokens.
+        speed: Speed of the engine relative to the service's mean.
     """
 
     runner: runners.Runner
@@ -81,6 +72,8 @@
     has_free_slot: bool = True
     read_s: float = 0.0
     is_learnt: bool = False
+    work_s: float = 0.0
+    speed: float = 1.0
 
 
 class Placer:
@@ -100,7 +93,7 @@
         choose_versions: Callable[
             [str, list[runners.Runner]], list[runners.Runner]
         ] = _allow_all_versions,
-        weights: PlacerWeights | None = None,
+        speeds: speed_tracker.SpeedTracker | None = None,
     ) -> None:
         self._admission = admission
         self._choose_versions = choose_versions
@@ -112,7 +105,10 @@
         self._model = estimates
         self._ejector = ejector
         self._rng = rng
-        self._weights = weights or PlacerWeights()
+        self._costs = first_event_costs.FirstEventCosts(zone, is_zone_silent)
+        self._speeds = speeds or speed_tracker.create_speed_tracker(
+            is_enabled=False
+        )
 
     def choose(
         self,
@@ -161,11 +157,16 @@
         home = self._find_home(call, candidates)
         best: Placement | None = None
         for runner in self._sample(home, candidates):
-            uncached = _estimate_uncached(call, is_home=runner is home)
-            load = self._ledger.find(runner.id, estimate.read_tokens_per_s)
-            expected_s = self._estimate_first_event_s(
-                runner, load, uncached, estimate
+            uncached = prefix_homes.estimate_uncached(
+                call, is_home=runner is home
+            )
+            speed = self._speeds.find(runner.id)
+            tokens_per_s = estimate.read_tokens_per_s * speed
+            load = self._ledger.find(runner.id, tokens_per_s)
+            expected_s = self._costs.estimate_s(
+                runner, load, uncached, estimate, speed
             )
+            to_read = load.unread_tokens + uncached
             found = Placement(
                 runner,
                 expected_s,
@@ -173,8 +174,10 @@
                 len(candidates),
                 load.unread_tokens,
                 load.requests < runner.slots,
-                uncached / estimate.read_tokens_per_s,
+                uncached / tokens_per_s,
                 estimate.is_learnt,
+                to_read / estimate.read_tokens_per_s,
+                speed,
             )
             if best is None or _rank(found, target_s) < _rank(best, target_s):
                 best = found
@@ -190,7 +193,7 @@
         runners most of the time, without the cached prefix.
         """
         unlimited = self._admission.filter_unlimited(candidates)
-        return _choose_prefix_home(call, unlimited) if unlimited else None
+        return prefix_homes.choose_home(call, unlimited) if unlimited else None
 
     def _sample(
         self, home: runners.Runner | None, candidates: list[runners.Runner]
@@ -213,8 +216,8 @@
         def estimate_s(runner: runners.Runner) -> float:
             load = self._ledger.find(runner.id)
             ahead = load.requests / max(1, runner.slots)
-            jitter = self._rng.random() * self._weights.other_zone_s / 4
-            return ahead * hold_s + self._estimate_network_s(runner) + jitter
+            jitter = self._rng.random() * first_event_costs.OTHER_ZONE_S / 4
+            return ahead * hold_s + self._costs.estimate_network_s(runner) + jitter
 
         looked_at = candidates
         if len(candidates) > _PLAIN_CANDIDATES and not self._are_loads_fresh():
@@ -222,61 +225,9 @@
         best = min(looked_at, key=estimate_s)
         return Placement(best, estimate_s(best), 0, len(candidates))
 
-    def _estimate_first_event_s(
-        self,
-        runner: runners.Runner,
-        load: loads.RunnerLoad,
-        uncached: int,
-        estimate: model.Estimate,
-    ) -> float:
-        to_read = load.unread_tokens + uncached
-        # Without this term a home whose slots are all busy would look fast.
-        waiting = max(0, load.requests + 1 - runner.slots)
-        slot_wait_s = waiting * estimate.hold_s / max(1, runner.slots)
-        return (
-            to_read / estimate.read_tokens_per_s
-            + slot_wait_s
-            + load.requests * self._weights.slot_s
-            + self._estimate_network_s(runner)
-        )
-
-    def _estimate_network_s(self, runner: runners.Runner) -> float:
-        if runner.zone == self._zone:
-            return 0.0
-        if self._is_zone_silent(runner.zone):
-            return self._weights.silent_zone_s
-        return self._weights.other_zone_s
-
 
 def _rank(placement: Placement, target_s: float) -> tuple[float, float]:
     """Return the sort key: lateness, then time with prefill weighted."""
     late_s = max(0.0, placement.expected_s - _ON_TIME_FRACTION * target_s)
     extra_s = (_PREFILL_WEIGHT - 1) * placement.read_s
     return late_s, placement.expected_s + extra_s
-
-
-def _choose_prefix_home(
-    call: calls.Call, candidates: list[runners.Runner]
-) -> runners.Runner | None:
-    """Return the home of the prompt's shared prefix by rendezvous hashing.
-
-    The last part belongs to the request alone, so the key is the part before
-    it; all daemons then choose the same home.
-    """
-    if len(call.prompt) < 2:
-        return None
-    key = call.prompt[-2].id
-    return max(
-        candidates, key=lambda one: rendezvous.score_candidate(key, one.id)
-    )
-
-
-def _estimate_uncached(call: calls.Call, *, is_home: bool) -> int:
-    """Return the prompt tokens that a runner likely has not cached.
-
-    The first shared part is common to many prompts, so every runner is assumed
-    to have it; later shared parts are only at the prompt's home.
-    """
-    shared = call.prompt[:-1]
-    cached = shared if is_home else shared[:-1]
-    return max(0, (call.tokens_in or 0) - sum(p.tokens for p in cached))
--- /dev/null
+++ b/packages/daemon/src/martenquay_daemon/engines/speed_tracker.py
@@ -0,0 +1,129 @@
+"""Combine the usual speed of engines with what slows them for a moment."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+from typing import TYPE_CHECKING
+
+from martenquay_daemon.engines import outliers, speeds
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping
+
+    from martenquay_daemon.engines import placer
+
+__all__ = ["SpeedTracker", "Watch", "create_speed_tracker"]
+
+
+@dataclasses.dataclass(frozen=True)
+class Watch:
+    """A request that is watched until its first event.
+
+    Attributes:
+        placement: The chosen engine and its estimate.
+        service: Service of the engine.
+        urgency: Priority of the request.
+        pending: The expected first event; None if it is not watched.
+    """
+
+    placement: placer.Placement
+    service: str
+    urgency: int
+    pending: outliers.Pending | None
+
+
+class SpeedTracker:
+    """Current speed of each engine, learnt from the requests sent there.
+
+    Attributes:
+        table: Usual speeds, shared with other daemons.
+        detector: Engines that are slow for a moment, as seen by this daemon.
+    """
+
+    def __init__(
+        self,
+        table: speeds.SpeedTable,
+        detector: outliers.OutlierDetector,
+        *,
+        is_enabled: bool,
+    ) -> None:
+        self.table = table
+        self.detector = detector
+        self._is_enabled = is_enabled
+
+    @property
+    def is_enabled(self) -> bool:
+        """Whether speeds are learnt and used."""
+        return self._is_enabled
+
+    def find(self, runner_id: str) -> float:
+        """Return the current speed relative to the service's mean."""
+        if not self._is_enabled:
+            return 1.0
+        usual = self.table.find(runner_id)
+        return usual * self.detector.find_factor(runner_id)
+
+    def find_usual(self, runner_id: str) -> float:
+        """Return the speed without what slows the engine for a moment."""
+        return self.table.find(runner_id) if self._is_enabled else 1.0
+
+    @contextlib.contextmanager
+    def watch(
+        self, placement: placer.Placement, service: str, urgency: int
+    ) -> Iterator[Watch]:
+        """Watch for the first event of a request while the context is open."""
+        # A plain call has no event, and a wait for a slot depends on the
+        # length of other streams.
+        is_watched = placement.work_s > 0 and placement.has_free_slot
+        if not self._is_enabled or not is_watched:
+            yield Watch(placement, service, urgency, None)
+            return
+        runner_id = placement.runner.id
+        usual_s = placement.work_s / self.table.find(runner_id)
+        delay_s = self.table.find_delay_s(service, urgency)
+        with self.detector.watch(runner_id, usual_s + delay_s) as pending:
+            yield Watch(placement, service, urgency, pending)
+
+    def note_first_event(self, watch: Watch, took_s: float) -> None:
+        """Record a first event.
+
+        Args:
+            watch: The request.
+            took_s: Seconds from sending the request to the first event.
+        """
+        if watch.pending is None:
+            return
+        runner_id = watch.placement.runner.id
+        is_current = self.detector.note_first_event(runner_id, watch.pending)
+        if is_current:
+            result = speeds.SpeedResult(
+                watch.service, watch.urgency, watch.placement.work_s, took_s
+            )
+            self.table.note_first_event(runner_id, result)
+
+    def forget_runner(self, runner_id: str) -> None:
+        """Drop an engine's results, as another process has replaced it."""
+        self.table.forget_runner(runner_id)
+        self.detector.forget(runner_id)
+
+    def list_own(self) -> dict[str, speeds.SpeedSums]:
+        """Return this daemon's own sums by runner id; empty if disabled."""
+        return self.table.list_own() if self._is_enabled else {}
+
+    def replace_source(
+        self, source: str, sums: Mapping[str, speeds.SpeedSums]
+    ) -> None:
+        """Replace the sums gossiped by a source; empty removes it."""
+        self.table.replace_source(source, sums)
+
+
+def create_speed_tracker(*, is_enabled: bool = True) -> SpeedTracker:
+    """Return a tracker without results.
+
+    Args:
+        is_enabled: Whether speeds are learnt; otherwise all are 1.
+    """
+    return SpeedTracker(
+        speeds.SpeedTable(), outliers.OutlierDetector(), is_enabled=is_enabled
+    )
--- a/tests/batch_engine.py
+++ b/tests/batch_engine.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import random
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -11,7 +12,7 @@
 
     from martenquay_core.serving import calls
 
-__all__ = ["BatchEngine", "Job"]
+__all__ = ["BatchEngine", "EnginePace", "Job"]
 
 _STEP_S = 0.00612
 _STEP_PER_REQUEST_S = 0.0000234
@@ -23,6 +24,46 @@
 _CACHE_TOKENS = 160_000
 
 
+@dataclasses.dataclass(frozen=True)
+class EnginePace:
+    """Speed of an engine over time.
+
+    Attributes:
+        factor: Speed relative to an engine of the service.
+        slow_share: Share of the time in which the engine is slower.
+        slow_s: Mean length of a slow period in seconds.
+        slowdown: How many times slower it is then.
+        seed: Seed of the periods.
+    """
+
+    factor: float = 1.0
+    slow_share: float = 0.0
+    slow_s: float = 0.6
+    slowdown: float = 2.5
+    seed: int = 0
+
+
+class _Speedometer:
+    """Speed factor at increasing times."""
+
+    def __init__(self, pace: EnginePace) -> None:
+        self._pace = pace
+        self._rng = random.Random(pace.seed)
+        self._is_slow = pace.slow_share > 0
+        self._changes_at = 0.0
+
+    def find_factor(self, now: float) -> float:
+        pace = self._pace
+        if pace.slow_share <= 0:
+            return pace.factor
+        while now >= self._changes_at:
+            self._is_slow = not self._is_slow
+            usual_s = pace.slow_s * (1 / pace.slow_share - 1)
+            mean_s = pace.slow_s if self._is_slow else usual_s
+            self._changes_at += self._rng.expovariate(1 / mean_s)
+        return pace.factor / (pace.slowdown if self._is_slow else 1)
+
+
 @dataclasses.dataclass
 class Job:
     """One request at an engine.
@@ -53,8 +94,9 @@
         read_tokens: Prompt tokens that missed the prefix cache so far.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, pace: EnginePace | None = None) -> None:
         self.read_tokens = 0
+        self._speed = _Speedometer(pace or EnginePace())
         self._now = 0.0
         self._prefilling: list[Job] = []
         self._running: list[Job] = []
@@ -101,8 +143,9 @@
                 read = min(chunk_left, job.unread)
                 job.unread -= read
                 chunk_left -= read
-        self._now += _STEP_S + _STEP_PER_REQUEST_S * len(self._running)
-        self._now += (_CHUNK_TOKENS - chunk_left) / _PREFILL_TOKENS_PER_S
+        step_s = _STEP_S + _STEP_PER_REQUEST_S * len(self._running)
+        step_s += (_CHUNK_TOKENS - chunk_left) / _PREFILL_TOKENS_PER_S
+        self._now += step_s / self._speed.find_factor(self._now)
         for job in list(self._running):
             self._generate_token(job)
         for job in [j for j in self._prefilling if j.unread == 0]:
--- a/tests/placing_days.py
+++ b/tests/placing_days.py
@@ -12,7 +12,8 @@
 
 from martenquay_core.serving import calls, catalog, ports
 from martenquay_daemon.discovery import contact, runner_directory
-from martenquay_daemon.engines import loads, model, placer
+from martenquay_daemon.engines import loads, model, placer, speed_tracker
+from martenquay_daemon.fleet import speed_entries
 from martenquay_daemon.limits import ejection
 from tests import batch_engine
 from tests import serving_builders as builders
@@ -77,6 +78,12 @@
         seed: Seed of the random generator.
         length_s: Seconds in which requests arrive.
         is_blind: Whether engines are chosen at random.
+        factors: Speeds of the engines relative to each other, in turn.
+        slow_share: Share of the time in which an engine is 2.5 times slower.
+        knows_speeds: Whether daemons learn and use the engines' speeds.
+        zones: Zones of the daemons and engines, in turn; all daemons are in
+            the first one if `is_zone_full`.
+        is_zone_full: Whether one zone has all the demand.
     """
 
     daemons: int
@@ -86,6 +93,11 @@
     seed: int = 1
     length_s: float = 15.0
     is_blind: bool = False
+    factors: tuple[float, ...] = (1.0,)
+    slow_share: float = 0.0
+    knows_speeds: bool = False
+    zones: str = "abc"
+    is_zone_full: bool = True
 
 
 @dataclasses.dataclass
@@ -115,8 +127,17 @@
     """Placer and loads of one daemon."""
 
     def __init__(
-        self, directory: runner_directory.RunnerDirectory, seed: int
+        self,
+        directory: runner_directory.RunnerDirectory,
+        seed: int,
+        zone: str,
+        *,
+        knows_speeds: bool,
     ) -> None:
+        self.zone = zone
+        self.speeds = speed_tracker.create_speed_tracker(
+            is_enabled=knows_speeds
+        )
         self.ledger = loads.LoadLedger()
         estimates = model.RunnerModel()
         spread = 100 * 2000**2
@@ -125,7 +146,7 @@
         )
         estimates.replace_source("fleet", {"model": prefill_sums})
         self.placer = placer.Placer(
-            "a",
+            zone,
             directory,
             self.ledger,
             estimates,
@@ -134,6 +155,7 @@
             lambda _: False,
             lambda: True,
             builders.build_runner_admission(),
+            speeds=self.speeds,
         )
 
 
@@ -146,15 +168,23 @@
     def __init__(self, day: PlacingDay) -> None:
         self._day = day
         self._rng = random.Random(day.seed)
-        self._directory = _build_directory(day.engines)
+        self._directory = _build_directory(day)
         self._engines = {
-            f"r-{n}": batch_engine.BatchEngine() for n in range(day.engines)
+            f"r-{n}": batch_engine.BatchEngine(_find_pace(day, n))
+            for n in range(day.engines)
         }
         self._daemons = [
-            _Daemon(self._directory, number) for number in range(day.daemons)
+            _Daemon(
+                self._directory,
+                number,
+                "a" if day.is_zone_full else day.zones[number % len(day.zones)],
+                knows_speeds=day.knows_speeds,
+            )
+            for number in range(day.daemons)
         ]
         self._sizes: dict[str, int] = {}
         self._gossiped: list[dict[str, loads.RunnerLoad]] = []
+        self._gossiped_speeds: list[dict[str, speed_entries.SpeedEntry]] = []
         self._outcome = Played()
 
     async def play(self) -> Played:
@@ -175,7 +205,10 @@
 
     def _draw_arrivals(self) -> Iterator[tuple[float, _RequestKind]]:
         day = self._day
-        tokens_per_s = day.load * _PLANNED_TOKENS_PER_S * day.engines
+        speed = sum(_find_pace(day, n).factor for n in range(day.engines))
+        # The time that engines lose in their slow periods.
+        speed *= 1 - day.slow_share * (1 - 1 / 2.5)
+        tokens_per_s = day.load * _PLANNED_TOKENS_PER_S * speed
         bursts_per_s = tokens_per_s / _MEAN_TOKENS / _MEAN_BURST_REQUESTS
         shares = [kind.share for kind in _KINDS]
         arrivals = []
@@ -199,6 +232,11 @@
                 daemon.ledger.replace_source(
                     "fleet", _subtract_loads(total, own)
                 )
+            self._gossip_speeds()
+        self._gossiped_speeds = [
+            speed_entries.encode_speeds(daemon.speeds.list_own())
+            for daemon in self._daemons
+        ]
         self._gossiped = [
             {
                 runner: dataclasses.replace(load)
@@ -207,6 +245,19 @@
             for daemon in self._daemons
         ]
 
+    def _gossip_speeds(self) -> None:
+        """Gossip the speeds of one interval ago to all daemons."""
+        decoded = [
+            speed_entries.decode_speeds(one) for one in self._gossiped_speeds
+        ]
+        total = speed_entries.sum_speeds(decoded)
+        for daemon, own in zip(self._daemons, decoded, strict=True):
+            others = speed_entries.subtract_speeds(total, own)
+            encoded = speed_entries.encode_speeds(others)
+            daemon.speeds.replace_source(
+                "fleet", speed_entries.decode_speeds(encoded)
+            )
+
     def _place(self, kind: _RequestKind) -> None:
         now = trio.current_time()
         self._advance(now)
@@ -224,8 +275,13 @@
             daemon.ledger.count(placement.runner.id, placement.uncached_tokens)
         )
 
+        watch = context.enter_context(
+            daemon.speeds.watch(placement, "model", _KINDS.index(kind))
+        )
+
         def note_first(at: float) -> None:
             running.note_first_event()
+            daemon.speeds.note_first_event(watch, at - now)
             self._outcome.first_s[kind.name].append(at - now)
             self._outcome.late[kind.name] += at - now > kind.target_s
 
@@ -260,15 +316,23 @@
             engine.advance(now)
 
 
-def _build_directory(engines: int) -> runner_directory.RunnerDirectory:
+def _find_pace(day: PlacingDay, number: int) -> batch_engine.EnginePace:
+    """Return the pace of an engine; each zone has engines of each speed."""
+    factor = day.factors[number // len(day.zones) % len(day.factors)]
+    return batch_engine.EnginePace(
+        factor, day.slow_share, seed=1000 * day.seed + number
+    )
+
+
+def _build_directory(day: PlacingDay) -> runner_directory.RunnerDirectory:
     records = builders.FakeRecords()
     directory = runner_directory.RunnerDirectory(records, contact.LogContact())
-    for number in range(engines):
+    for number in range(day.engines):
         value = b"%d" % number
         records.runners[value] = builders.build_runner(
             id=f"r-{number}",
             service="model",
-            zone="abc"[number % 3],
+            zone=day.zones[number % len(day.zones)],
             address=f"127.0.0.1:{number}",
             slots=_SLOTS,
         )
