--- a/packages/daemon/src/martenquay_daemon/engines/outliers.py
+++ b/packages/daemon/src/martenquay_daemon/engines/outliers.py
@@ -46,10 +46,9 @@
     expected_s: float
     is_probe: bool = False
 
-    def is_late(self, now: float) -> bool:
-        """Return whether its first event is, or came, late."""
-        limit_s = _LATE_FACTOR * self.expected_s + _LATE_MARGIN_S
-        return now - self.sent_at > limit_s
+    def is_late(self, elapsed_s: float) -> bool:
+        """Return whether a first event is late after this many seconds."""
+        return elapsed_s > _LATE_FACTOR * self.expected_s + _LATE_MARGIN_S
 
 
 @dataclasses.dataclass
@@ -92,7 +91,7 @@
             return 1.0
         now = trio.current_time()
         if state.probe_at is None and any(
-            one.is_late(now) for one in state.pending
+            one.is_late(now - one.sent_at) for one in state.pending
         ):
             self._set_slow(runner_id, state, "overdue")
         if state.probe_at is None:
@@ -123,9 +122,16 @@
             state.pending.pop(pending, None)
             self._drop_if_unused(runner_id, state)
 
-    def note_first_event(self, runner_id: str, pending: Pending) -> bool:
+    def note_first_event(
+        self, runner_id: str, pending: Pending, took_s: float
+    ) -> bool:
         """Record the first event of a watched request.
 
+        Args:
+            runner_id: Id of the runner.
+            pending: The request.
+            took_s: Seconds from sending it to its first event.
+
         Returns:
             Whether it is still watched: not once another process has replaced
             the engine, as the event tells nothing about the new process.
@@ -134,7 +140,7 @@
         if state is None or pending not in state.pending:
             return False
         del state.pending[pending]
-        if pending.is_late(trio.current_time()):
+        if pending.is_late(took_s):
             self._set_slow(runner_id, state, "late")
         elif pending.is_probe:
             state.probe_at = None
--- a/packages/daemon/src/martenquay_daemon/engines/speed_tracker.py
+++ b/packages/daemon/src/martenquay_daemon/engines/speed_tracker.py
@@ -4,9 +4,10 @@
 
 import contextlib
 import dataclasses
+import math
 from typing import TYPE_CHECKING
 
-from martenquay_daemon.engines import outliers, speeds
+from martenquay_daemon.engines import event_gaps, outliers, speeds
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
@@ -31,6 +32,7 @@
     service: str
     urgency: int
     pending: outliers.Pending | None
+    window: event_gaps.EventWindow
 
 
 class SpeedTracker:
@@ -73,35 +75,61 @@
         self, placement: placer.Placement, service: str, urgency: int
     ) -> Iterator[Watch]:
         """Watch for the first event of a request while the context is open."""
+        window = event_gaps.EventWindow(math.inf)
         # A plain call has no event, and a wait for a slot depends on the
         # length of other streams.
         is_watched = placement.work_s > 0 and placement.has_free_slot
         if not self._is_enabled or not is_watched:
-            yield Watch(placement, service, urgency, None)
+            yield Watch(placement, service, urgency, None, window)
             return
         runner_id = placement.runner.id
         usual_s = placement.work_s / self.table.find(runner_id)
         delay_s = self.table.find_delay_s(service, urgency)
         with self.detector.watch(runner_id, usual_s + delay_s) as pending:
-            yield Watch(placement, service, urgency, pending)
+            yield Watch(placement, service, urgency, pending, window)
 
-    def note_first_event(self, watch: Watch, took_s: float) -> None:
+    def note_first_event(
+        self, watch: Watch, took_s: float, at: float
+    ) -> None:
         """Record a first event.
 
         Args:
             watch: The request.
             took_s: Seconds from sending the request to the first event.
+            at: When it arrived, in trio's time.
         """
+        watch.window.started_at = at
         if watch.pending is None:
             return
         runner_id = watch.placement.runner.id
-        is_current = self.detector.note_first_event(runner_id, watch.pending)
+        is_current = self.detector.note_first_event(
+            runner_id, watch.pending, took_s
+        )
         if is_current:
+            placement = watch.placement
             result = speeds.SpeedResult(
-                watch.service, watch.urgency, watch.placement.work_s, took_s
+                watch.service,
+                watch.urgency,
+                placement.work_s,
+                took_s,
+                placement.read_s * placement.speed,
             )
             self.table.note_first_event(runner_id, result)
 
+    def note_events(self, watch: Watch, count: int, at: float) -> None:
+        """Record events after the first one.
+
+        Args:
+            watch: The request.
+            count: Number of events that arrived together.
+            at: When they arrived, in trio's time.
+        """
+        if self._is_enabled:
+            runner_id = watch.placement.runner.id
+            self.table.note_events(
+                watch.service, runner_id, watch.window, count, at
+            )
+
     def forget_runner(self, runner_id: str) -> None:
         """Drop an engine's results, as another process has replaced it."""
         self.table.forget_runner(runner_id)
--- a/packages/daemon/src/martenquay_daemon/engines/speeds.py
+++ b/packages/daemon/src/martenquay_daemon/engines/speeds.py
@@ -8,30 +8,36 @@
 
 import trio
 
+from martenquay_daemon.engines import event_gaps
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-__all__ = ["MAX_ENTRIES", "SpeedResult", "SpeedSums", "SpeedTable"]
+__all__ = ["SpeedResult", "SpeedSums", "SpeedTable"]
 
 # Short enough to follow an engine that is replaced or throttled, long enough
 # for some results of every engine at one request per engine and second.
 _DECAY_TIME_S = 8.0
 # Counts like this many results at the service's speed, so that one request
 # that waited behind unknown load does not make its engine slow.
-_PRIOR_RESULTS = 2.0
-# A result with less work than this counts only in proportion: the time of a
-# short prefill is mostly network and batching delay.
-_FULL_WEIGHT_WORK_S = 0.03
-# Results queued behind more work than this depend on loads known late.
-_MAX_WORK_S = 1.0
+_PRIOR_RESULTS = 3.0
+# Share of the mean delay beside the prefill that does not depend on the engine,
+# such as the network's. The rest is its steps, which a slow engine lengthens.
+_FIXED_DELAY_SHARE = 0.5
+# Results with this much more work queued ahead than their own are ignored, as
+# their time depends on loads that are known late.
+_MAX_AHEAD_S = 0.07
+# Weight of a first event; that of a gap between later events is 1. A first event
+# also depends on queues, which are known late.
+_FIRST_EVENT_RESULTS = 0.5
+# Bounds the cost of comparing engines; gaps are a fraction of it.
+_COMPARE_INTERVAL_S = 0.1
 _MIN_RATIO = 0.2
 _MAX_RATIO = 5.0
 # Less evidence than this is not worth its bytes in gossip.
 _MIN_RESULTS = 0.1
 # Smaller differences change no choice of engine and are not gossiped.
 _MIN_DIFFERENCE = 0.15
-# Bounds the bytes of a message.
-MAX_ENTRIES = 64
 
 
 @dataclasses.dataclass(frozen=True)
@@ -44,12 +50,14 @@
         work_s: Seconds in which an engine of the service's mean speed
             prefills the request and what was queued before it.
         took_s: Seconds from sending the request to the first event.
+        own_s: The part of `work_s` for the request's own tokens.
     """
 
     service: str
     urgency: int
     work_s: float
     took_s: float
+    own_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -84,13 +92,6 @@
         ratio = (self.results + prior_results) / durations
         return min(max(ratio, _MIN_RATIO), _MAX_RATIO)
 
-    def is_notable(self) -> bool:
-        """Return whether the speed differs enough to be gossiped."""
-        return (
-            self.results >= _MIN_RESULTS
-            and abs(self.find_ratio() - 1) > _MIN_DIFFERENCE
-        )
-
 
 @dataclasses.dataclass
 class _EngineSums:
@@ -98,21 +99,21 @@
 
     updated_at: float
     results: float = 0.0
-    work_s: float = 0.0
-    prefill_s: float = 0.0
+    mean_s: float = 0.0
+    took_s: float = 0.0
 
     def decay(self, now: float) -> None:
         factor = math.exp((self.updated_at - now) / _DECAY_TIME_S)
         self.updated_at = now
         self.results *= factor
-        self.work_s *= factor
-        self.prefill_s *= factor
+        self.mean_s *= factor
+        self.took_s *= factor
 
     def find_sums(self) -> SpeedSums:
-        if self.work_s <= 0:
+        if self.mean_s <= 0:
             return SpeedSums()
         return SpeedSums(
-            self.results, self.results * self.prefill_s / self.work_s
+            self.results, self.results * self.took_s / self.mean_s
         )
 
 
@@ -146,19 +147,19 @@
         self._own: dict[str, _EngineSums] = {}
         self._others: dict[str, Mapping[str, SpeedSums]] = {}
         self._delays: dict[tuple[str, int], _DelaySums] = {}
+        self._gaps = event_gaps.GapTable()
+        self._gap_sums: dict[str, SpeedSums] = {}
+        self._gaps_compared_at = -math.inf
 
     def find(self, runner_id: str) -> float:
         """Return an engine's speed relative to its service's; 1 if unknown."""
-        total = SpeedSums()
-        own = self._own.get(runner_id)
-        if own is not None:
-            own.decay(trio.current_time())
-            total = own.find_sums()
+        total = self._find_own(runner_id)
         for gossiped in self._others.values():
             sums = gossiped.get(runner_id)
             if sums is not None:
                 total = total.add(sums)
-        return total.find_ratio(_PRIOR_RESULTS)
+        ratio = total.find_ratio(_PRIOR_RESULTS)
+        return ratio if abs(ratio - 1) > _MIN_DIFFERENCE else 1.0
 
     def find_delay_s(self, service: str, urgency: int) -> float:
         """Return the mean seconds to a first event beyond the prefill."""
@@ -167,21 +168,36 @@
 
     def note_first_event(self, runner_id: str, result: SpeedResult) -> None:
         """Record the first event of a stream that did not wait for a slot."""
-        if result.work_s <= 0 or result.work_s > _MAX_WORK_S:
+        if result.work_s - result.own_s > result.own_s + _MAX_AHEAD_S:
             return
         now = trio.current_time()
         key = result.service, result.urgency
         delays = self._delays.setdefault(key, _DelaySums(now))
-        delays.add(now, result.took_s - result.work_s / self.find(runner_id))
+        delays.add(now, result.took_s - result.work_s)
+        delay_s = delays.find_mean_s()
+        fixed_s = _FIXED_DELAY_SHARE * delay_s
         sums = self._own.setdefault(runner_id, _EngineSums(now))
         sums.decay(now)
-        sums.results += min(1.0, result.work_s / _FULL_WEIGHT_WORK_S)
-        sums.work_s += result.work_s
-        sums.prefill_s += max(0.0, result.took_s - delays.find_mean_s())
+        sums.results += _FIRST_EVENT_RESULTS
+        sums.mean_s += delay_s + result.work_s - fixed_s
+        sums.took_s += max(0.0, result.took_s - fixed_s)
+
+    def note_events(
+        self,
+        service: str,
+        runner_id: str,
+        window: event_gaps.EventWindow,
+        count: int,
+        at: float,
+    ) -> None:
+        """Record later events of a stream, which arrived together."""
+        self._gaps.note_events(service, runner_id, window, count, at)
 
     def forget_runner(self, runner_id: str) -> None:
         """Drop an engine's results, as another process has replaced it."""
         self._own.pop(runner_id, None)
+        self._gaps.forget_runner(runner_id)
+        self._gap_sums.pop(runner_id, None)
         for source, gossiped in self._others.items():
             self._others[source] = {
                 other: sums
@@ -190,14 +206,21 @@
             }
 
     def list_own(self) -> dict[str, SpeedSums]:
-        """Return this daemon's sums by runner id, without gossiped ones."""
+        """Return this daemon's sums for the engines that differ, by runner id.
+
+        An engine counts as different by the results of all daemons. If daemons
+        chose by their own results, only the largest errors would be gossiped.
+        """
         now = trio.current_time()
         for runner_id, sums in list(self._own.items()):
             sums.decay(now)
             if sums.results < _MIN_RESULTS:
                 del self._own[runner_id]
+        self._compare_gaps(now)
         return {
-            runner_id: sums.find_sums() for runner_id, sums in self._own.items()
+            runner_id: self._find_own(runner_id)
+            for runner_id in self._own.keys() | self._gap_sums.keys()
+            if self.find(runner_id) != 1.0
         }
 
     def replace_source(
@@ -212,3 +235,20 @@
     def forget_sources(self) -> None:
         """Drop all gossiped sums."""
         self._others.clear()
+
+    def _find_own(self, runner_id: str) -> SpeedSums:
+        now = trio.current_time()
+        if now - self._gaps_compared_at > _COMPARE_INTERVAL_S:
+            self._compare_gaps(now)
+        total = self._gap_sums.get(runner_id, SpeedSums())
+        own = self._own.get(runner_id)
+        if own is not None:
+            own.decay(now)
+            total = total.add(own.find_sums())
+        return total
+
+    def _compare_gaps(self, now: float) -> None:
+        self._gaps_compared_at = now
+        self._gap_sums = {}
+        for runner_id, (gaps, ratio) in self._gaps.compare().items():
+            self._gap_sums[runner_id] = SpeedSums(gaps, gaps / ratio)
--- a/packages/daemon/src/martenquay_daemon/fleet/speed_entries.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/speed_entries.py
@@ -22,6 +22,10 @@
 # A daemon of a large fleet has less than one decayed result per engine.
 _RESULTS_SCALE = 10
 _RATIO_SCALE = 1000
+# Bounds the bytes of a message.
+_MAX_ENTRIES = 64
+# Subtracting one daemon's sums from a total leaves rounding errors.
+_MIN_RESULTS = 0.05
 
 
 class SpeedEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -40,22 +44,17 @@
 def encode_speeds(
     sums: Mapping[str, speeds.SpeedSums],
 ) -> dict[str, SpeedEntry]:
-    """Return the entries of the engines whose speeds differ.
-
-    If there are too many, those with the most evidence are kept.
-    """
-    notable = [
-        (runner_id, one) for runner_id, one in sums.items() if one.is_notable()
-    ]
-    if len(notable) > speeds.MAX_ENTRIES:
-        notable.sort(key=lambda item: item[1].results, reverse=True)
-        del notable[speeds.MAX_ENTRIES :]
+    """Return the entries for sums; those with the most evidence if too many."""
+    kept = [item for item in sums.items() if item[1].results > _MIN_RESULTS]
+    if len(kept) > _MAX_ENTRIES:
+        kept.sort(key=lambda item: item[1].results, reverse=True)
+        del kept[_MAX_ENTRIES:]
     return {
         runner_id: SpeedEntry(
             max(1, round(one.results * _RESULTS_SCALE)),
             round(one.find_ratio() * _RATIO_SCALE),
         )
-        for runner_id, one in notable
+        for runner_id, one in kept
     }
 
 
--- a/tests/batch_engine.py
+++ b/tests/batch_engine.py
@@ -64,6 +64,10 @@
         return pace.factor / (pace.slowdown if self._is_slow else 1)
 
 
+def _ignore_event(at: float) -> None:
+    del at
+
+
 @dataclasses.dataclass
 class Job:
     """One request at an engine.
@@ -73,6 +77,7 @@
         events: Number of events in the answer.
         on_first: Called with the time of the first event.
         on_end: Called with the time of the last event.
+        on_event: Called with the time of each event after the first.
         begins_at: When prefill may start.
         unread: Prompt tokens left to prefill.
         written: Tokens generated.
@@ -82,6 +87,7 @@
     events: int
     on_first: Callable[[float], None]
     on_end: Callable[[float], None]
+    on_event: Callable[[float], None] = _ignore_event
     begins_at: float = 0.0
     unread: int = 0
     written: int = 0
@@ -156,6 +162,8 @@
         job.written += 1
         if job.written == _TOKENS_PER_EVENT:
             job.on_first(self._now)
+        elif job.written % _TOKENS_PER_EVENT == 0:
+            job.on_event(self._now)
         if job.written == _TOKENS_PER_EVENT * job.events:
             self._running.remove(job)
             job.on_end(self._now)
--- a/tests/placing_days.py
+++ b/tests/placing_days.py
@@ -281,7 +281,7 @@
 
         def note_first(at: float) -> None:
             running.note_first_event()
-            daemon.speeds.note_first_event(watch, at - now)
+            daemon.speeds.note_first_event(watch, at - now, at)
             self._outcome.first_s[kind.name].append(at - now)
             self._outcome.late[kind.name] += at - now > kind.target_s
 
@@ -290,6 +290,7 @@
             1 + round(self._rng.expovariate(1 / kind.events)),
             note_first,
             lambda _: context.close(),
+            lambda at: daemon.speeds.note_events(watch, 1, at),
         )
         self._engines[placement.runner.id].submit(now, job)
 
