--- a/packages/daemon/src/martenquay_daemon/engines/placer.py
+++ b/packages/daemon/src/martenquay_daemon/engines/placer.py
@@ -217,7 +217,9 @@
             load = self._ledger.find(runner.id)
             ahead = load.requests / max(1, runner.slots)
             jitter = self._rng.random() * first_event_costs.OTHER_ZONE_S / 4
-            return ahead * hold_s + self._costs.estimate_network_s(runner) + jitter
+            return (
+                ahead * hold_s + self._costs.estimate_network_s(runner) + jitter
+            )
 
         looked_at = candidates
         if len(candidates) > _PLAIN_CANDIDATES and not self._are_loads_fresh():
--- a/packages/daemon/src/martenquay_daemon/engines/speed_tracker.py
+++ b/packages/daemon/src/martenquay_daemon/engines/speed_tracker.py
@@ -10,7 +10,7 @@
 from martenquay_daemon.engines import event_gaps, outliers, speeds
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Mapping
+    from collections.abc import Callable, Iterator, Mapping
 
     from martenquay_daemon.engines import placer
 
@@ -72,14 +72,25 @@
 
     @contextlib.contextmanager
     def watch(
-        self, placement: placer.Placement, service: str, urgency: int
+        self,
+        placement: placer.Placement,
+        service: str,
+        urgency: int,
+        *,
+        is_expected: bool = True,
     ) -> Iterator[Watch]:
-        """Watch for the first event of a request while the context is open."""
+        """Watch for the events of a request while the context is open.
+
+        Args:
+            placement: The chosen engine and its estimate.
+            service: Service of the engine.
+            urgency: Priority of the request.
+            is_expected: Whether the estimate holds for its first event.
+        """
         window = event_gaps.EventWindow(math.inf)
-        # A plain call has no event, and a wait for a slot depends on the
-        # length of other streams.
-        is_watched = placement.work_s > 0 and placement.has_free_slot
-        if not self._is_enabled or not is_watched:
+        # A wait for a slot depends on the length of other streams.
+        is_expected &= placement.work_s > 0 and placement.has_free_slot
+        if not self._is_enabled or not is_expected:
             yield Watch(placement, service, urgency, None, window)
             return
         runner_id = placement.runner.id
@@ -88,9 +99,7 @@
         with self.detector.watch(runner_id, usual_s + delay_s) as pending:
             yield Watch(placement, service, urgency, pending, window)
 
-    def note_first_event(
-        self, watch: Watch, took_s: float, at: float
-    ) -> None:
+    def note_first_event(self, watch: Watch, took_s: float, at: float) -> None:
         """Record a first event.
 
         Args:
@@ -145,13 +154,24 @@
         """Replace the sums gossiped by a source; empty removes it."""
         self.table.replace_source(source, sums)
 
+    def forget_sources(self) -> None:
+        """Drop all gossiped sums."""
+        self.table.forget_sources()
+
 
-def create_speed_tracker(*, is_enabled: bool = True) -> SpeedTracker:
+def create_speed_tracker(
+    *,
+    is_enabled: bool = True,
+    on_change: Callable[[str, str], None] | None = None,
+) -> SpeedTracker:
     """Return a tracker without results.
 
     Args:
         is_enabled: Whether speeds are learnt; otherwise all are 1.
+        on_change: Called with a runner id and the reason when an engine is
+            found slow or readmitted.
     """
-    return SpeedTracker(
-        speeds.SpeedTable(), outliers.OutlierDetector(), is_enabled=is_enabled
-    )
+    detector = outliers.OutlierDetector()
+    if on_change is not None:
+        detector.on_change = on_change
+    return SpeedTracker(speeds.SpeedTable(), detector, is_enabled=is_enabled)
--- a/packages/daemon/src/martenquay_daemon/engines/speeds.py
+++ b/packages/daemon/src/martenquay_daemon/engines/speeds.py
@@ -18,17 +18,17 @@
 # Short enough to follow an engine that is replaced or throttled, long enough
 # for some results of every engine at one request per engine and second.
 _DECAY_TIME_S = 8.0
-# Counts like this many results at the service's speed, so that one request
-# that waited behind unknown load does not make its engine slow.
-_PRIOR_RESULTS = 3.0
+# Counts like this many results at the service's speed. With 3, the errors of 25
+# to 70 daemons made more requests late in replays of equal engines.
+_PRIOR_RESULTS = 8.0
 # Share of the mean delay beside the prefill that does not depend on the engine,
 # such as the network's. The rest is its steps, which a slow engine lengthens.
 _FIXED_DELAY_SHARE = 0.5
 # Results with this much more work queued ahead than their own are ignored, as
 # their time depends on loads that are known late.
 _MAX_AHEAD_S = 0.07
-# Weight of a first event; that of a gap between later events is 1. A first event
-# also depends on queues, which are known late.
+# Weight of a first event; that of a gap between later events is 1. A first
+# event also depends on queues, which are known late.
 _FIRST_EVENT_RESULTS = 0.5
 # Bounds the cost of comparing engines; gaps are a fraction of it.
 _COMPARE_INTERVAL_S = 0.1
@@ -112,9 +112,7 @@
     def find_sums(self) -> SpeedSums:
         if self.mean_s <= 0:
             return SpeedSums()
-        return SpeedSums(
-            self.results, self.results * self.took_s / self.mean_s
-        )
+        return SpeedSums(self.results, self.results * self.took_s / self.mean_s)
 
 
 @dataclasses.dataclass
--- a/packages/daemon/src/martenquay_daemon/fleet/hub.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/hub.py
@@ -7,7 +7,12 @@
 
 import msgspec
 
-from martenquay_daemon.fleet import messages, trial_entries, zone_aggregator
+from martenquay_daemon.fleet import (
+    messages,
+    speed_entries,
+    trial_entries,
+    zone_aggregator,
+)
 
 if TYPE_CHECKING:
     from martenquay_daemon.fleet import zones
@@ -96,6 +101,7 @@
             self._summarize(totals, hub_state),
             totals.loads,
             hub_state.runner_reports,
+            speed_entries.encode_speeds(totals.speeds),
         )
 
     def create_reports(
@@ -142,6 +148,9 @@
         for known in others:
             zone_aggregator.add_loads(loads, known.loads, 1)
             zone_aggregator.add_reading(prefill, known.summary.reading, 1)
+        found_speeds = speed_entries.sum_speeds(
+            [totals.speeds, *(known.speeds for known in others)]
+        )
         if not is_full:
             summaries = [_strip_duty_fields(summary) for summary in summaries]
         return messages.FleetReport(
@@ -153,6 +162,7 @@
             prefill,
             self._own_digest.orders,
             hub_state.runner_reports,
+            speed_entries.encode_speeds(found_speeds),
         )
 
     def _summarize(
--- a/packages/daemon/src/martenquay_daemon/fleet/messages.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/messages.py
@@ -8,6 +8,7 @@
 
 # msgspec evaluates the annotations when the module is loaded.
 from martenquay_daemon.discovery import runner_entries  # noqa: TC001
+from martenquay_daemon.fleet import speed_entries  # noqa: TC001
 
 __all__ = [
     "NO_WINDOW",
@@ -253,6 +254,7 @@
         trials: Canary results, by service.
         orders: Rollout orders that it has learnt of recently.
         runner_reports: Limits and drains that runners reported to it.
+        speeds: Its evidence on engines' speeds, by runner id.
     """
 
     member: str
@@ -276,6 +278,7 @@
     trials: dict[str, TrialEntry]
     orders: list[RolloutOrderEntry]
     runner_reports: RunnerReports
+    speeds: dict[str, speed_entries.SpeedEntry] = {}
 
 
 class ZoneSummary(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -348,11 +351,13 @@
         summary: Summary of the sender's zone.
         loads: Load of the zone's daemons at runners, by runner id.
         runner_reports: Limits and drains of runners known to the hub.
+        speeds: Evidence of the zone's daemons on engines' speeds, by runner id.
     """
 
     summary: ZoneSummary
     loads: dict[str, LoadEntry]
     runner_reports: RunnerReports
+    speeds: dict[str, speed_entries.SpeedEntry] = {}
 
 
 class FleetReport(msgspec.Struct, frozen=True, array_like=True, tag="r"):
@@ -369,6 +374,7 @@
         reading: Prefill sums of all other daemons, by service.
         orders: Rollout orders that the hub has learnt of recently.
         runner_reports: Limits and drains of runners known to the hub.
+        speeds: Evidence of all other daemons on engines' speeds, by runner id.
     """
 
     hub: str
@@ -379,6 +385,7 @@
     reading: dict[str, PrefillEntry]
     orders: list[RolloutOrderEntry]
     runner_reports: RunnerReports
+    speeds: dict[str, speed_entries.SpeedEntry] = {}
 
 
 class PeerEntry(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/daemon/src/martenquay_daemon/fleet/state_gossip.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/state_gossip.py
@@ -7,7 +7,7 @@
 
 from martenquay_core.serving import rollouts
 from martenquay_daemon.engines import loads, model
-from martenquay_daemon.fleet import messages, trial_entries
+from martenquay_daemon.fleet import messages, speed_entries, trial_entries
 
 if TYPE_CHECKING:
     from martenquay_daemon.discovery import (
@@ -16,7 +16,7 @@
         runner_directory,
     )
     from martenquay_daemon.duties import lease, usage_counts
-    from martenquay_daemon.engines import demand
+    from martenquay_daemon.engines import demand, speed_tracker
     from martenquay_daemon.fleet import (
         links,
         quota_exchange,
@@ -73,6 +73,7 @@
         lease: The duties' lease.
         links: Links to other daemons.
         fleet: View of the fleet.
+        speeds: Speeds of the engines.
     """
 
     store: catalog_store.CatalogStore
@@ -90,6 +91,7 @@
     lease: lease.Lease
     links: links.FleetLinks
     fleet: view.FleetView
+    speeds: speed_tracker.SpeedTracker
 
 
 class StateGossip:
@@ -146,6 +148,7 @@
             runner_reports=sources.runner_report_gossip.create_reports(
                 is_hub=False
             ),
+            speeds=speed_entries.encode_speeds(sources.speeds.list_own()),
         )
 
     def apply_digest(self, digest: messages.Digest) -> None:
@@ -158,6 +161,9 @@
         sources.estimates.replace_source(
             digest.member, _decode_prefills(digest.reading)
         )
+        sources.speeds.replace_source(
+            digest.member, speed_entries.decode_speeds(digest.speeds)
+        )
         sources.trials.replace_source(
             digest.member, trial_entries.decode_trials(digest.trials)
         )
@@ -174,6 +180,9 @@
         sources.estimates.replace_source(
             _FLEET, _decode_prefills(report.reading)
         )
+        sources.speeds.replace_source(
+            _FLEET, speed_entries.decode_speeds(report.speeds)
+        )
         zones = [
             trial_entries.decode_trials(one.trials) for one in report.zones
         ]
@@ -189,6 +198,7 @@
         self._sources.listed.reset_heard_times()
         self._sources.loads.forget_sources()
         self._sources.estimates.forget_sources()
+        self._sources.speeds.forget_sources()
         self._sources.trials.forget_sources()
 
     def end_member(self, member: str) -> None:
@@ -196,6 +206,7 @@
         self._sources.quota_exchange.forget(member)
         self._sources.loads.replace_source(member, {})
         self._sources.estimates.replace_source(member, {})
+        self._sources.speeds.replace_source(member, {})
         self._sources.trials.replace_source(member, {})
 
     def _apply_orders(self, entries: list[messages.RolloutOrderEntry]) -> None:
--- a/packages/daemon/src/martenquay_daemon/fleet/zone_aggregator.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/zone_aggregator.py
@@ -5,12 +5,13 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from martenquay_daemon.fleet import messages, trial_entries
+from martenquay_daemon.fleet import messages, speed_entries, trial_entries
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
     from martenquay_daemon.duties import usage_counts
+    from martenquay_daemon.engines import speeds
     from martenquay_daemon.rollouts import tallies
 
 __all__ = ["ZoneTotals", "ZoneAggregator", "add_loads", "add_reading"]
@@ -37,6 +38,7 @@
         demand: Uncached prompt tokens a second, by service.
         reading: Prefill sums, by service.
         trials: Canary results, by service.
+        speeds: Evidence on engines' speeds, by runner id.
     """
 
     daemons: int = 0
@@ -53,6 +55,9 @@
         default_factory=dict
     )
     trials: dict[str, tallies.Trial] = dataclasses.field(default_factory=dict)
+    speeds: dict[str, speeds.SpeedSums] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass
@@ -122,6 +127,9 @@
                 totals.lease_member = digest.member
         totals.window = self._find_earliest_window("")
         totals.trials = _add_trials(heard)
+        totals.speeds = speed_entries.sum_speeds(
+            speed_entries.decode_speeds(known.digest.speeds) for known in heard
+        )
         return totals
 
     def exclude_member(
@@ -147,6 +155,9 @@
             add_loads(totals.loads, known.digest.loads, -1)
             _add_amounts(totals.demand, known.digest.demand, -1)
             add_reading(totals.reading, known.digest.reading, -1)
+            totals.speeds = speed_entries.subtract_speeds(
+                total.speeds, speed_entries.decode_speeds(known.digest.speeds)
+            )
             totals.trials = _add_trials(
                 other
                 for other in self._list_heard(now, silent_s)
--- a/packages/daemon/src/martenquay_daemon/fleet/zone_mode.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/zone_mode.py
@@ -14,6 +14,7 @@
     hub,
     messages,
     send_times,
+    speed_entries,
     state_copies,
     topology,
 )
@@ -147,7 +148,12 @@
         now = trio.current_time()
         self._election.note_report(summary.address, now)
         if summary.zone != self._own_address.zone:
-            self._view.zones.apply_summary(summary, exchange.loads, now)
+            self._view.zones.apply_summary(
+                summary,
+                exchange.loads,
+                now,
+                speed_entries.decode_speeds(exchange.speeds),
+            )
 
     def apply_report(self, report: messages.FleetReport) -> bool:
         """Apply a hub's report; return whether its sums are to be used."""
--- a/packages/daemon/src/martenquay_daemon/fleet/zones.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/zones.py
@@ -8,6 +8,7 @@
 from martenquay_core import logs
 
 if TYPE_CHECKING:
+    from martenquay_daemon.engines import speeds
     from martenquay_daemon.fleet import messages
 
 __all__ = ["KnownSummary", "ZoneTable"]
@@ -26,11 +27,16 @@
         loads: Load of the zone's daemons at runners, by runner id; empty if
             the message had none.
         heard_at: When it was received, in trio's time.
+        speeds: Evidence of the zone's daemons on engines' speeds, by runner
+            id; empty if the message had none.
     """
 
     summary: messages.ZoneSummary
     loads: dict[str, messages.LoadEntry]
     heard_at: float
+    speeds: dict[str, speeds.SpeedSums] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass
@@ -57,13 +63,16 @@
         summary: messages.ZoneSummary,
         loads: dict[str, messages.LoadEntry],
         now: float,
+        engine_speeds: dict[str, speeds.SpeedSums] | None = None,
     ) -> bool:
         """Apply a summary; return whether it is newer and its hub is active."""
         zone = self._zones.setdefault(summary.zone, _Zone(summary.hub))
         known = zone.hubs.get(summary.hub)
         if known is not None and summary.number <= known.summary.number:
             return False
-        zone.hubs[summary.hub] = KnownSummary(summary, loads, now)
+        zone.hubs[summary.hub] = KnownSummary(
+            summary, loads, now, engine_speeds or {}
+        )
         is_active = summary.hub == zone.active
         return is_active or self._fail_over(zone, summary, now)
 
--- a/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
@@ -26,7 +26,13 @@
     from martenquay_core.serving import ports, runners
     from martenquay_daemon.backpressure import runner_admission
     from martenquay_daemon.duties import usage_counts
-    from martenquay_daemon.engines import demand, durations, loads, placer
+    from martenquay_daemon.engines import (
+        demand,
+        durations,
+        loads,
+        placer,
+        speed_tracker,
+    )
 
 __all__ = ["AttemptMaker"]
 
@@ -60,7 +66,9 @@
         streams: durations.StreamDurations,
         notify_soon: Callable[[], None],
         gate: runner_admission.RunnerAdmission,
+        speeds: speed_tracker.SpeedTracker,
     ) -> None:
+        self._speeds = speeds
         self._gate = gate
         self._codec = codec
         self._ledger = ledger
@@ -100,6 +108,12 @@
         with (
             time_limit,
             self._ledger.count(runner.id, placement.uncached_tokens) as running,
+            self._speeds.watch(
+                placement,
+                current.service,
+                _find_urgency(current),
+                is_expected=_has_usual_first_event(current),
+            ) as current.watch,
         ):
             if placement.read_s >= _LONG_PREFILL_S:
                 self._notify_soon()
@@ -334,6 +348,10 @@
                 took_s = trio.current_time() - current.sent_at
                 self._record_first_event(current, placement, took_s)
                 usage_entry.UsageEntry(self._usage, current.team).count()
+            elif events and current.watch is not None:
+                self._speeds.note_events(
+                    current.watch, len(events), trio.current_time()
+                )
             problem = await self._relay_events(current, head, events)
             if problem:
                 return exchange.Broken(problem)
@@ -351,6 +369,10 @@
         took_s: float,
     ) -> None:
         current.first_event_s = took_s
+        if current.watch is not None:
+            self._speeds.note_first_event(
+                current.watch, took_s, trio.current_time()
+            )
         # The estimate of the prefill speed excludes waits for a slot, and
         # resumed streams, which prefill their earlier output as well.
         if placement.has_free_slot and current.events_delivered == 0:
@@ -404,6 +426,15 @@
     return ""
 
 
+def _has_usual_first_event(current: exchange.Exchange) -> bool:
+    """Return whether the first event comes after the prefill alone.
+
+    A resumed stream prefills its earlier output as well.
+    """
+    is_stream = current.route.kind is catalog.CallKind.STREAM
+    return is_stream and current.events_delivered == 0
+
+
 def _find_urgency(current: exchange.Exchange) -> int:
     team = current.team
     urgency = current.route.urgency
--- a/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from martenquay_core.serving import calls, catalog
+    from martenquay_daemon.engines import speed_tracker
     from martenquay_daemon.forwarding import answers
 
 __all__ = [
@@ -74,6 +75,8 @@
             current attempt.
         reported_signals: What the current runner reported about itself in
             its answer: limit, drain, backoff.
+        watch: Watches the events of the current attempt, from which the
+            engine's speed is learnt.
     """
 
     call: calls.Call
@@ -101,6 +104,7 @@
     latest_crash_seen: int = 0
     has_runner_ended: bool = False
     reported_signals: signals.RunnerSignals = signals.NO_SIGNALS
+    watch: speed_tracker.Watch | None = None
 
     @property
     def units(self) -> float:
--- a/packages/daemon/src/martenquay_daemon/forwarding/metrics.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/metrics.py
@@ -81,6 +81,12 @@
             registry=registry,
         )
 
+        self._speed_changes = aioprometheus.Counter(
+            "martenquay_runner_outliers_total",
+            "Engines found slow (late, overdue) or readmitted, by reason.",
+            registry=registry,
+        )
+
         self._quota_request_s = aioprometheus.Histogram(
             "martenquay_units_asked_seconds",
             "What it took to ask another daemon for units, by outcome.",
@@ -104,6 +110,11 @@
         """Count a change of a signal that a runner reports about itself."""
         self._runner_signals.inc({"signal": signal, "source": source})
 
+    def count_speed_change(self, runner_id: str, reason: str) -> None:
+        """Count an engine found slow or readmitted, by reason."""
+        del runner_id
+        self._speed_changes.inc({"reason": reason})
+
     def count_own_answer(self, code: results.ResultCode) -> None:
         """Count an answer that the daemon gave itself, by result code."""
         self._own_answers.inc({"code": str(int(code))})
--- a/packages/daemon/src/martenquay_daemon/forwarding/request_log.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/request_log.py
@@ -54,6 +54,7 @@
             first_event_ms=first_event_s and round(first_event_s * 1000, 1),
             uncached=placement.uncached_tokens,
             unread=placement.unread_tokens,
+            speed=round(placement.speed, 3),
             has_free_slot=placement.has_free_slot,
             entries_age_ms=current.entries_age_ms,
             events=current.events_delivered,
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -29,7 +29,14 @@
 )
 from martenquay_daemon.duties import lease, usage_counts
 from martenquay_daemon.duties import parts as duty_parts
-from martenquay_daemon.engines import demand, durations, loads, model, placer
+from martenquay_daemon.engines import (
+    demand,
+    durations,
+    loads,
+    model,
+    placer,
+    speed_tracker,
+)
 from martenquay_daemon.fleet import (
     announcements,
     links,
@@ -362,6 +369,7 @@
                 lease=self._lease,
                 links=self.links,
                 fleet=self._fleet_view,
+                speeds=self._speeds,
             ),
         )
         self.links.listeners = links.Listeners(
@@ -381,6 +389,7 @@
         """Drop what was measured and reported of a runner's former process."""
         self._ejector.forget(runner_id)
         self._loads.forget_runner(runner_id)
+        self._speeds.forget_runner(runner_id)
         self._backpressure.admission.forget(runner_id)
 
     def _build_allowances(self) -> None:
@@ -439,6 +448,10 @@
         self._loads = loads.LoadLedger()
         self._demand_meter = demand.DemandMeter()
         self._runner_model = model.RunnerModel()
+        self._speeds = speed_tracker.create_speed_tracker(
+            is_enabled=self._settings.load.runner_speeds,
+            on_change=self.metrics.count_speed_change,
+        )
         streams = durations.StreamDurations()
         self._stop_window = stop_window.StopWindow(streams)
         self._usage = usage_counts.UsageCounts(bounds.window_s)
@@ -472,6 +485,7 @@
                 lambda: self._fleet_view.is_mesh,
                 self._backpressure.admission,
                 self._rollouts.versions.choose,
+                self._speeds,
             ),
             attempts=attempt.AttemptMaker(
                 codec,
@@ -482,6 +496,7 @@
                 streams,
                 self._notify_mesh_peers_soon,
                 self._backpressure.admission,
+                self._speeds,
             ),
             retries=self._retries,
             ejector=self._ejector,
--- a/tests/serving_scene.py
+++ b/tests/serving_scene.py
@@ -20,7 +20,14 @@
     runner_directory,
 )
 from martenquay_daemon.duties import usage_counts
-from martenquay_daemon.engines import demand, durations, loads, model, placer
+from martenquay_daemon.engines import (
+    demand,
+    durations,
+    loads,
+    model,
+    placer,
+    speed_tracker,
+)
 from martenquay_daemon.forwarding import (
     attempt,
     forwarder,
@@ -118,6 +125,7 @@
         self.usage = usage_counts.UsageCounts(_USAGE_WINDOW_S, lambda: 2.0)
         self.ledger = loads.LoadLedger()
         self.estimates = model.RunnerModel()
+        self.speeds = speed_tracker.create_speed_tracker()
         self.meter = demand.DemandMeter()
         self.streams = durations.StreamDurations()
         self.stop = stop_window.StopWindow(self.streams)
@@ -157,6 +165,7 @@
                 lambda _: False,
                 lambda: True,
                 self.runner_admission,
+                speeds=self.speeds,
             ),
             attempts=attempt.AttemptMaker(
                 header_codec,
@@ -167,6 +176,7 @@
                 self.streams,
                 self._count_early_digest,
                 self.runner_admission,
+                self.speeds,
             ),
             retries=retry_window.RetryWindow(bounds, lambda: 1),
             ejector=ejector,
--- a/tests/test_engines/test_placing_days.py
+++ b/tests/test_engines/test_placing_days.py
@@ -20,6 +20,9 @@
     (70, 25, 0.5),
     (195, 40, 0.8),
 )
+# Several engines of each speed in each zone.
+_UNEVEN_FLEETS = ((6, 12, 0.12), (25, 18, 0.25), (70, 24, 0.5))
+_FACTORS = (0.6, 1.0, 1.6)
 
 
 class PlacingDaysTest(clocked.ClockedTestCase):
@@ -43,6 +46,21 @@
             sum(by_load), sum(random_choice), (by_load, random_choice)
         )
 
+    def test_learnt_speeds_make_fewer_requests_late(self) -> None:
+        # Otherwise slow engines would get the load of fast ones.
+        changes = {"factors": _FACTORS, "length_s": 10.0}
+        for fleet in _UNEVEN_FLEETS:
+            before = self._play(fleet, **changes)
+            after = self._play(fleet, **changes, knows_speeds=True)
+            self.assertLess(after, 0.85 * before, fleet)
+
+    def test_learnt_speeds_do_not_harm_equal_engines(self) -> None:
+        # Errors of the learnt speeds would move load to the wrong engines.
+        fleets = _UNEVEN_FLEETS
+        before = [self._play(fleet) for fleet in fleets]
+        after = [self._play(fleet, knows_speeds=True) for fleet in fleets]
+        self.assertLess(sum(after) / len(after), sum(before) / len(before) + 0.01)
+
     def test_one_engine_more_or_less_changes_little(self) -> None:
         late_fractions = [
             self._play((70, count, 0.5)) for count in (23, 24, 25, 26)
