Plan capacity in work instead of runners

The plan counted runners, so a zone of fast runners was worth as much as one of slow ones. The mean speed of the serving runners scales the prefill need, and the loss of a zone is counted in work.

--- a/packages/daemon/src/martenquay_daemon/duties/capacity_controller.py
+++ b/packages/daemon/src/martenquay_daemon/duties/capacity_controller.py
@@ -68,6 +68,7 @@
         limits: Rate limits that runners reported.
         list_serving: Returns those of a service's usable runners whose
             version receives its regular requests, canaries excluded.
+        find_speed: Returns the speed of a runner relative to its service's.
     """
 
     cloud: ports.CloudPort
@@ -81,6 +82,7 @@
     fleet: view.FleetView
     limits: runner_limits.RunnerLimits
     list_serving: Callable[[str, list[runners.Runner]], list[runners.Runner]]
+    find_speed: Callable[[str], float] = lambda _: 1.0
 
 
 class CapacityController:
@@ -145,6 +147,7 @@
             serving,
             self._list_booting(service, limits, serving),
             self._is_out_of_reclaimable(service),
+            {one.id: self._parts.find_speed(one.id) for one in serving},
         )
 
     def _is_out_of_reclaimable(self, service: str) -> bool:
@@ -189,7 +192,10 @@
         """Return the current target; it falls only after a delay."""
         now = trio.current_time()
         slots = service.engine.slots if service.engine else 1
-        measured = self._measure_demand(service.name)
+        measured = dataclasses.replace(
+            self._measure_demand(service.name),
+            mean_speed=state.find_mean_speed(),
+        )
         forecast = self._forecast_demand(service.name, measured, state.limits)
         forecast_count = forecast.count_required(slots)
         # A rate-limited runner provides only part of its capacity.
@@ -262,6 +268,7 @@
             service=service,
             tokens_per_s=round(measured.tokens_per_s),
             read_tokens_per_s=round(measured.read_tokens_per_s),
+            mean_speed=round(measured.mean_speed, 3),
             requests=measured.requests,
             unread=measured.unread_tokens,
             learnt=self._parts.estimates.find(service).is_learnt,
--- a/packages/daemon/src/martenquay_daemon/duties/capacity_plan.py
+++ b/packages/daemon/src/martenquay_daemon/duties/capacity_plan.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Mapping, Sequence
 
     from martenquay_core.serving import catalog, runners
 
@@ -45,14 +45,16 @@
     Attributes:
         tokens_per_s: Uncached prompt tokens that arrive.
         requests: Requests running or queued at runners.
-        read_tokens_per_s: Prefill speed of one runner.
+        read_tokens_per_s: Prefill speed of a runner of speed 1.
         unread_tokens: Prompt tokens queued at runners.
+        mean_speed: Mean speed of the serving runners.
     """
 
     tokens_per_s: float
     requests: int
     read_tokens_per_s: float
     unread_tokens: int = 0
+    mean_speed: float = 1.0
 
     def count_lost_to_limits(
         self, limits: Sequence[float], tokens: float
@@ -84,8 +86,9 @@
         )
 
     def _count_runners(self, slots: float, tokens_per_s: float) -> int:
+        # A runner that is added, or given up, is expected to be like the mean.
         for_prefill = tokens_per_s / (
-            self.read_tokens_per_s * _PREFILL_UTILIZATION
+            self.read_tokens_per_s * self.mean_speed * _PREFILL_UTILIZATION
         )
         for_slots = self.requests / max(1.0, slots)
         return max(1, math.ceil(max(for_prefill, for_slots)))
@@ -131,6 +134,8 @@
         booting: Runners that were ordered and don't serve yet.
         is_out_of_reclaimable: The platform refused reclaimable runners
             recently.
+        speeds: Speed of each runner relative to its service's, by runner id;
+            1 for the others.
     """
 
     limits: catalog.ScalingLimits
@@ -138,6 +143,13 @@
     runners: tuple[runners.Runner, ...]
     booting: tuple[BootingRunners, ...] = ()
     is_out_of_reclaimable: bool = False
+    speeds: Mapping[str, float] = dataclasses.field(default_factory=dict)
+
+    def find_mean_speed(self) -> float:
+        """Return the mean speed of the serving runners; 1 without any."""
+        if not self.runners:
+            return 1.0
+        return self._sum_speeds(self.runners) / len(self.runners)
 
     def count_serving(self, zone: str, *, is_reclaimable: bool) -> int:
         """Return the runners of one kind that serve in a zone."""
@@ -157,19 +169,37 @@
     def count_after_zone_loss(self, *, is_booting_counted: bool) -> int:
         """Return the reclaimable runners left if the largest zone is reclaimed.
 
-        A platform that is out of reclaimable runners may take back several
-        zones at once; then the result is 0.
+        A runner of twice the mean speed counts as two. A platform that is out
+        of reclaimable runners may take back several zones at once; then the
+        result is 0.
 
         Args:
             is_booting_counted: Count booting runners as well.
         """
         if self.is_out_of_reclaimable:
             return 0
-        count = (
-            self.count_expected if is_booting_counted else self.count_serving
-        )
-        zones = [count(zone, is_reclaimable=True) for zone in self.zones]
-        return sum(zones) - max(zones, default=0)
+        zones = [
+            self._count_work(zone, is_booting_counted=is_booting_counted)
+            for zone in self.zones
+        ]
+        # Rounding errors of the division must not cost a runner.
+        return math.floor(round(sum(zones) - max(zones, default=0.0), 6))
+
+    def _count_work(self, zone: str, *, is_booting_counted: bool) -> float:
+        """Return a zone's reclaimable runners, weighted by their speed."""
+        serving = [
+            runner
+            for runner in self.runners
+            if runner.zone == zone and runner.is_reclaimable
+        ]
+        work = self._sum_speeds(serving) / self.find_mean_speed()
+        if not is_booting_counted:
+            return work
+        expected = self.count_expected(zone, is_reclaimable=True)
+        return work + expected - len(serving)
+
+    def _sum_speeds(self, chosen: Sequence[runners.Runner]) -> float:
+        return sum(self.speeds.get(runner.id, 1.0) for runner in chosen)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/daemon/src/martenquay_daemon/duties/parts.py
+++ b/packages/daemon/src/martenquay_daemon/duties/parts.py
@@ -18,7 +18,7 @@
     from martenquay_daemon.backpressure import runner_limits
     from martenquay_daemon.discovery import catalog_store, runner_directory
     from martenquay_daemon.duties import lease, usage_counts
-    from martenquay_daemon.engines import demand, loads, model
+    from martenquay_daemon.engines import demand, loads, model, speed_tracker
     from martenquay_daemon.fleet import links, roster, view
     from martenquay_daemon.rollouts import parts as rollout_parts
 
@@ -44,6 +44,7 @@
         roster: Announced daemons.
         links: Connections to other daemons.
         rollouts: Rollout orders and their state.
+        speeds: Speeds of the engines.
     """
 
     ports: gateway_ports.GatewayPorts
@@ -60,6 +61,7 @@
     roster: roster.Roster
     links: links.FleetLinks
     rollouts: rollout_parts.RolloutState
+    speeds: speed_tracker.SpeedTracker
 
 
 def list_tasks(
@@ -112,6 +114,7 @@
             fleet=sources.fleet,
             limits=sources.limits,
             list_serving=sources.rollouts.versions.list_serving,
+            find_speed=sources.speeds.find_usual,
         )
     )
 
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -338,6 +338,7 @@
                 roster=self._roster,
                 links=self.links,
                 rollouts=self._rollouts,
+                speeds=self._speeds,
             )
             self._duties = duty_parts.list_tasks(sources, self._ports.cloud)
 
--- a/tests/test_duties/test_capacity.py
+++ b/tests/test_duties/test_capacity.py
@@ -94,6 +94,27 @@
         exhausted = dataclasses.replace(state, is_out_of_reclaimable=True)
         self.assertEqual(3, sum(self._plan(exhausted, 3)[1]))
 
+    def test_slow_runners_do_not_count_as_whole_ones(self) -> None:
+        # Six runners survive the loss of a zone as four heads, but the fast
+        # ones may all be in the zone that is lost.
+        state = _build_state("aabbcc")
+        self.assertEqual(0, sum(self._plan(state, 4)[1]))
+        fast = dict.fromkeys(("r-0", "r-1"), 1.6)
+        slow = dict.fromkeys(("r-2", "r-3", "r-4", "r-5"), 0.7)
+        uneven = dataclasses.replace(state, speeds=fast | slow)
+        self.assertAlmostEqual(1.0, uneven.find_mean_speed())
+        self.assertEqual(2, sum(self._plan(uneven, 4)[1]))
+
+    def test_equal_speeds_plan_as_unknown_ones(self) -> None:
+        state = _build_state("aaabbc", "c")
+        for speed in (0.6, 1.0, 1.6):
+            speeds = {one.id: speed for one in state.runners}
+            known = dataclasses.replace(state, speeds=speeds)
+            for required in range(1, 9):
+                self.assertEqual(
+                    self._plan(state, required), self._plan(known, required)
+                )
+
     def test_a_booting_on_demand_runner_stays_in_its_zone(
         self,
     ) -> None:
@@ -146,6 +167,18 @@
         self.assertEqual(3, prefill_bound.count_required(128))
         self.assertEqual(4, slot_bound.count_desired(128))
 
+    def test_slower_runners_than_the_service_learnt_from_need_more(
+        self,
+    ) -> None:
+        # 13,000 tokens per second of work, 0.65 of 10,000 by each runner.
+        usual = capacity_plan.ServiceDemand(13_000, 10, 10_000)
+        self.assertEqual(2, usual.count_required(64))
+        slow = dataclasses.replace(usual, mean_speed=0.8)
+        self.assertEqual(3, slow.count_required(64))
+        # Slots hold as many requests at a slow runner.
+        full = capacity_plan.ServiceDemand(0, 400, 10_000, mean_speed=0.8)
+        self.assertEqual(10, full.count_required(64))
+
     def test_rate_limited_runners_count_as_fractions(self) -> None:
         service_demand = capacity_plan.ServiceDemand(45_000.0, 1, 30_000.0)
         # One engine takes 19,500 tokens or 10 requests of 1,950 a second.
--- a/tests/test_engines/test_placing_days.py
+++ b/tests/test_engines/test_placing_days.py
@@ -59,7 +59,9 @@
         fleets = _UNEVEN_FLEETS
         before = [self._play(fleet) for fleet in fleets]
         after = [self._play(fleet, knows_speeds=True) for fleet in fleets]
-        self.assertLess(sum(after) / len(after), sum(before) / len(before) + 0.01)
+        self.assertLess(
+            sum(after) / len(after), sum(before) / len(before) + 0.01
+        )
 
     def test_one_engine_more_or_less_changes_little(self) -> None:
         late_fractions = [
--- a/tests/test_forwarding/test_forwarder_streams.py
+++ b/tests/test_forwarding/test_forwarder_streams.py
@@ -47,6 +47,20 @@
         self.assertTrue(reply.is_whole)
         self.assertEqual(_event(1) + _event(2), reply.body)
 
+    def test_an_engine_is_watched_until_its_first_event(self) -> None:
+        # An event that is not noted would make its engine look overdue.
+        events = [_event(number) for number in range(1, 9)]
+
+        async def scenario(scene: serving_scene.Scene) -> None:
+            tracker = scene.speeds
+            for _ in range(3):
+                await scene.ask(case.CALL % (b"GET /lookup/7", 5000))
+            found = tracker.list_watched()
+            self.assertEqual(0, len(found))
+
+        script = Script((_stream(*events),))
+        self.run_scene(scenario, [script, script, script])
+
     def test_a_broken_stream_goes_on_after_the_last_event(self) -> None:
         first = Script((_stream(_event(1), _event(2)[:5], end=_CUT),))
         rest = Script((_stream(_event(2), _event(3)),))
