--- a/tests/test_forwarding/test_forwarder_streams.py
+++ b/tests/test_forwarding/test_forwarder_streams.py
@@ -47,19 +47,25 @@
         self.assertTrue(reply.is_whole)
         self.assertEqual(_event(1) + _event(2), reply.body)
 
-    def test_an_engine_is_watched_until_its_first_event(self) -> None:
+    def test_the_events_of_a_stream_are_evidence_on_its_engine(self) -> None:
         # An event that is not noted would make its engine look overdue.
-        events = [_event(number) for number in range(1, 9)]
+        engine = catalog.EngineTraits(24, 700_000)
+        services = {"desk": builders.build_service(engine=engine)}
+        content = dataclasses.replace(self.build_content(), services=services)
+        noted: list[object] = []
+        prompt = b"prefix-hash: bb:8000\r\ntoken-counts: 8000,80\r\n\r\n"
+        call = (case.CALL % (b"GET /lookup/7", 5000))[:-2] + prompt
 
         async def scenario(scene: serving_scene.Scene) -> None:
-            tracker = scene.speeds
-            for _ in range(3):
-                await scene.ask(case.CALL % (b"GET /lookup/7", 5000))
-            found = tracker.list_watched()
-            self.assertEqual(0, len(found))
-
-        script = Script((_stream(*events),))
-        self.run_scene(scenario, [script, script, script])
+            table = scene.speeds.table
+            self.patch(table, "note_first_event", lambda *a: noted.append(a[1]))
+            self.patch(table, "note_events", lambda *a: noted.append(a[3]))
+            await scene.ask(call)
+            self.assertGreater(noted[0].work_s, 0.1)
+            self.assertEqual(2, sum(noted[1:]))
+
+        script = Script((_stream(_event(1), _event(2), _event(3)),))
+        self.run_scene(scenario, [script], content=content)
 
     def test_a_broken_stream_goes_on_after_the_last_event(self) -> None:
         first = Script((_stream(_event(1), _event(2)[:5], end=_CUT),))
