Prefer engines of the daemon's own zone, and give hot prompt parts more homes

All zones were candidates alike, so two thirds of the prompt tokens went to another zone. Now a zone's engines are preferred while its load is near that of all engines.

--- a/packages/daemon/src/martenquay_daemon/engines/placer.py
+++ b/packages/daemon/src/martenquay_daemon/engines/placer.py
@@ -7,7 +7,9 @@
 
 from martenquay_daemon.engines import (
     first_event_costs,
+    locality,
     prefix_homes,
+    prefix_shares,
     speed_tracker,
 )
 
@@ -34,6 +36,10 @@
 # Below this fraction of the target a request is on time despite estimation
 # errors; then less prefill is preferred to an earlier first event.
 _ON_TIME_FRACTION = 0.4
+# Further random candidates in this daemon's zone, as bytes between zones cost.
+_NEAR_CANDIDATES = 1
+# The bytes of a request to another zone count like this fraction of the target.
+_FAR_FRACTION = 0.1
 # Random candidates of a service without an engine while loads are gossiped over
 # hubs; comparing all runners on old loads would overload the idle one.
 _PLAIN_CANDIDATES = 2
@@ -106,9 +112,11 @@
         self._ejector = ejector
         self._rng = rng
         self._costs = first_event_costs.FirstEventCosts(zone, is_zone_silent)
+        self._shares = prefix_shares.PrefixShares()
         self._speeds = speeds or speed_tracker.create_speed_tracker(
             is_enabled=False
         )
+        self._locality = locality.Locality(zone, ledger, self._speeds)
 
     def choose(
         self,
@@ -154,11 +162,13 @@
         target_s: float,
     ) -> Placement:
         estimate = self._model.find(name)
-        home = self._find_home(call, candidates)
+        weight = self._find_zone_weight(name, candidates)
+        homes = self._find_homes(name, call, candidates)
         best: Placement | None = None
-        for runner in self._sample(home, candidates):
+        best_rank: tuple[float, float] | None = None
+        for runner in self._sample(homes, candidates, weight):
             uncached = prefix_homes.estimate_uncached(
-                call, is_home=runner is home
+                call, is_home=runner in homes
             )
             speed = self._speeds.find(runner.id)
             tokens_per_s = estimate.read_tokens_per_s * speed
@@ -179,34 +189,55 @@
                 to_read / estimate.read_tokens_per_s,
                 speed,
             )
-            if best is None or _rank(found, target_s) < _rank(best, target_s):
-                best = found
+            is_far = runner.zone != self._zone
+            far_s = is_far * weight * _FAR_FRACTION * target_s
+            rank = _rank(found, target_s, far_s)
+            if best_rank is None or rank < best_rank:
+                best, best_rank = found, rank
         assert best is not None, "there are candidates"
         return best
 
-    def _find_home(
-        self, call: calls.Call, candidates: list[runners.Runner]
-    ) -> runners.Runner | None:
-        """Return the home of the prompt's shared prefix, if there is one.
+    def _find_homes(
+        self, name: str, call: calls.Call, candidates: list[runners.Runner]
+    ) -> list[runners.Runner]:
+        """Return the homes of the prompt's shared prefix, if there are any.
 
         A rate-limited runner is never a home: its requests would move to other
         runners most of the time, without the cached prefix.
         """
         unlimited = self._admission.filter_unlimited(candidates)
-        return prefix_homes.choose_home(call, unlimited) if unlimited else None
+        key = prefix_homes.find_key(call)
+        if key is None or not unlimited:
+            return []
+        share = self._shares.note(name, key) if self._speeds.is_enabled else 0.0
+        return prefix_homes.choose_homes(key, unlimited, self._zone, share)
 
     def _sample(
-        self, home: runners.Runner | None, candidates: list[runners.Runner]
+        self,
+        homes: list[runners.Runner],
+        candidates: list[runners.Runner],
+        zone_weight: float,
     ) -> list[runners.Runner]:
-        """Return the candidates: the home and a few random runners."""
+        """Return the candidates: the homes, a few random runners, a near one.
+
+        Without a runner of this zone among them, bytes would be sent to
+        another zone although this one has capacity.
+        """
         reachable = [
             runner
             for runner in candidates
             if not self._is_zone_silent(runner.zone)
         ]
-        rest = [one for one in reachable or candidates if one is not home]
+        rest = [one for one in reachable or candidates if one not in homes]
         chosen = self._rng.sample(rest, min(_RANDOM_CANDIDATES, len(rest)))
-        return chosen if home is None else [home, *chosen]
+        if zone_weight > 0:
+            near = [
+                one
+                for one in rest
+                if one.zone == self._zone and one not in chosen
+            ]
+            chosen += self._rng.sample(near, min(_NEAR_CANDIDATES, len(near)))
+        return homes + chosen
 
     def _choose_plain(
         self, name: str, candidates: list[runners.Runner]
@@ -227,9 +258,24 @@
         best = min(looked_at, key=estimate_s)
         return Placement(best, estimate_s(best), 0, len(candidates))
 
+    def _find_zone_weight(
+        self, name: str, candidates: list[runners.Runner]
+    ) -> float:
+        if not self._speeds.is_enabled:
+            return 0.0
+        return self._locality.find_weight(name, candidates)
+
 
-def _rank(placement: Placement, target_s: float) -> tuple[float, float]:
-    """Return the sort key: lateness, then time with prefill weighted."""
+def _rank(
+    placement: Placement, target_s: float, far_s: float
+) -> tuple[float, float]:
+    """Return the sort key: lateness, then time with prefill and zone weighted.
+
+    Args:
+        placement: The runner and its estimate.
+        target_s: Target time to the first event in seconds.
+        far_s: What bytes to the runner's zone count like, in seconds.
+    """
     late_s = max(0.0, placement.expected_s - _ON_TIME_FRACTION * target_s)
     extra_s = (_PREFILL_WEIGHT - 1) * placement.read_s
-    return late_s, placement.expected_s + extra_s
+    return late_s, placement.expected_s + extra_s + far_s
--- a/tests/placing_days.py
+++ b/tests/placing_days.py
@@ -84,6 +84,7 @@
         zones: Zones of the daemons and engines, in turn; all daemons are in
             the first one if `is_zone_full`.
         is_zone_full: Whether one zone has all the demand.
+        hot_share: Share of the requests that have the same long shared part.
     """
 
     daemons: int
@@ -98,6 +99,7 @@
     knows_speeds: bool = False
     zones: str = "abc"
     is_zone_full: bool = True
+    hot_share: float = 0.0
 
 
 @dataclasses.dataclass
@@ -108,6 +110,8 @@
         first_s: Seconds to the first event of each request, by kind.
         late: Number of requests after their target, by kind.
         read_tokens: Uncached prompt tokens processed by the engines.
+        sent_tokens: Prompt tokens sent to engines.
+        far_tokens: Those sent to another zone.
     """
 
     first_s: dict[str, list[float]] = dataclasses.field(
@@ -117,6 +121,12 @@
         default_factory=collections.Counter
     )
     read_tokens: int = 0
+    sent_tokens: int = 0
+    far_tokens: int = 0
+
+    def find_far_fraction(self) -> float:
+        """Return the fraction of prompt tokens sent to another zone."""
+        return self.far_tokens / self.sent_tokens
 
     def find_late_fraction(self) -> float:
         """Return the fraction of requests that were late."""
@@ -262,7 +272,11 @@
         now = trio.current_time()
         self._advance(now)
         daemon = self._rng.choice(self._daemons)
-        prompt = self._draw_prompt(kind)
+        hot_share = self._day.hot_share
+        is_hot = hot_share > 0 and self._rng.random() < hot_share
+        if is_hot:
+            kind = _KINDS[0]
+        prompt = self._draw_prompt(kind, is_hot=is_hot)
         call = builders.build_call(
             prompt=prompt, tokens_in=sum(part.tokens for part in prompt)
         )
@@ -270,6 +284,9 @@
             _SERVICE, "model", call, self._choose_excluded(), kind.target_s
         )
         assert placement is not None, "the engines always serve"
+        self._outcome.sent_tokens += call.tokens_in or 0
+        if placement.runner.zone != daemon.zone:
+            self._outcome.far_tokens += call.tokens_in or 0
         context = contextlib.ExitStack()
         running = context.enter_context(
             daemon.ledger.count(placement.runner.id, placement.uncached_tokens)
@@ -299,12 +316,15 @@
             return set()
         return set(self._engines) - {self._rng.choice(list(self._engines))}
 
-    def _draw_prompt(self, kind: _RequestKind) -> tuple[calls.PromptPart, ...]:
+    def _draw_prompt(
+        self, kind: _RequestKind, *, is_hot: bool
+    ) -> tuple[calls.PromptPart, ...]:
         parts = []
         name = kind.name
         for tokens, count in kind.shared:
-            name = f"{name}.{self._rng.randrange(count)}"
-            size = self._sizes.setdefault(name, self._draw_tokens(tokens))
+            name += ".hot" if is_hot else f".{self._rng.randrange(count)}"
+            size = tokens if is_hot else self._draw_tokens(tokens)
+            size = self._sizes.setdefault(name, size)
             parts.append(calls.PromptPart(name, size))
         own = self._draw_tokens(kind.own_tokens)
         return (*parts, calls.PromptPart("own", own))
