--- a/packages/daemon/src/martenquay_daemon/engines/outliers.py
+++ b/packages/daemon/src/martenquay_daemon/engines/outliers.py
@@ -26,6 +26,8 @@
 # Pause until a request may probe the engine. Slow periods last about 0.6 s, so
 # most have ended after one or two pauses.
 _PROBE_PAUSE_S = 0.4
+# An engine found slow that gets no request for longer is likely gone.
+_MAX_UNUSED_S = 30.0
 
 
 def _ignore(runner_id: str, reason: str) -> None:
@@ -155,10 +157,20 @@
         self, runner_id: str, state: _EngineState, reason: str
     ) -> None:
         is_new = state.probe_at is None
+        if is_new:
+            self._drop_unused()
         state.probe_at = trio.current_time() + _PROBE_PAUSE_S
         if is_new:
             self._note_change(runner_id, reason)
 
+    def _drop_unused(self) -> None:
+        """Drop engines found slow to which nothing has been sent since."""
+        oldest = trio.current_time() - _MAX_UNUSED_S
+        for runner_id, state in list(self._engines.items()):
+            is_old = state.probe_at is not None and state.probe_at < oldest
+            if is_old and not state.pending:
+                del self._engines[runner_id]
+
     def _note_change(self, runner_id: str, reason: str) -> None:
         _LOG.write(
             f"Runner {runner_id} is {reason}.", runner=runner_id, reason=reason
--- a/packages/daemon/src/martenquay_daemon/engines/speeds.py
+++ b/packages/daemon/src/martenquay_daemon/engines/speeds.py
@@ -36,6 +36,9 @@
 _MAX_RATIO = 5.0
 # Less evidence than this is not worth its bytes in gossip.
 _MIN_RESULTS = 0.1
+# Gossip of a source that is silent for longer no longer counts. Digests and
+# reports come every 0.25 to 0.8 s, and four in a row may be lost.
+_MAX_SOURCE_AGE_S = 5.0
 # Below the evidence of any gossiped entry.
 _MIN_TOTAL_RESULTS = 1e-6
 # Smaller differences change no choice of engine and are not gossiped.
@@ -148,6 +151,7 @@
         self._others: dict[str, Mapping[str, SpeedSums]] = {}
         # Kept up to date, as several speeds are looked up for each request.
         self._others_total: dict[str, SpeedSums] = {}
+        self._received_at: dict[str, float] = {}
         self._delays: dict[tuple[str, int], _DelaySums] = {}
         self._gaps = event_gaps.GapTable()
         self._gap_sums: dict[str, SpeedSums] = {}
@@ -230,14 +234,17 @@
     ) -> None:
         """Replace the sums gossiped by a source; empty removes it."""
         self._add_total(self._others.pop(source, {}), -1)
+        self._received_at.pop(source, None)
         if speeds:
             self._others[source] = speeds
+            self._received_at[source] = trio.current_time()
             self._add_total(speeds, 1)
 
     def forget_sources(self) -> None:
         """Drop all gossiped sums."""
         self._others.clear()
         self._others_total.clear()
+        self._received_at.clear()
 
     def _add_total(self, speeds: Mapping[str, SpeedSums], sign: int) -> None:
         for runner_id, sums in speeds.items():
@@ -260,7 +267,13 @@
             total = total.add(own.find_sums())
         return total
 
+    def _drop_expired_sources(self, now: float) -> None:
+        for source, received_at in list(self._received_at.items()):
+            if now - received_at > _MAX_SOURCE_AGE_S:
+                self.replace_source(source, {})
+
     def _compare_gaps(self, now: float) -> None:
+        self._drop_expired_sources(now)
         self._gaps_compared_at = now
         self._gap_sums = {}
         for runner_id, (gaps, ratio) in self._gaps.compare().items():
--- a/tests/test_engines/test_speeds.py
+++ b/tests/test_engines/test_speeds.py
@@ -147,6 +147,19 @@
 
         self.run_clocked(scenario)
 
+    def test_results_of_a_silent_daemon_expire(self) -> None:
+        # Without reports, a daemon's own results count, and then 1.
+        async def scenario() -> None:
+            table = speeds.SpeedTable()
+            slow = {"r-0": speeds.SpeedSums(20.0, 40.0)}
+            table.replace_source("fleet", slow)
+            await trio.sleep(3.0)
+            self.assertLess(table.find("r-0"), 0.7)
+            await trio.sleep(3.0)
+            self.assertEqual(1.0, table.find("r-0"))
+
+        self.run_clocked(scenario)
+
     def test_gossiped_results_are_not_gossiped_again(self) -> None:
         # They would circulate forever.
         async def scenario() -> None:
