--- a/packages/daemon/src/martenquay_daemon/duties/capacity_controller.py
+++ b/packages/daemon/src/martenquay_daemon/duties/capacity_controller.py
@@ -50,6 +50,7 @@
         targets: What the number of runners is found from.
         list_serving: Returns those of a service's usable runners whose
             version receives its regular requests, canaries excluded.
+        find_speed: Returns the speed of a runner relative to its service's.
     """
 
     cloud: ports.CloudPort
@@ -59,6 +60,7 @@
     directory: runner_directory.RunnerDirectory
     targets: capacity_target.TargetSources
     list_serving: Callable[[str, list[runners.Runner]], list[runners.Runner]]
+    find_speed: Callable[[str], float] = lambda _: 1.0
 
 
 class CapacityController:
@@ -128,6 +130,7 @@
             serving,
             self._orders.list_booting(service, limits, serving),
             self._orders.is_out_of_reclaimable(service, limits),
+            {one.id: self._parts.find_speed(one.id) for one in serving},
         )
 
     async def _send_order(
--- a/packages/daemon/src/martenquay_daemon/duties/capacity_target.py
+++ b/packages/daemon/src/martenquay_daemon/duties/capacity_target.py
@@ -109,7 +109,10 @@
         """
         now = trio.current_time()
         slots = service.engine.slots if service.engine else 1
-        measured = self._measure_demand(service.name)
+        measured = dataclasses.replace(
+            self._measure_demand(service.name),
+            mean_speed=state.find_mean_speed(),
+        )
         forecast = self._forecast_demand(service.name, measured, state.limits)
         forecast_count = forecast.count_required(slots)
         # A rate-limited runner provides only part of its capacity.
@@ -187,7 +190,9 @@
                 self._sources.expected_share,
             )
         return _AssumedDemand(
-            capacity_plan.ServiceDemand(rate, 0, measured.read_tokens_per_s),
+            dataclasses.replace(
+                measured, tokens_per_s=rate, requests=0, unread_tokens=0
+            ),
             is_remembered=known is not None,
         )
 
@@ -266,6 +271,7 @@
             service=service,
             tokens_per_s=round(measured.tokens_per_s),
             read_tokens_per_s=round(measured.read_tokens_per_s),
+            mean_speed=round(measured.mean_speed, 3),
             requests=measured.requests,
             unread=measured.unread_tokens,
             learnt=self._sources.estimates.find(service).is_learnt,
--- a/packages/daemon/src/martenquay_daemon/duties/parts.py
+++ b/packages/daemon/src/martenquay_daemon/duties/parts.py
@@ -26,7 +26,7 @@
     from martenquay_daemon.backpressure import runner_limits
     from martenquay_daemon.discovery import catalog_store, runner_directory
     from martenquay_daemon.duties import capacity_memory, lease, usage_counts
-    from martenquay_daemon.engines import demand, loads, model
+    from martenquay_daemon.engines import demand, loads, model, speed_tracker
     from martenquay_daemon.fleet import links, roster, view
     from martenquay_daemon.rollouts import parts as rollout_parts
 
@@ -55,6 +55,7 @@
         memory: What an earlier lease holder learnt.
         runners_read: Set once the runners' entries were read.
         is_unreachable: Returns whether a runner refused a connection recently.
+        speeds: Speeds of the engines.
     """
 
     ports: gateway_ports.GatewayPorts
@@ -74,6 +75,7 @@
     memory: capacity_memory.CapacityMemory
     runners_read: trio.Event
     is_unreachable: Callable[[str], bool]
+    speeds: speed_tracker.SpeedTracker
 
 
 def list_tasks(
@@ -149,6 +151,7 @@
                 memory=sources.memory,
             ),
             list_serving=list_serving,
+            find_speed=sources.speeds.find_usual,
         )
     )
     sources.directory.on_loss = controller.reconcile_soon
