--- a/packages/daemon/src/martenquay_daemon/engines/loads.py
+++ b/packages/daemon/src/martenquay_daemon/engines/loads.py
@@ -11,6 +11,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from martenquay_daemon.overload import backlog
+
 __all__ = ["LoadLedger", "RunnerLoad", "Running"]
 
 # Half of the digest interval plus the delay over a hub; without it, prompts
@@ -34,14 +36,22 @@
 class Running:
     """One request in flight at a runner."""
 
-    def __init__(self, load: RunnerLoad, tokens: int) -> None:
+    def __init__(
+        self,
+        load: RunnerLoad,
+        tokens: int,
+        waiting: backlog.WaitingRequest | None = None,
+    ) -> None:
         self._load = load
         self._tokens = tokens
+        self._waiting = waiting
 
     def note_first_event(self) -> None:
         """Record that the runner has processed the prompt."""
         self._load.unread_tokens -= self._tokens
         self._tokens = 0
+        if self._waiting is not None:
+            self._waiting.end()
 
 
 @dataclasses.dataclass
@@ -60,12 +70,24 @@
         self._others: dict[str, _GossipedLoads] = {}
 
     @contextlib.contextmanager
-    def count(self, runner_id: str, tokens: int) -> Iterator[Running]:
-        """Count a request at a runner while the context is open."""
+    def count(
+        self,
+        runner_id: str,
+        tokens: int,
+        waiting: backlog.WaitingRequest | None = None,
+    ) -> Iterator[Running]:
+        """Count a request at a runner while the context is open.
+
+        Args:
+            runner_id: Id of the runner.
+            tokens: Uncached prompt tokens of the request.
+            waiting: The request in its service's backlog, which ends with its
+                first event.
+        """
         load = self._own.setdefault(runner_id, RunnerLoad())
         load.requests += 1
         load.unread_tokens += tokens
-        running = Running(load, tokens)
+        running = Running(load, tokens, waiting)
         try:
             yield running
         finally:
--- a/packages/daemon/src/martenquay_daemon/fleet/hub.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/hub.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from martenquay_daemon.fleet import messages, trial_entries, zone_aggregator
+from martenquay_daemon.overload import messages as overload
 
 if TYPE_CHECKING:
     from martenquay_daemon.fleet import zones
@@ -139,9 +140,11 @@
         summaries += [known.summary for known in others]
         loads = dict(totals.loads)
         prefill = dict(totals.reading)
+        backlog = dict(totals.backlog)
         for known in others:
             zone_aggregator.add_loads(loads, known.loads, 1)
             zone_aggregator.add_reading(prefill, known.summary.reading, 1)
+            overload.add_backlog(backlog, known.summary.backlog, 1)
         if not is_full:
             summaries = [_strip_duty_fields(summary) for summary in summaries]
         return messages.FleetReport(
@@ -153,6 +156,7 @@
             prefill,
             self._own_digest.orders,
             hub_state.runner_reports,
+            backlog,
         )
 
     def _summarize(
@@ -181,13 +185,14 @@
             demand=totals.demand,
             reading=totals.reading,
             trials=trial_entries.encode_trials(totals.trials),
+            backlog=totals.backlog,
         )
 
 
 def _strip_duty_fields(summary: messages.ZoneSummary) -> messages.ZoneSummary:
     """Return a summary without the fields that the duties alone need.
 
-    Prefill sums are reported once, for all zones together. `NO_WINDOW` keeps a
+    Prefill sums and waiting prompts are reported once, for all zones together. `NO_WINDOW` keeps a
     new holder of the lease from closing a window whose counts were left out.
     """
     return msgspec.structs.replace(
@@ -196,5 +201,6 @@
         demand={},
         reading={},
         trials={},
+        backlog={},
         window=messages.NO_WINDOW,
     )
--- a/packages/daemon/src/martenquay_daemon/fleet/messages.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/messages.py
@@ -8,6 +8,7 @@
 
 # msgspec evaluates the annotations when the module is loaded.
 from martenquay_daemon.discovery import runner_entries  # noqa: TC001
+from martenquay_daemon.overload import messages as overload  # noqa: TC001
 
 __all__ = [
     "NO_WINDOW",
@@ -253,6 +254,8 @@
         trials: Canary results, by service.
         orders: Rollout orders that it has learnt of recently.
         runner_reports: Limits and drains that runners reported to it.
+        backlog: Its prompts that wait for a first event, by service and
+            urgency.
     """
 
     member: str
@@ -276,6 +279,7 @@
     trials: dict[str, TrialEntry]
     orders: list[RolloutOrderEntry]
     runner_reports: RunnerReports
+    backlog: overload.BacklogTable = {}
 
 
 class ZoneSummary(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -308,6 +312,9 @@
             reports, which hold the sum over all zones.
         trials: Canary results, by service; empty for receivers that do not
             need them.
+        backlog: Prompts of the zone that wait for a first event, by service
+            and urgency; empty for receivers that need only the report's sum
+            over all zones.
     """
 
     zone: str
@@ -329,6 +336,7 @@
     demand: dict[str, float]
     reading: dict[str, PrefillEntry]
     trials: dict[str, TrialEntry]
+    backlog: overload.BacklogTable = {}
 
 
 class DigestMessage(msgspec.Struct, frozen=True, array_like=True, tag="d"):
@@ -369,6 +377,8 @@
         reading: Prefill sums of all other daemons, by service.
         orders: Rollout orders that the hub has learnt of recently.
         runner_reports: Limits and drains of runners known to the hub.
+        backlog: Prompts of all other daemons that wait for a first event, by
+            service and urgency.
     """
 
     hub: str
@@ -379,6 +389,7 @@
     reading: dict[str, PrefillEntry]
     orders: list[RolloutOrderEntry]
     runner_reports: RunnerReports
+    backlog: overload.BacklogTable = {}
 
 
 class PeerEntry(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/daemon/src/martenquay_daemon/fleet/state_gossip.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/state_gossip.py
@@ -24,6 +24,7 @@
         runner_report_gossip,
         view,
     )
+    from martenquay_daemon.overload import backlog
     from martenquay_daemon.rollouts import registry, tallies
 
 __all__ = ["Identity", "StateGossip", "StateSources"]
@@ -64,6 +65,7 @@
         quota_exchange: The teams' quota.
         listed: The instances that have announced themselves.
         loads: Load at the runners.
+        backlogs: Waiting prompts by service and urgency.
         runner_report_gossip: Limits and drains that runners reported.
         usage: Counts of started requests.
         meter: Rates of uncached prompt tokens.
@@ -81,6 +83,7 @@
     quota_exchange: quota_exchange.QuotaExchange
     listed: roster.Roster
     loads: loads.LoadLedger
+    backlogs: backlog.BacklogLedger
     runner_report_gossip: runner_report_gossip.RunnerReportGossip
     usage: usage_counts.UsageCounts
     meter: demand.DemandMeter
@@ -146,6 +149,7 @@
             runner_reports=sources.runner_report_gossip.create_reports(
                 is_hub=False
             ),
+            backlog=sources.backlogs.list_own(),
         )
 
     def apply_digest(self, digest: messages.Digest) -> None:
@@ -155,6 +159,7 @@
             digest.member, digest.lease, is_leaving=digest.is_leaving
         )
         sources.loads.replace_source(digest.member, _decode_loads(digest.loads))
+        sources.backlogs.replace_source(digest.member, digest.backlog)
         sources.estimates.replace_source(
             digest.member, _decode_prefills(digest.reading)
         )
@@ -171,6 +176,7 @@
             self._apply_lease(summary)
             sources.listed.note_zone_read_end(summary.zone, summary.members_end)
         sources.loads.replace_source(_FLEET, _decode_loads(report.loads))
+        sources.backlogs.replace_source(_FLEET, report.backlog)
         sources.estimates.replace_source(
             _FLEET, _decode_prefills(report.reading)
         )
@@ -188,6 +194,7 @@
         self._sources.quota_exchange.forget_all()
         self._sources.listed.reset_heard_times()
         self._sources.loads.forget_sources()
+        self._sources.backlogs.forget_sources()
         self._sources.estimates.forget_sources()
         self._sources.trials.forget_sources()
 
@@ -195,6 +202,7 @@
         """Drop the state of a daemon that has ended."""
         self._sources.quota_exchange.forget(member)
         self._sources.loads.replace_source(member, {})
+        self._sources.backlogs.replace_source(member, {})
         self._sources.estimates.replace_source(member, {})
         self._sources.trials.replace_source(member, {})
 
--- a/packages/daemon/src/martenquay_daemon/fleet/zone_aggregator.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/zone_aggregator.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from martenquay_daemon.fleet import messages, trial_entries
+from martenquay_daemon.overload import messages as overload
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -37,6 +38,7 @@
         demand: Uncached prompt tokens a second, by service.
         reading: Prefill sums, by service.
         trials: Canary results, by service.
+        backlog: Waiting prompts, by service and urgency.
     """
 
     daemons: int = 0
@@ -53,6 +55,7 @@
         default_factory=dict
     )
     trials: dict[str, tallies.Trial] = dataclasses.field(default_factory=dict)
+    backlog: overload.BacklogTable = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass
@@ -113,6 +116,7 @@
             add_loads(totals.loads, digest.loads, 1)
             _add_amounts(totals.demand, digest.demand, 1)
             add_reading(totals.reading, digest.reading, 1)
+            overload.add_backlog(totals.backlog, digest.backlog, 1)
             if digest.is_leaving:
                 totals.leaving.append(digest.member)
             if digest.lease is not None:
@@ -144,9 +148,11 @@
             totals.loads = dict(total.loads)
             totals.demand = dict(total.demand)
             totals.reading = dict(total.reading)
+            totals.backlog = dict(total.backlog)
             add_loads(totals.loads, known.digest.loads, -1)
             _add_amounts(totals.demand, known.digest.demand, -1)
             add_reading(totals.reading, known.digest.reading, -1)
+            overload.add_backlog(totals.backlog, known.digest.backlog, -1)
             totals.trials = _add_trials(
                 other
                 for other in self._list_heard(now, silent_s)
--- a/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
@@ -27,6 +27,7 @@
     from martenquay_daemon.backpressure import runner_admission
     from martenquay_daemon.duties import usage_counts
     from martenquay_daemon.engines import demand, durations, loads, placer
+    from martenquay_daemon.overload import backlog
 
 __all__ = ["AttemptMaker"]
 
@@ -40,7 +41,6 @@
 _CONNECT_TIMEOUT_S = 0.1
 # Lets the runner's own answer at the deadline arrive.
 _ANSWER_GRACE_S = 0.08
-_MAX_URGENCY = 9
 # The load of a prompt that takes at least this long to prefill is gossiped at
 # once; until the next regular digest other daemons would send requests that
 # queue behind it.
@@ -60,7 +60,9 @@
         streams: durations.StreamDurations,
         notify_soon: Callable[[], None],
         gate: runner_admission.RunnerAdmission,
+        backlogs: backlog.BacklogLedger,
     ) -> None:
+        self._backlogs = backlogs
         self._gate = gate
         self._codec = codec
         self._ledger = ledger
@@ -99,7 +101,13 @@
         time_limit = trio.move_on_at(current.deadline + _ANSWER_GRACE_S)
         with (
             time_limit,
-            self._ledger.count(runner.id, placement.uncached_tokens) as running,
+            self._ledger.count(
+                runner.id,
+                placement.uncached_tokens,
+                self._backlogs.begin(
+                    current.service, current.urgency, placement.uncached_tokens
+                ),
+            ) as running,
         ):
             if placement.read_s >= _LONG_PREFILL_S:
                 self._notify_soon()
@@ -260,7 +268,7 @@
             runner_id=placement.runner.id,
             budget_s=max(0.0, current.deadline - trio.current_time()),
             team=current.team and current.team.name,
-            urgency=_find_urgency(current),
+            urgency=current.urgency,
             resume_after=current.last_event_id,
         )
         return connections.RunnerRequest(
@@ -359,7 +367,7 @@
                 uncached_tokens,
                 uncached_tokens + placement.unread_tokens,
                 took_s,
-                _find_urgency(current),
+                current.urgency,
             )
             self._model.note_first_event(current.service, result)
 
@@ -402,11 +410,3 @@
     if head.status in _NOT_RUN_STATUSES:
         return f"status {head.status}, but not confirmed that it did not run"
     return ""
-
-
-def _find_urgency(current: exchange.Exchange) -> int:
-    team = current.team
-    urgency = current.route.urgency
-    if team is not None and team.urgency is not None:
-        urgency = team.urgency
-    return min(max(urgency, 0), _MAX_URGENCY)
--- a/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
@@ -27,6 +27,8 @@
     "Withheld",
 ]
 
+_MAX_URGENCY = 9
+
 
 class CallerDisconnectedError(Exception):
     """The caller disconnected before its answer was complete."""
@@ -115,6 +117,18 @@
             return team.default_tokens
         return float(self.call.tokens_in + (self.call.tokens_out or 0))
 
+    @property
+    def urgency(self) -> int:
+        """Priority from 0 (first) to 9, by which engines order their queue.
+
+        The team's if it has one, otherwise the route's.
+        """
+        team = self.team
+        urgency = self.route.urgency
+        if team is not None and team.urgency is not None:
+            urgency = team.urgency
+        return min(max(urgency, 0), _MAX_URGENCY)
+
     def check_caller(self) -> None:
         """Check that the caller is still connected.
 
--- a/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
@@ -19,6 +19,7 @@
     retry_detector,
     stop_window,
 )
+from martenquay_daemon.overload import request as overload_request
 
 if TYPE_CHECKING:
     import random
@@ -40,6 +41,7 @@
         trial_recorder,
     )
     from martenquay_daemon.limits import ejection
+    from martenquay_daemon.overload import gate as overload_gate
 
 __all__ = ["Forwarder", "ForwarderParts"]
 
@@ -76,6 +78,8 @@
         quarantine: Rejects requests whose content crashes runners.
         stop: Rejects requests that the daemon's stop would cut off.
         trials: Records results of canary trials.
+        overload: Rejects requests that engines would start too late; None if
+            only those are rejected that miss their deadline.
         metrics: Prometheus metrics.
         codec: Encodes and decodes headers.
         rng: Chooses among a route's weighted destinations.
@@ -95,6 +99,7 @@
     quarantine: quarantine_filter.QuarantineFilter
     stop: stop_window.StopWindow
     trials: trial_recorder.TrialRecorder
+    overload: overload_gate.OverloadGate | None
     metrics: metrics.ForwardingMetrics
     codec: ports.CallCodec
     rng: random.Random
@@ -358,10 +363,24 @@
         placement = self._choose_runner(current) if hold_s is None else None
         if placement is None:
             return current.fallback_answer or self._describe_no_runner(current)
-        lateness_s = _find_lateness(current, placement)
-        if lateness_s > 0:
+        return self._refuse_if_late(current, placement) or placement
+
+    def _refuse_if_late(
+        self, current: exchange.Exchange, placement: placer.Placement
+    ) -> answers.OwnAnswer | None:
+        gate = self._parts.overload
+        if gate is None or not gate.covers(
+            current.service, current.route.target_s
+        ):
+            lateness_s = _find_lateness(current, placement)
+            if lateness_s <= 0:
+                return None
             return own_answers.describe_overload(current, lateness_s)
-        return placement
+        if current.attempts:
+            return None
+        asked = overload_request.create_request(current)
+        shed = gate.check(asked, placement)
+        return shed and own_answers.describe_shed(current, shed)
 
     def _describe_no_runner(
         self, current: exchange.Exchange
--- a/packages/daemon/src/martenquay_daemon/forwarding/metrics.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/metrics.py
@@ -22,10 +22,14 @@
 
 
 class ForwardingMetrics:
-    """Counters and histograms of one daemon."""
+    """Counters and histograms of one daemon.
+
+    Attributes:
+        registry: All metrics of the daemon, also those of other parts.
+    """
 
     def __init__(self, registry: aioprometheus.Registry) -> None:
-        self._registry = registry
+        self.registry = registry
         self._own_answers = aioprometheus.Counter(
             "martenquay_own_answers_total",
             "Answers that no runner gave, by result code.",
@@ -130,7 +134,7 @@
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        content, _ = renderer.render(self._registry, [])
+        content, _ = renderer.render(self.registry, [])
         return content
 
 
--- a/packages/daemon/src/martenquay_daemon/forwarding/own_answers.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/own_answers.py
@@ -9,12 +9,14 @@
 
 if TYPE_CHECKING:
     from martenquay_daemon.forwarding import exchange
+    from martenquay_daemon.overload import gate
 
 __all__ = [
     "describe_backpressure",
     "describe_failure",
     "describe_overload",
     "describe_quarantine",
+    "describe_shed",
     "describe_stop",
     "describe_timeout",
 ]
@@ -88,6 +90,23 @@
     )
 
 
+def describe_shed(
+    current: exchange.Exchange, shed: gate.Shed
+) -> answers.OwnAnswer:
+    """Return the answer to a request that is rejected under overload.
+
+    Args:
+        current: The request; no runner has received it.
+        shed: Why it is rejected, and when its caller should return.
+    """
+    return answers.create_own_answer(
+        _Code.NOT_RUN_OVERLOADED,
+        f"the runners of {current.service} would answer too late",
+        status=_UNAVAILABLE_STATUS,
+        retry_after_s=max(_MIN_RETRY_AFTER_S, shed.retry_after_s),
+    )
+
+
 def describe_quarantine(hold_s: float) -> answers.OwnAnswer:
     """Return the answer to a request whose content is quarantined.
 
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -52,6 +52,9 @@
     trial_recorder,
 )
 from martenquay_daemon.limits import ejection
+from martenquay_daemon.overload import backlog
+from martenquay_daemon.overload import metrics as overload_metrics
+from martenquay_daemon.overload import parts as overload_parts
 from martenquay_daemon.quarantine import manager
 from martenquay_daemon.rollouts import parts as rollout_parts
 
@@ -353,6 +356,7 @@
                 quota_exchange=self._quota_exchange,
                 listed=self._roster,
                 loads=self._loads,
+                backlogs=self._backlogs,
                 runner_report_gossip=report_gossip,
                 usage=self._usage,
                 meter=self._demand_meter,
@@ -437,6 +441,7 @@
     def _build_forwarding(self) -> None:
         bounds = self._settings.bounds
         self._loads = loads.LoadLedger()
+        self._backlogs = backlog.BacklogLedger()
         self._demand_meter = demand.DemandMeter()
         self._runner_model = model.RunnerModel()
         streams = durations.StreamDurations()
@@ -482,6 +487,7 @@
                 streams,
                 self._notify_mesh_peers_soon,
                 self._backpressure.admission,
+                self._backlogs,
             ),
             retries=self._retries,
             ejector=self._ejector,
@@ -495,6 +501,17 @@
                 self._rollouts.trials,
                 self._rollouts.versions,
             ),
+            overload=overload_parts.create_gate(
+                self._settings.load,
+                self._catalog_store,
+                self._runner_directory,
+                self._loads,
+                self._backlogs,
+                self._runner_model,
+                self._demand_meter,
+                overload_metrics.create_metrics(self.metrics.registry),
+                self._rng,
+            ),
             metrics=self.metrics,
             codec=codec,
             rng=self._rng,
--- /dev/null
+++ b/packages/daemon/src/martenquay_daemon/overload/admission.py
@@ -0,0 +1,57 @@
+"""Derive from the overload level which share of the requests to admit."""
+
+from __future__ import annotations
+
+import math
+
+__all__ = ["find_admitted_share", "find_slack_s"]
+
+# Up to this share of the time that a request may wait, nothing is rejected: a
+# shorter queue keeps no request from being on time, and engines need one
+# between two reports.
+_START_LEVEL = 0.3
+# Callers that return are rejected only from this level on. Between the two
+# levels, the capacity left goes to them before it goes to new requests.
+_RETRY_START_LEVEL = 0.6
+# The share falls by a factor of e for each further level of this size.
+_FALL_LEVEL = 0.35
+# Reports are 0.25 to 0.5 s old. The loop of queue and admissions oscillates if
+# the queue's time over which the share falls by e is under 2 / pi of that age.
+_MIN_FALL_S = 0.2
+# Time from the end of the prefill to the first event, and to the caller.
+_FIRST_EVENT_S = 0.05
+# The largest requests are granted at least this share of the target to wait;
+# their own prefill would otherwise leave none, and they would starve.
+_MIN_SLACK = 0.5
+
+
+def find_slack_s(target_s: float, elapsed_s: float, read_s: float) -> float:
+    """Return how long a request may wait in a queue and still be on time.
+
+    Args:
+        target_s: Target time to the first event in seconds.
+        elapsed_s: Time since the request arrived in seconds.
+        read_s: Time to prefill the request itself in seconds.
+    """
+    slack_s = target_s - elapsed_s - read_s - _FIRST_EVENT_S
+    return max(slack_s, _MIN_SLACK * target_s)
+
+
+def find_admitted_share(
+    level: float, slack_s: float, *, is_retrying: bool
+) -> float:
+    """Return the share of such requests to admit, from 0 to 1.
+
+    It falls exponentially with the level, so that a fleet that acts on old
+    reports settles at any overload: the level at which the admitted part of
+    the demand equals the capacity grows only with its logarithm. A limit at
+    one level would admit all requests and none in turn.
+
+    Args:
+        level: Overload level for the request.
+        slack_s: Seconds that the request may wait.
+        is_retrying: Whether its caller has been rejected before.
+    """
+    start = _RETRY_START_LEVEL if is_retrying else _START_LEVEL
+    fall = max(_FALL_LEVEL, _MIN_FALL_S / slack_s)
+    return min(1.0, math.exp((start - level) / fall))
--- a/tests/serving_scene.py
+++ b/tests/serving_scene.py
@@ -11,6 +11,7 @@
 import trio
 
 from martenquay_core.serving import ports
+from martenquay_core.settings import gateway
 from martenquay_daemon.allowances import gate, terms
 from martenquay_daemon.discovery import (
     catalog_store,
@@ -32,6 +33,9 @@
     trial_recorder,
 )
 from martenquay_daemon.limits import ejection
+from martenquay_daemon.overload import backlog
+from martenquay_daemon.overload import metrics as overload_metrics
+from martenquay_daemon.overload import parts as overload_parts
 from martenquay_daemon.quarantine import manager
 from martenquay_daemon.rollouts import registry, tallies, versions
 from martenquay_platform import codec
@@ -86,6 +90,9 @@
         usage: Counts of started requests.
         meter: Prefill tokens demanded.
         streams: Durations of streams.
+        backlogs: Waiting prompts by service and urgency.
+        ledger: Load by runner.
+        estimates: Prefill speed of the runners.
         stop: Rejects requests that a graceful stop would cut off.
         runner_admission: Limits, drains and backoffs that runners reported.
         early_digests: How often an early digest was requested.
@@ -117,6 +124,7 @@
         )
         self.usage = usage_counts.UsageCounts(_USAGE_WINDOW_S, lambda: 2.0)
         self.ledger = loads.LoadLedger()
+        self.backlogs = backlog.BacklogLedger()
         self.estimates = model.RunnerModel()
         self.meter = demand.DemandMeter()
         self.streams = durations.StreamDurations()
@@ -139,6 +147,7 @@
         bounds = retry_window.RetryBounds(0.2, 10.0, 100.0)
         orders = registry.RolloutRegistry()
         tolerance = terms.ToleranceBounds(8.0, 0.0, 0.0)
+        forwarding_metrics = metrics.create_metrics()
         self.parts = forwarder.ForwarderParts(
             store=self.store,
             directory=self.directory,
@@ -167,6 +176,7 @@
                 self.streams,
                 self._count_early_digest,
                 self.runner_admission,
+                self.backlogs,
             ),
             retries=retry_window.RetryWindow(bounds, lambda: 1),
             ejector=ejector,
@@ -180,7 +190,18 @@
                 tallies.TallyTable(),
                 versions.VersionChooser(orders, rng, lambda: 1),
             ),
-            metrics=metrics.create_metrics(),
+            overload=overload_parts.create_gate(
+                gateway.LoadSettings(),
+                self.store,
+                self.directory,
+                self.ledger,
+                self.backlogs,
+                self.estimates,
+                self.meter,
+                overload_metrics.create_metrics(forwarding_metrics.registry),
+                rng,
+            ),
+            metrics=forwarding_metrics,
             codec=header_codec,
             rng=rng,
             wait_until_read=trio.lowlevel.checkpoint,
