Test the gate over the whole path and the gossip of the backlog

Cause: the gate was tested by itself only.

Ruled out: testing the report's content through sockets; the hub's messages are built without them.

Conclusion: with the setting off, a request behind a queue of 3 s is sent as before; with it on, it is rejected with a Retry-After.

--- a/tests/forwarder_case.py
+++ b/tests/forwarder_case.py
@@ -71,11 +71,14 @@
         scenario: Callable[[serving_scene.Scene], Awaitable[None]],
         *scripts: list[Script],
         content: catalog.Catalog | None = None,
+        is_gated: bool = True,
     ) -> None:
         async def run() -> None:
             with trio.fail_after(_HANG_S):
                 async with serving_scene.open_scene(
-                    content or self.build_content(), *scripts
+                    content or self.build_content(),
+                    *scripts,
+                    is_gated=is_gated,
                 ) as scene:
                     await scenario(scene)
 
--- a/tests/serving_scene.py
+++ b/tests/serving_scene.py
@@ -102,6 +102,8 @@
         self,
         content: catalog.Catalog,
         platform_log: log.MemoryLog | None = None,
+        *,
+        is_gated: bool = True,
     ) -> None:
         records = builders.FakeRecords()
         records.catalogs[b"catalog"] = content
@@ -191,7 +193,7 @@
                 versions.VersionChooser(orders, rng, lambda: 1),
             ),
             overload=overload_parts.create_gate(
-                gateway.LoadSettings(),
+                gateway.LoadSettings(overload_admission=is_gated),
                 self.store,
                 self.directory,
                 self.ledger,
@@ -287,10 +289,12 @@
 
 @contextlib.asynccontextmanager
 async def open_scene(
-    content: catalog.Catalog, *scripts: list[scripted.Script]
+    content: catalog.Catalog,
+    *scripts: list[scripted.Script],
+    is_gated: bool = True,
 ) -> AsyncIterator[Scene]:
     """Serve with one scripted runner per list of scripts."""
-    scene = Scene(content)
+    scene = Scene(content, is_gated=is_gated)
     async with trio.open_nursery() as nursery:
         for script in scripts:
             runner = scripted.ScriptedRunner(script)
--- a/tests/test_fleet/test_zone_aggregator.py
+++ b/tests/test_fleet/test_zone_aggregator.py
@@ -5,6 +5,7 @@
 import testtools
 
 from martenquay_daemon.fleet import messages, zone_aggregator
+from martenquay_daemon.overload import messages as overload
 from tests import serving_builders as builders
 
 _SILENT_S = 2.0
@@ -46,6 +47,7 @@
             "begun": {7: {"florists": 3}},
             "demand": {"model": 10.0},
             "reading": {"model": messages.PrefillEntry(5, 900, 40)},
+            "backlog": {"model": {1: overload.BacklogEntry(3, 700, 90)}},
         }
         self._apply_digest("entry-1", 1, 0.0, **fields, window=8)
         others = self._sum_digests(0.0)
--- a/tests/test_forwarding/test_forwarder_streams.py
+++ b/tests/test_forwarding/test_forwarder_streams.py
@@ -8,6 +8,7 @@
 
 from martenquay_core.serving import catalog
 from martenquay_daemon.engines import loads, model
+from martenquay_daemon.overload import messages as overload
 from martenquay_standins.ports import runner as scripted
 from martenquay_standins.ports.runner import Script
 from tests import forwarder_case as case
@@ -229,6 +230,52 @@
             scenario, [Script((_stream(_event(1)),))], content=content
         )
 
+    def ask_behind_queue(
+        self, *, is_gated: bool
+    ) -> tuple[serving_scene.Reply, int]:
+        """Ask behind a queue of 3 s; return the reply and what was sent.
+
+        The route's target is 0.1 s and its deadline 5 s.
+        """
+        engine = catalog.EngineTraits(24, 700_000)
+        services = {"desk": builders.build_service(engine=engine)}
+        content = dataclasses.replace(
+            self.build_content(is_resumable=True), services=services
+        )
+        found = []
+
+        async def scenario(scene: serving_scene.Scene) -> None:
+            real = scene.directory.list_all("desk")[0]
+            sums = model.PrefillSums(100, 4e8, 4e8 / 50_000)
+            scene.estimates.replace_source("entry-2.aa", {"desk": sums})
+            # The runner's other requests wait for their first event.
+            others = {real.id: loads.RunnerLoad(5, 150_000)}
+            scene.ledger.replace_source("entry-2.aa", others)
+            waiting = {"desk": {0: overload.BacklogEntry(5, 150_000, 50_000)}}
+            scene.backlogs.replace_source("entry-2.aa", waiting)
+            found.append(await scene.ask(case.CALL % (b"GET /lookup/7", 5000)))
+            found.append(len(scene.runners[0].requests))
+
+        self.run_scene(
+            scenario,
+            [Script((_stream(_event(1)),))],
+            content=content,
+            is_gated=is_gated,
+        )
+        return found[0], found[1]
+
+    def test_what_would_begin_late_is_rejected_at_once(self) -> None:
+        reply, sent = self.ask_behind_queue(is_gated=True)
+        self.assertEqual((503, 0), (reply.status, sent))
+        retry_after_s = float(reply.headers[b"retry-after"])
+        # Callers wait for a third of the time that they have left at most.
+        self.assertGreater(retry_after_s, 1.0)
+        self.assertLess(retry_after_s, 5 / 3)
+
+    def test_with_the_setting_off_it_is_sent_as_before(self) -> None:
+        reply, sent = self.ask_behind_queue(is_gated=False)
+        self.assertEqual((200, 1), (reply.status, sent))
+
     def test_usage_counts_a_stream_once_it_has_begun(self) -> None:
         script = Script((_stream(_event(1)),))
         team = builders.build_team()
