--- a/packages/daemon/src/martenquay_daemon/overload/admission.py
+++ b/packages/daemon/src/martenquay_daemon/overload/admission.py
@@ -21,9 +21,10 @@
 # Time from the end of the prefill to the first event, and to the caller.
 _FIRST_EVENT_S = 0.05
 # The largest requests are granted at least this share of the target to wait;
-# their own prefill would otherwise leave none. With 0.5, the largest tenth of
-# the drafts was served less than half as often as all, at twice the capacity.
-_MIN_SLACK = 0.7
+# their own prefill would otherwise leave none. At four times the capacity the
+# largest tenth of the drafts was served 0.40, 0.45 and 0.64 times as often as
+# all with 0.5, 0.55 and 0.6, and half as often is required.
+_MIN_SLACK = 0.6
 
 
 def find_slack_s(target_s: float, elapsed_s: float, read_s: float) -> float:
--- a/tests/test_overload/test_admission.py
+++ b/tests/test_overload/test_admission.py
@@ -41,4 +41,4 @@
 
     def test_the_largest_prompts_may_wait_too(self) -> None:
         """Without it, a prompt as long as its target is never admitted."""
-        self.assertAlmostEqual(0.84, admission.find_slack_s(1.2, 0.0, 3.0))
+        self.assertAlmostEqual(0.72, admission.find_slack_s(1.2, 0.0, 3.0))
