--- a/packages/daemon/src/martenquay_daemon/fleet/hub.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/hub.py
@@ -13,6 +13,7 @@
     trial_entries,
     zone_aggregator,
 )
+from martenquay_daemon.overload import messages as overload
 
 if TYPE_CHECKING:
     from martenquay_daemon.fleet import zones
@@ -145,9 +146,11 @@
         summaries += [known.summary for known in others]
         loads = dict(totals.loads)
         prefill = dict(totals.reading)
+        backlog = dict(totals.backlog)
         for known in others:
             zone_aggregator.add_loads(loads, known.loads, 1)
             zone_aggregator.add_reading(prefill, known.summary.reading, 1)
+            overload.add_backlog(backlog, known.summary.backlog, 1)
         found_speeds = speed_entries.sum_speeds(
             [totals.speeds, *(known.speeds for known in others)]
         )
@@ -163,6 +166,7 @@
             self._own_digest.orders,
             hub_state.runner_reports,
             speed_entries.encode_speeds(found_speeds),
+            backlog,
         )
 
     def _summarize(
@@ -191,14 +195,16 @@
             demand=totals.demand,
             reading=totals.reading,
             trials=trial_entries.encode_trials(totals.trials),
+            backlog=totals.backlog,
         )
 
 
 def _strip_duty_fields(summary: messages.ZoneSummary) -> messages.ZoneSummary:
     """Return a summary without the fields that the duties alone need.
 
-    Prefill sums are reported once, for all zones together. `NO_WINDOW` keeps a
-    new holder of the lease from closing a window whose counts were left out.
+    Prefill sums and waiting prompts are reported once, for all zones together.
+    `NO_WINDOW` keeps a new holder of the lease from closing a window whose
+    counts were left out.
     """
     return msgspec.structs.replace(
         summary,
@@ -206,5 +212,6 @@
         demand={},
         reading={},
         trials={},
+        backlog={},
         window=messages.NO_WINDOW,
     )
--- a/packages/daemon/src/martenquay_daemon/fleet/messages.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/messages.py
@@ -12,6 +12,7 @@
     relay_messages,
     speed_entries,  # noqa: TC001
 )
+from martenquay_daemon.overload import messages as overload  # noqa: TC001
 
 __all__ = [
     "NO_WINDOW",
@@ -258,6 +259,8 @@
         orders: Rollout orders that it has learnt of recently.
         runner_reports: Limits and drains that runners reported to it.
         speeds: Its evidence on engines' speeds, by runner id.
+        backlog: Its prompts that wait for a first event, by service and
+            urgency.
     """
 
     member: str
@@ -282,6 +285,7 @@
     orders: list[RolloutOrderEntry]
     runner_reports: RunnerReports
     speeds: dict[str, speed_entries.SpeedEntry] = {}
+    backlog: overload.BacklogTable = {}
 
 
 class ZoneSummary(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -314,6 +318,9 @@
             reports, which hold the sum over all zones.
         trials: Canary results, by service; empty for receivers that do not
             need them.
+        backlog: Prompts of the zone that wait for a first event, by service
+            and urgency; empty for receivers that need only the report's sum
+            over all zones.
     """
 
     zone: str
@@ -335,6 +342,7 @@
     demand: dict[str, float]
     reading: dict[str, PrefillEntry]
     trials: dict[str, TrialEntry]
+    backlog: overload.BacklogTable = {}
 
 
 class DigestMessage(msgspec.Struct, frozen=True, array_like=True, tag="d"):
@@ -378,6 +386,8 @@
         orders: Rollout orders that the hub has learnt of recently.
         runner_reports: Limits and drains of runners known to the hub.
         speeds: Evidence of all other daemons on engines' speeds, by runner id.
+        backlog: Prompts of all other daemons that wait for a first event, by
+            service and urgency.
     """
 
     hub: str
@@ -389,6 +399,7 @@
     orders: list[RolloutOrderEntry]
     runner_reports: RunnerReports
     speeds: dict[str, speed_entries.SpeedEntry] = {}
+    backlog: overload.BacklogTable = {}
 
 
 class PeerEntry(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/daemon/src/martenquay_daemon/fleet/zone_aggregator.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/zone_aggregator.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from martenquay_daemon.fleet import messages, speed_entries, trial_entries
+from martenquay_daemon.overload import messages as overload
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -39,6 +40,7 @@
         reading: Prefill sums, by service.
         trials: Canary results, by service.
         speeds: Evidence on engines' speeds, by runner id.
+        backlog: Waiting prompts, by service and urgency.
     """
 
     daemons: int = 0
@@ -58,6 +60,7 @@
     speeds: dict[str, speeds.SpeedSums] = dataclasses.field(
         default_factory=dict
     )
+    backlog: overload.BacklogTable = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass
@@ -118,6 +121,7 @@
             add_loads(totals.loads, digest.loads, 1)
             _add_amounts(totals.demand, digest.demand, 1)
             add_reading(totals.reading, digest.reading, 1)
+            overload.add_backlog(totals.backlog, digest.backlog, 1)
             if digest.is_leaving:
                 totals.leaving.append(digest.member)
             if digest.lease is not None:
@@ -152,12 +156,14 @@
             totals.loads = dict(total.loads)
             totals.demand = dict(total.demand)
             totals.reading = dict(total.reading)
+            totals.backlog = dict(total.backlog)
             add_loads(totals.loads, known.digest.loads, -1)
             _add_amounts(totals.demand, known.digest.demand, -1)
             add_reading(totals.reading, known.digest.reading, -1)
             totals.speeds = speed_entries.subtract_speeds(
                 total.speeds, speed_entries.decode_speeds(known.digest.speeds)
             )
+            overload.add_backlog(totals.backlog, known.digest.backlog, -1)
             totals.trials = _add_trials(
                 other
                 for other in self._list_heard(now, silent_s)
--- a/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
@@ -33,6 +33,7 @@
         placer,
         speed_tracker,
     )
+    from martenquay_daemon.overload import backlog
 
 __all__ = ["AttemptMaker"]
 
@@ -46,7 +47,6 @@
 _CONNECT_TIMEOUT_S = 0.1
 # Lets the runner's own answer at the deadline arrive.
 _ANSWER_GRACE_S = 0.08
-_MAX_URGENCY = 9
 # The load of a prompt that takes at least this long to prefill is gossiped at
 # once; until the next regular digest other daemons would send requests that
 # queue behind it.
@@ -67,8 +67,10 @@
         notify_soon: Callable[[], None],
         gate: runner_admission.RunnerAdmission,
         speeds: speed_tracker.SpeedTracker,
+        backlogs: backlog.BacklogLedger,
     ) -> None:
         self._speeds = speeds
+        self._backlogs = backlogs
         self._gate = gate
         self._codec = codec
         self._ledger = ledger
@@ -107,13 +109,19 @@
         time_limit = trio.move_on_at(current.deadline + _ANSWER_GRACE_S)
         with (
             time_limit,
-            self._ledger.count(runner.id, placement.uncached_tokens) as running,
             self._speeds.watch(
                 placement,
                 current.service,
-                _find_urgency(current),
+                current.urgency,
                 is_expected=_has_usual_first_event(current),
             ) as current.watch,
+            self._ledger.count(
+                runner.id,
+                placement.uncached_tokens,
+                self._backlogs.begin(
+                    current.service, current.urgency, placement.uncached_tokens
+                ),
+            ) as running,
         ):
             if placement.read_s >= _LONG_PREFILL_S:
                 self._notify_soon()
@@ -274,7 +282,7 @@
             runner_id=placement.runner.id,
             budget_s=max(0.0, current.deadline - trio.current_time()),
             team=current.team and current.team.name,
-            urgency=_find_urgency(current),
+            urgency=current.urgency,
             resume_after=current.last_event_id,
         )
         return connections.RunnerRequest(
@@ -381,7 +389,7 @@
                 uncached_tokens,
                 uncached_tokens + placement.unread_tokens,
                 took_s,
-                _find_urgency(current),
+                current.urgency,
             )
             self._model.note_first_event(current.service, result)
 
@@ -433,11 +441,3 @@
     """
     is_stream = current.route.kind is catalog.CallKind.STREAM
     return is_stream and current.events_delivered == 0
-
-
-def _find_urgency(current: exchange.Exchange) -> int:
-    team = current.team
-    urgency = current.route.urgency
-    if team is not None and team.urgency is not None:
-        urgency = team.urgency
-    return min(max(urgency, 0), _MAX_URGENCY)
--- a/tests/serving_scene.py
+++ b/tests/serving_scene.py
@@ -11,6 +11,7 @@
 import trio
 
 from martenquay_core.serving import ports
+from martenquay_core.settings import gateway
 from martenquay_daemon.allowances import gate, terms
 from martenquay_daemon.discovery import (
     catalog_store,
@@ -39,6 +40,9 @@
     trial_recorder,
 )
 from martenquay_daemon.limits import ejection
+from martenquay_daemon.overload import backlog
+from martenquay_daemon.overload import metrics as overload_metrics
+from martenquay_daemon.overload import parts as overload_parts
 from martenquay_daemon.quarantine import manager
 from martenquay_daemon.rollouts import registry, tallies, versions
 from martenquay_platform import codec
@@ -93,6 +97,9 @@
         usage: Counts of started requests.
         meter: Prefill tokens demanded.
         streams: Durations of streams.
+        backlogs: Waiting prompts by service and urgency.
+        ledger: Load by runner.
+        estimates: Prefill speed of the runners.
         stop: Rejects requests that a graceful stop would cut off.
         runner_admission: Limits, drains and backoffs that runners reported.
         early_digests: How often an early digest was requested.
@@ -102,6 +109,8 @@
         self,
         content: catalog.Catalog,
         platform_log: log.MemoryLog | None = None,
+        *,
+        is_gated: bool = True,
     ) -> None:
         records = builders.FakeRecords()
         records.catalogs[b"catalog"] = content
@@ -124,6 +133,7 @@
         )
         self.usage = usage_counts.UsageCounts(_USAGE_WINDOW_S, lambda: 2.0)
         self.ledger = loads.LoadLedger()
+        self.backlogs = backlog.BacklogLedger()
         self.estimates = model.RunnerModel()
         self.speeds = speed_tracker.create_speed_tracker()
         self.meter = demand.DemandMeter()
@@ -147,6 +157,7 @@
         bounds = retry_window.RetryBounds(0.2, 10.0, 100.0)
         orders = registry.RolloutRegistry()
         tolerance = terms.ToleranceBounds(8.0, 0.0, 0.0)
+        forwarding_metrics = metrics.create_metrics()
         self.parts = forwarder.ForwarderParts(
             store=self.store,
             directory=self.directory,
@@ -177,6 +188,7 @@
                 self._count_early_digest,
                 self.runner_admission,
                 self.speeds,
+                self.backlogs,
             ),
             retries=retry_window.RetryWindow(bounds, lambda: 1),
             ejector=ejector,
@@ -190,7 +202,19 @@
                 tallies.TallyTable(),
                 versions.VersionChooser(orders, rng, lambda: 1),
             ),
-            metrics=metrics.create_metrics(),
+            overload=overload_parts.create_gate(
+                gateway.LoadSettings(overload_admission=is_gated),
+                self.store,
+                self.directory,
+                self.ledger,
+                self.backlogs,
+                self.estimates,
+                self.meter,
+                overload_metrics.create_metrics(forwarding_metrics.registry),
+                rng,
+                self.speeds.find,
+            ),
+            metrics=forwarding_metrics,
             codec=header_codec,
             rng=rng,
             wait_until_read=trio.lowlevel.checkpoint,
@@ -276,10 +300,12 @@
 
 @contextlib.asynccontextmanager
 async def open_scene(
-    content: catalog.Catalog, *scripts: list[scripted.Script]
+    content: catalog.Catalog,
+    *scripts: list[scripted.Script],
+    is_gated: bool = True,
 ) -> AsyncIterator[Scene]:
     """Serve with one scripted runner per list of scripts."""
-    scene = Scene(content)
+    scene = Scene(content, is_gated=is_gated)
     async with trio.open_nursery() as nursery:
         for script in scripts:
             runner = scripted.ScriptedRunner(script)
