Move streams off leaving engines before they end

Engines can copy the memory of a run to each other, and nothing asked them to.

The daemon that relays a stream now plans (migration/plan.py), asks the engine for a copy and then for the last one, relays what the source still sends, and sends the request on with Kv-From and the last event id. It counts as the same run: no attempt, no retry, no second unit of usage.

Ruled out: resuming drafts like chats, as a run that cannot be repeated would run twice; one call with Last only, as a refusal would then stop a run that has no place to go; choosing the target in the placer, which samples three runners for a new request and returns one.

Fake engines over loopback: 30 tests of moves, among them 12 streams of 40 events off one engine, each whole and from one run; no request was active at two engines for over 0.4 s.

Found by the tests: a run came back to its source and was offered to the same full target again, four times; a handle with a line end passed the check.

Tests: test_migration, test_forwarding, test_gateway, test_whole, test_rollouts, test_quarantine, test_leaving, test_platform.test_moves, test_fields, test_codec, test_records: all passed.

--- a/packages/core/src/martenquay_core/serving/calls.py
+++ b/packages/core/src/martenquay_core/serving/calls.py
@@ -10,6 +10,7 @@
     "AnswerHead",
     "Call",
     "Headers",
+    "KvSource",
     "PromptPart",
     "AttemptOptions",
 ]
@@ -70,6 +71,19 @@
         return self.target.partition("?")[0]
 
 
+@dataclasses.dataclass(frozen=True)
+class KvSource:
+    """Reference to a copy of a run's KV cache.
+
+    Attributes:
+        address: Address of the runner that the copy was made from.
+        handle: The id that this runner gave to the copy.
+    """
+
+    address: str
+    handle: str
+
+
 @dataclasses.dataclass(frozen=True)
 class AttemptOptions:
     """What a daemon adds to a request for one attempt at one runner.
@@ -81,8 +95,8 @@
         urgency: Priority from 0 (first) to 9; None for the runner's default.
         resume_after: Number of the last stream event already delivered; None
             to start at the beginning.
-        kv_source: Reference to a copy of the request's KV cache to resume
-            from, in the runner's own notation.
+        kv_source: Copy of the run's KV cache to continue from; None to run
+            the request from its prompt.
     """
 
     runner_id: str
@@ -90,7 +104,7 @@
     team: str | None = None
     urgency: int | None = None
     resume_after: int | None = None
-    kv_source: str | None = None
+    kv_source: KvSource | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/core/src/martenquay_core/serving/catalog.py
+++ b/packages/core/src/martenquay_core/serving/catalog.py
@@ -94,12 +94,18 @@
         kv_tokens: Size of its KV cache in tokens.
         can_move: A request's KV cache can be copied to another engine.
         can_back_up: An engine can keep such a copy up to date.
+        kv_token_bytes: Size of one token in its KV cache.
+        link_mbps: Bandwidth between two engines in Mbit/s.
+        kv_handle_s: Seconds for which an unused copy is kept.
     """
 
     slots: int
     kv_tokens: int
     can_move: bool = False
     can_back_up: bool = False
+    kv_token_bytes: int = 18_432
+    link_mbps: float = 88_000.0
+    kv_handle_s: float = 5.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/core/src/martenquay_core/serving/ports.py
+++ b/packages/core/src/martenquay_core/serving/ports.py
@@ -1,4 +1,4 @@
-"""Interfaces of the platform's log, cloud API and codecs.
+"""Interfaces of the platform's log, cloud API, engines and codecs.
 
 A platform's adapter and the test fakes implement them. A failure says whether
 the call took effect: not done, or unknown.
@@ -15,12 +15,19 @@
     from expression import Result
 
     from martenquay_core.platform import outcome
-    from martenquay_core.serving import calls, catalog, rollouts, runners
+    from martenquay_core.serving import (
+        calls,
+        catalog,
+        moves,
+        rollouts,
+        runners,
+    )
 
 __all__ = [
     "Appended",
     "CallCodec",
     "CloudPort",
+    "EnginePort",
     "KeyedRecord",
     "LogPort",
     "Page",
@@ -180,6 +187,20 @@
         """Order runners; return the HTTP status of the answer."""
 
 
+class EnginePort(Protocol):
+    """Client of the calls with which engines move runs to each other."""
+
+    async def move_run(
+        self, address: str, order: moves.MoveOrder, timeout_s: float
+    ) -> moves.MoveAnswer:
+        """Copy a run's KV cache from the engine at `address` to another."""
+
+    async def free_copy(
+        self, address: str, handle: str, timeout_s: float
+    ) -> bool:
+        """Free a copy at the engine at `address`; return whether it did."""
+
+
 class CallCodec(Protocol):
     """Translate requests and answers to and from the platform's headers."""
 
--- a/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
@@ -27,6 +27,7 @@
     from martenquay_daemon.backpressure import runner_admission
     from martenquay_daemon.duties import usage_counts
     from martenquay_daemon.engines import demand, durations, loads, placer
+    from martenquay_daemon.migration import mover
 
 __all__ = ["AttemptMaker"]
 
@@ -60,8 +61,10 @@
         streams: durations.StreamDurations,
         notify_soon: Callable[[], None],
         gate: runner_admission.RunnerAdmission,
+        stream_mover: mover.StreamMover | None = None,
     ) -> None:
         self._gate = gate
+        self._mover = stream_mover
         self._codec = codec
         self._ledger = ledger
         self._usage = usage
@@ -190,12 +193,13 @@
     ) -> exchange.AttemptResult:
         current.check_caller()
         # The runner may have reported a limit or a drain since it was chosen.
-        problem = self._gate.try_admit(placement.runner)
+        problem = self._find_rejection(current, placement.runner)
         if problem:
             return exchange.Withheld(problem)
         current.stage = disconnects.Stage.SENDING
         request = self._create_request(current, placement)
-        current.attempts += 1
+        if current.kv_source is None:
+            current.attempts += 1
         current.may_have_run = True
         current.sent_at = trio.current_time()
         current.first_event_s = None
@@ -211,17 +215,29 @@
         if problem:
             return exchange.Broken(problem)
         if is_stream and status == _OK:
-            result = await self._relay_stream(
+            result = await self._relay_movable_stream(
                 current, placement, head, connection, running
             )
         else:
             running.note_first_event()
             body = await connection.read_body()
             result = exchange.Whole(head, body)
-        if isinstance(result, exchange.Delivered | exchange.Whole):
+        is_complete = isinstance(result, exchange.Delivered | exchange.Whole)
+        # Of a run that continues from a copy only a part is measured here.
+        if is_complete and current.kv_source is None:
             self._record_slot_time(current)
         return result
 
+    def _find_rejection(
+        self, current: exchange.Exchange, runner: runners.Runner
+    ) -> str:
+        """Return why the runner must not get the request now, or ""."""
+        source = current.kv_source
+        if source is not None and source.address == runner.address:
+            # A draining runner takes back the run that it has stopped.
+            return ""
+        return self._gate.try_admit(runner)
+
     def _apply_signals(
         self,
         current: exchange.Exchange,
@@ -262,6 +278,7 @@
             team=current.team and current.team.name,
             urgency=_find_urgency(current),
             resume_after=current.last_event_id,
+            kv_source=current.kv_source,
         )
         return connections.RunnerRequest(
             call.method,
@@ -314,6 +331,27 @@
             usage.count()
         yield usage
 
+    async def _relay_movable_stream(
+        self,
+        current: exchange.Exchange,
+        placement: placer.Placement,
+        head: calls.AnswerHead,
+        connection: connections.RunnerConnection,
+        running: loads.Running,
+    ) -> exchange.AttemptResult:
+        """Relay a stream, which the mover may move to another runner."""
+
+        async def relay() -> exchange.AttemptResult:
+            return await self._relay_stream(
+                current, placement, head, connection, running
+            )
+
+        if self._mover is None:
+            return await relay()
+        return await self._mover.watch(
+            current, placement.runner, connection, relay
+        )
+
     async def _relay_stream(
         self,
         current: exchange.Exchange,
@@ -333,7 +371,8 @@
                 running.note_first_event()
                 took_s = trio.current_time() - current.sent_at
                 self._record_first_event(current, placement, took_s)
-                usage_entry.UsageEntry(self._usage, current.team).count()
+                if current.kv_source is None:
+                    usage_entry.UsageEntry(self._usage, current.team).count()
             problem = await self._relay_events(current, head, events)
             if problem:
                 return exchange.Broken(problem)
--- a/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
@@ -10,7 +10,7 @@
 from martenquay_daemon.forwarding import disconnects
 
 if TYPE_CHECKING:
-    from martenquay_core.serving import calls, catalog
+    from martenquay_core.serving import calls, catalog, runners
     from martenquay_daemon.forwarding import answers
 
 __all__ = [
@@ -19,6 +19,8 @@
     "CallerDisconnectedError",
     "Delivered",
     "Exchange",
+    "Handover",
+    "Moved",
     "NotRun",
     "NotSent",
     "Silent",
@@ -74,6 +76,12 @@
             current attempt.
         reported_signals: What the current runner reported about itself in
             its answer: limit, drain, backoff.
+        handover: Where the run that a runner has stopped continues; None if
+            none is to be continued.
+        kv_source: Copy of the KV cache that the current attempt continues
+            from; None if it runs the request anew.
+        moves: How often the run was stopped to continue elsewhere.
+        refused_targets: Ids of runners that had no room for a copy of the run.
     """
 
     call: calls.Call
@@ -101,6 +109,10 @@
     latest_crash_seen: int = 0
     has_runner_ended: bool = False
     reported_signals: signals.RunnerSignals = signals.NO_SIGNALS
+    handover: Handover | None = None
+    kv_source: calls.KvSource | None = None
+    moves: int = 0
+    refused_targets: set[str] = dataclasses.field(default_factory=set)
 
     @property
     def units(self) -> float:
@@ -187,11 +199,49 @@
     reason: str = "no data from the runner for too long"
 
 
+@dataclasses.dataclass(frozen=True)
+class Moved:
+    """The run has ended at its runner and continues from a copy of it.
+
+    Attributes:
+        source: The runner at which it has ended.
+        target: The runner that has the copy; the source itself if no other
+            runner took it.
+        handle: Id of the copy at the source.
+    """
+
+    source: runners.Runner
+    target: runners.Runner
+    handle: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Handover:
+    """Where a run that has ended at a runner may continue.
+
+    Attributes:
+        kv_source: The copy of its KV cache.
+        runners: The runners to send the request to, in this order, until one
+            runs it.
+    """
+
+    kv_source: calls.KvSource
+    runners: tuple[runners.Runner, ...]
+
+
 @dataclasses.dataclass(frozen=True)
 class TimedOut:
     """The deadline passed before the answer was complete."""
 
 
 AttemptResult = (
-    NotSent | Withheld | NotRun | Whole | Delivered | Broken | Silent | TimedOut
+    NotSent
+    | Withheld
+    | NotRun
+    | Whole
+    | Delivered
+    | Broken
+    | Silent
+    | TimedOut
+    | Moved
 )
--- a/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
@@ -40,6 +40,7 @@
         trial_recorder,
     )
     from martenquay_daemon.limits import ejection
+    from martenquay_daemon.migration import handover
 
 __all__ = ["Forwarder", "ForwarderParts"]
 
@@ -76,6 +77,7 @@
         quarantine: Rejects requests whose content crashes runners.
         stop: Rejects requests that the daemon's stop would cut off.
         trials: Records results of canary trials.
+        handovers: Continues runs that were moved to another runner.
         metrics: Prometheus metrics.
         codec: Encodes and decodes headers.
         rng: Chooses among a route's weighted destinations.
@@ -95,6 +97,7 @@
     quarantine: quarantine_filter.QuarantineFilter
     stop: stop_window.StopWindow
     trials: trial_recorder.TrialRecorder
+    handovers: handover.Handovers
     metrics: metrics.ForwardingMetrics
     codec: ports.CallCodec
     rng: random.Random
@@ -295,7 +298,9 @@
         parts = self._parts
         parts.retries.count_request(current.service)
         while True:
-            placement = await self._find_next_placement(current)
+            placement = parts.handovers.take_placement(
+                current
+            ) or await self._find_next_placement(current)
             if not isinstance(placement, placer.Placement):
                 return placement
             had_run = current.may_have_run
@@ -311,6 +316,8 @@
             if isinstance(result, exchange.Delivered | exchange.Whole):
                 parts.ejector.note_success(placement.runner.id)
             self._request_log.log_attempt(current, placement, result)
+            if parts.handovers.apply(current, placement, result):
+                continue
             match result:
                 case exchange.Delivered():
                     return None
--- a/packages/daemon/src/martenquay_daemon/forwarding/metrics.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/metrics.py
@@ -88,6 +88,16 @@
             registry=registry,
         )
 
+        self._stream_moves = aioprometheus.Counter(
+            "martenquay_stream_moves_total",
+            "Moves of streams off leaving runners, by service and outcome.",
+            registry=registry,
+        )
+
+    def count_stream_move(self, service: str, outcome: str) -> None:
+        """Count a move of a stream off a leaving runner, by outcome."""
+        self._stream_moves.inc({"service": service, "outcome": outcome})
+
     def observe_quota_request(self, outcome: str, took_s: float) -> None:
         """Observe a quota request to another daemon: outcome and duration."""
         self._quota_request_s.observe({"outcome": outcome}, took_s)
--- a/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
@@ -82,12 +82,15 @@
             connection opened, on trio's clock.
         has_response_head: The response head has been received.
         has_first_event: The first event of a stream has been received.
+        has_peer_closed: The runner has closed or reset the connection. False
+            after a timeout, when the runner may still be at work.
     """
 
     def __init__(self, stream: trio.SocketStream) -> None:
         self.last_activity_at = trio.current_time()
         self.has_response_head = False
         self.has_first_event = False
+        self.has_peer_closed = False
         self._stream = stream
         self._http = h11.Connection(h11.CLIENT)
 
@@ -156,6 +159,11 @@
         chunks = [chunk async for chunk in self.iterate_body()]
         return b"".join(chunks)
 
+    def stop_reading(self) -> None:
+        """Make the body end after the bytes that have arrived."""
+        with contextlib.suppress(OSError):
+            self._stream.socket.shutdown(socket.SHUT_RD)
+
     async def close(self) -> None:
         """Reset the connection, so that the runner stops unfinished work."""
         await trio.aclose_forcefully(self._stream)
@@ -174,10 +182,14 @@
                 trio.BrokenResourceError,
                 trio.ClosedResourceError,
             ) as error:
+                self.has_peer_closed = isinstance(
+                    error.__cause__, ConnectionResetError
+                )
                 # Not passed on to h11 as the end of the stream: that would
                 # complete a response without a content length.
                 raise BrokenAnswerError(f"reset: {error}") from error
             self.last_activity_at = trio.current_time()
+            self.has_peer_closed = not data
             self._http.receive_data(data)
 
 
--- a/packages/daemon/src/martenquay_daemon/forwarding/trial_recorder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/trial_recorder.py
@@ -57,8 +57,11 @@
 def _counts_for_version(
     current: exchange.Exchange, result: exchange.AttemptResult
 ) -> bool:
+    if current.kv_source is not None:
+        # The time to its first event says nothing about prefill or queue.
+        return False
     match result:
-        case exchange.NotSent() | exchange.NotRun():
+        case exchange.NotSent() | exchange.NotRun() | exchange.Moved():
             return False
         case exchange.Broken():
             # A crash breaks all requests of a runner at once, and a runner of
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -52,6 +52,8 @@
     trial_recorder,
 )
 from martenquay_daemon.limits import ejection
+from martenquay_daemon.migration import handover, targets
+from martenquay_daemon.migration import parts as migration_parts
 from martenquay_daemon.quarantine import manager
 from martenquay_daemon.rollouts import parts as rollout_parts
 
@@ -120,6 +122,8 @@
         self._retries.bounds = _find_retry_bounds(bounds)
         self._quota_ledger.bounds = _find_tolerance_bounds(bounds)
         self._quota_ledger.shares.window_s = bounds.allowance_window_s
+        if self._mover is not None:
+            self._mover.is_enabled = settings.load.stream_migration
         if settings.platform.log:
             self._ports.log.set_address(settings.platform.log)
         if self._ports.cloud is not None and settings.platform.cloud:
@@ -167,6 +171,7 @@
             "strikes": self._crash_follower.run,
             "quarantine": self._quarantine.run,
             "versions": self._rollouts.follower.run,
+            **({"migration": self._mover.run} if self._mover else {}),
             **self._duties,
         }
 
@@ -456,6 +461,21 @@
         self._retries = retry_window.RetryWindow(
             _find_retry_bounds(bounds), self._fleet_view.count_daemons
         )
+        self._mover = migration_parts.create_mover(
+            self._settings,
+            self._ports.engines,
+            self._catalog_store,
+            self._runner_directory,
+            targets.TargetFinder(
+                self._runner_directory,
+                self._backpressure.admission,
+                self._ejector,
+                self._loads,
+                self._fleet_view.is_zone_silent,
+            ),
+            self._entry_refresher.refresh,
+            self.metrics,
+        )
         parts = forwarder.ForwarderParts(
             store=self._catalog_store,
             directory=self._runner_directory,
@@ -482,6 +502,7 @@
                 streams,
                 self._notify_mesh_peers_soon,
                 self._backpressure.admission,
+                self._mover,
             ),
             retries=self._retries,
             ejector=self._ejector,
@@ -495,6 +516,7 @@
                 self._rollouts.trials,
                 self._rollouts.versions,
             ),
+            handovers=handover.Handovers(self.metrics),
             metrics=self.metrics,
             codec=codec,
             rng=self._rng,
--- a/packages/daemon/src/martenquay_daemon/gateway_ports.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_ports.py
@@ -22,6 +22,8 @@
         calls: Decodes and encodes the headers of requests and answers.
         records: Decodes and encodes the records of the log.
         topics: Names of the log's topics.
+        engines: Calls that move runs between engines; None if the platform
+            has none.
     """
 
     log: port_types.LogPort
@@ -29,3 +31,4 @@
     calls: port_types.CallCodec
     records: port_types.PlatformCodec
     topics: topics.Topics
+    engines: port_types.EnginePort | None = None
--- /dev/null
+++ b/packages/daemon/src/martenquay_daemon/migration/__init__.py
@@ -0,0 +1,1 @@
+"""Live migration of streams from leaving engines to others."""
--- /dev/null
+++ b/tests/migration_builders.py
@@ -0,0 +1,76 @@
+"""Build test data for the migration of streams."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from martenquay_core.serving import catalog
+from martenquay_daemon.migration import plan
+from tests import serving_builders
+
+__all__ = [
+    "build_catalog",
+    "build_leaving_engine",
+    "build_stream",
+    "build_target",
+    "build_traits",
+]
+
+
+def build_traits(**changes: Any) -> catalog.EngineTraits:
+    """Return the traits of an engine of deployment B that can move runs."""
+    fields: dict[str, Any] = {
+        "slots": 16,
+        "kv_tokens": 548_252,
+        "can_move": True,
+        "link_mbps": 88_000.0,
+    }
+    return catalog.EngineTraits(**(fields | changes))
+
+
+def build_catalog(
+    traits: catalog.EngineTraits | None = None, **route: Any
+) -> catalog.Catalog:
+    """Return a catalog with a route of streams that cannot be resumed."""
+    fields: dict[str, Any] = {
+        "kind": catalog.CallKind.STREAM,
+        "timeout_s": 6.0,
+        "max_attempts": 1,
+    }
+    service = serving_builders.build_service(engine=traits or build_traits())
+    return serving_builders.build_catalog(
+        routes=(serving_builders.build_route(**(fields | route)),),
+        services={"desk": service},
+    )
+
+
+def build_leaving_engine(**changes: Any) -> plan.LeavingEngine:
+    """Return an engine that has just got a notice of its reclaim."""
+    fields: dict[str, Any] = {
+        "zone": "a",
+        "time_left_s": 2.4,
+        "traits": build_traits(),
+    }
+    return plan.LeavingEngine(**(fields | changes))
+
+
+def build_stream(**changes: Any) -> plan.StreamState:
+    """Return a large stream that cannot be resumed and will not end in time."""
+    fields: dict[str, Any] = {
+        "id": "call-1",
+        "tokens": 12_000,
+        "remaining_s": 8.0,
+        "is_resumable": False,
+    }
+    return plan.StreamState(**(fields | changes))
+
+
+def build_target(**changes: Any) -> plan.TargetState:
+    """Return an idle engine in the zone of the leaving one."""
+    fields: dict[str, Any] = {
+        "id": "engine-1",
+        "zone": "a",
+        "slots": 16,
+        "requests": 0,
+    }
+    return plan.TargetState(**(fields | changes))
--- a/tests/serving_scene.py
+++ b/tests/serving_scene.py
@@ -8,9 +8,11 @@
 from typing import TYPE_CHECKING, Any
 
 import h11
+import msgspec
 import trio
 
 from martenquay_core.serving import ports
+from martenquay_core.settings import gateway
 from martenquay_daemon.allowances import gate, terms
 from martenquay_daemon.discovery import (
     catalog_store,
@@ -32,6 +34,8 @@
     trial_recorder,
 )
 from martenquay_daemon.limits import ejection
+from martenquay_daemon.migration import handover, targets
+from martenquay_daemon.migration import parts as migration_parts
 from martenquay_daemon.quarantine import manager
 from martenquay_daemon.rollouts import registry, tallies, versions
 from martenquay_platform import codec
@@ -88,6 +92,7 @@
         streams: Durations of streams.
         stop: Rejects requests that a graceful stop would cut off.
         runner_admission: Limits, drains and backoffs that runners reported.
+        mover: Moves streams off leaving engines; None without calls on them.
         early_digests: How often an early digest was requested.
     """
 
@@ -95,6 +100,8 @@
         self,
         content: catalog.Catalog,
         platform_log: log.MemoryLog | None = None,
+        engines: ports.EnginePort | None = None,
+        settings: dict[str, Any] | None = None,
     ) -> None:
         records = builders.FakeRecords()
         records.catalogs[b"catalog"] = content
@@ -136,6 +143,25 @@
         )
         rng = random.Random(1)
         header_codec = codec.create_codec()
+        counts = metrics.create_metrics()
+        self.mover = migration_parts.create_mover(
+            msgspec.convert(
+                builders.build_gateway_settings(**(settings or {})),
+                gateway.GatewaySettings,
+            ),
+            engines,
+            self.store,
+            self.directory,
+            targets.TargetFinder(
+                self.directory,
+                self.runner_admission,
+                ejector,
+                self.ledger,
+                lambda _: False,
+            ),
+            self.entries.refresh,
+            counts,
+        )
         bounds = retry_window.RetryBounds(0.2, 10.0, 100.0)
         orders = registry.RolloutRegistry()
         tolerance = terms.ToleranceBounds(8.0, 0.0, 0.0)
@@ -167,6 +193,7 @@
                 self.streams,
                 self._count_early_digest,
                 self.runner_admission,
+                self.mover,
             ),
             retries=retry_window.RetryWindow(bounds, lambda: 1),
             ejector=ejector,
@@ -180,7 +207,8 @@
                 tallies.TallyTable(),
                 versions.VersionChooser(orders, rng, lambda: 1),
             ),
-            metrics=metrics.create_metrics(),
+            handovers=handover.Handovers(counts),
+            metrics=counts,
             codec=header_codec,
             rng=rng,
             wait_until_read=trio.lowlevel.checkpoint,
@@ -217,6 +245,8 @@
             nursery.start_soon(self.entries.run)
             nursery.start_soon(self.crash_follower.run)
             nursery.start_soon(self.quarantine.run)
+            if self.mover is not None:
+                nursery.start_soon(self.mover.run)
             self.address = await nursery.start(self.listener.run)
             task_status.started()
 
--- /dev/null
+++ b/tests/test_migration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the migration of streams."""
--- a/tests/test_platform/test_codec.py
+++ b/tests/test_platform/test_codec.py
@@ -78,6 +78,12 @@
             values = [value for name, value in sent if name == b"last-event-id"]
             self.assertEqual([b"%d" % last_id], values)
 
+    def test_a_copy_is_named_by_its_source_and_handle(self) -> None:
+        source = calls.KvSource("10.0.0.1:8080", "h-7")
+        options = calls.AttemptOptions("i-1", 1.5, kv_source=source)
+        sent = dict(self.codec.encode_attempt(self.call, options))
+        self.assertEqual(b"10.0.0.1:8080/h-7", sent[b"kv-from"])
+
     def test_hop_by_hop_headers_are_not_forwarded(self) -> None:
         options = calls.AttemptOptions("i-1", 1.5)
         sent = dict(self.codec.encode_attempt(self.call, options))
--- a/tests/test_platform/test_fields.py
+++ b/tests/test_platform/test_fields.py
@@ -9,7 +9,7 @@
 import msgspec
 import testtools
 
-from martenquay_platform import codec, log, records
+from martenquay_platform import codec, log, moves, records
 
 _PLATFORM = pathlib.Path(__file__).parents[2] / "platform"
 _SOURCE_FOLDER = _PLATFORM / "src" / "martenquay_platform"
@@ -109,6 +109,11 @@
         )
         self.assertEqual(set(), names - self._list_fields("Answers of the log"))
 
+    def test_each_field_of_the_engines_answers_is_listed(self) -> None:
+        section = "Answers of engines to calls that move runs"
+        names = _list_wire_names(moves._MoveAnswer)
+        self.assertEqual(names, self._list_fields(section))
+
     def test_headers_about_the_runners_state_are_decoded(self) -> None:
         headers = [
             (b"attempt-id", b"call-1"),
--- a/tests/test_platform/test_records.py
+++ b/tests/test_platform/test_records.py
@@ -75,6 +75,36 @@
         self.assertTrue(decoded.teams[0].counts_tokens)
         self.assertEqual(200, decoded.teams[0].default_tokens)
 
+    def test_an_engine_has_defaults_for_what_moves_need(self) -> None:
+        engine = self.decode_engine()
+        self.assertTrue(engine.can_move)
+        self.assertEqual(18_432, engine.kv_token_bytes)
+        self.assertEqual(88_000.0, engine.link_mbps)
+        self.assertEqual(5.0, engine.kv_handle_s)
+
+    def test_what_moves_need_is_decoded(self) -> None:
+        engine = self.decode_engine(
+            KvBytes=9_216, LinkMbps=550_000, KvHandleS=3.5
+        )
+        self.assertEqual(9_216, engine.kv_token_bytes)
+        self.assertEqual(550_000.0, engine.link_mbps)
+        self.assertEqual(3.5, engine.kv_handle_s)
+
+    def test_a_link_without_bandwidth_is_rejected(self) -> None:
+        # The plan divides by it.
+        for field in ("KvBytes", "LinkMbps", "KvHandleS"):
+            error = self.assertRaises(
+                ValueError, self.decode_engine, **{field: 0}
+            )
+            self.assertIn("Engine", str(error))
+
+    def decode_engine(self, **changes: float) -> catalog.EngineTraits:
+        config = json.loads(_encode_config())
+        config["Services"][0]["Engine"] |= changes
+        raw = json.dumps(config).encode()
+        decoded = self.codec.decode_catalog(raw)
+        return decoded.services["model"].engine
+
     def test_a_split_replaces_the_service(self) -> None:
         split = [
             {"Service": "old", "Weight": 90},
