--- a/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
@@ -203,6 +203,32 @@
         current.may_have_run = True
         current.sent_at = trio.current_time()
         current.first_event_s = None
+
+        async def send_and_relay() -> exchange.AttemptResult:
+            return await self._send_and_relay(
+                current, placement, connection, running, request
+            )
+
+        if self._mover is None:
+            result = await send_and_relay()
+        else:
+            result = await self._mover.watch(
+                current, placement.runner, connection, send_and_relay
+            )
+        is_complete = isinstance(result, exchange.Delivered | exchange.Whole)
+        # Of a run that continues from a copy only a part is measured here.
+        if is_complete and current.kv_source is None:
+            self._record_slot_time(current)
+        return result
+
+    async def _send_and_relay(
+        self,
+        current: exchange.Exchange,
+        placement: placer.Placement,
+        connection: connections.RunnerConnection,
+        running: loads.Running,
+        request: connections.RunnerRequest,
+    ) -> exchange.AttemptResult:
         is_stream = current.route.kind is catalog.CallKind.STREAM
         with self._record_usage(current, is_counted=not is_stream) as usage:
             status, headers = await self._send(current, connection, request)
@@ -215,18 +241,12 @@
         if problem:
             return exchange.Broken(problem)
         if is_stream and status == _OK:
-            result = await self._relay_movable_stream(
+            return await self._relay_stream(
                 current, placement, head, connection, running
             )
-        else:
-            running.note_first_event()
-            body = await connection.read_body()
-            result = exchange.Whole(head, body)
-        is_complete = isinstance(result, exchange.Delivered | exchange.Whole)
-        # Of a run that continues from a copy only a part is measured here.
-        if is_complete and current.kv_source is None:
-            self._record_slot_time(current)
-        return result
+        running.note_first_event()
+        body = await connection.read_body()
+        return exchange.Whole(head, body)
 
     def _find_rejection(
         self, current: exchange.Exchange, runner: runners.Runner
@@ -331,27 +351,6 @@
             usage.count()
         yield usage
 
-    async def _relay_movable_stream(
-        self,
-        current: exchange.Exchange,
-        placement: placer.Placement,
-        head: calls.AnswerHead,
-        connection: connections.RunnerConnection,
-        running: loads.Running,
-    ) -> exchange.AttemptResult:
-        """Relay a stream, which the mover may move to another runner."""
-
-        async def relay() -> exchange.AttemptResult:
-            return await self._relay_stream(
-                current, placement, head, connection, running
-            )
-
-        if self._mover is None:
-            return await relay()
-        return await self._mover.watch(
-            current, placement.runner, connection, relay
-        )
-
     async def _relay_stream(
         self,
         current: exchange.Exchange,
@@ -371,7 +370,8 @@
                 running.note_first_event()
                 took_s = trio.current_time() - current.sent_at
                 self._record_first_event(current, placement, took_s)
-                if current.kv_source is None:
+                # A moved run was counted where it sent its first event.
+                if current.kv_source is None or not current.events_delivered:
                     usage_entry.UsageEntry(self._usage, current.team).count()
             problem = await self._relay_events(current, head, events)
             if problem:
@@ -391,8 +391,10 @@
     ) -> None:
         current.first_event_s = took_s
         # The estimate of the prefill speed excludes waits for a slot, and
-        # resumed streams, which prefill their earlier output as well.
-        if placement.has_free_slot and current.events_delivered == 0:
+        # resumed streams, which prefill their earlier output as well, or
+        # continue from a copy.
+        is_new = current.events_delivered == 0 and current.kv_source is None
+        if placement.has_free_slot and is_new:
             uncached_tokens = placement.uncached_tokens
             result = model.FirstEvent(
                 uncached_tokens,
--- a/packages/daemon/src/martenquay_daemon/migration/mover.py
+++ b/packages/daemon/src/martenquay_daemon/migration/mover.py
@@ -165,7 +165,6 @@
             stream.current.call.id: stream
             for stream in group
             if not stream.is_moving
-            and stream.has_begun
             and stream.stopped is None
             and not stream.is_ended_there
             and stream.copy_calls < _MAX_COPY_CALLS
--- a/packages/daemon/src/martenquay_daemon/migration/plan.py
+++ b/packages/daemon/src/martenquay_daemon/migration/plan.py
@@ -35,9 +35,17 @@
 # Lengths of answers vary, and an engine may be slower by a factor of 2.5 for
 # parts of a second; a stream of which half as much again fits is sure to end.
 _REMAINING_FACTOR = 1.5
-# The end of a reclaimed engine is known to about a tenth of a second, and the
-# log's entry took time to arrive here.
+# The end of a reclaimed engine is known to about a tenth of a second; as much
+# again is left for the calls.
 _END_MARGIN_S = 0.2
+# A notice takes up to this long from the log over a hub to this daemon, so the
+# time left is less than it seems. Moving too early costs two calls, staying too
+# long costs the answer.
+_NOTICE_DELAY_S = 0.4
+# A run without an event may not have begun to be computed, and an engine may
+# not know it yet. It is moved only when it is lost otherwise; later than this
+# before the engine's end, its calls and those of other streams would not fit.
+_UNBEGUN_MOVE_S = 0.8
 # Two calls and the request to the target, each with a new connection: six
 # round trips of 1 ms, and the time that an engine takes between two steps.
 _CALLS_S = 0.05
@@ -59,6 +67,7 @@
     NO_TARGET = "no other engine has room for it"
     NO_TIME = "the copy would not be complete in time"
     COPY_EXPIRES = "the copy would expire before it is used"
+    NOT_BEGUN = "it has no event yet"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -88,6 +97,7 @@
         tokens: Prompt and output tokens in the engine's memory.
         remaining_s: Expected seconds to its end; infinity if unknown.
         is_resumable: Another engine may compute it again when it breaks.
+        has_begun: Its caller has an event.
         refused: Ids of engines that have refused a copy of it.
     """
 
@@ -95,6 +105,7 @@
     tokens: int
     remaining_s: float
     is_resumable: bool
+    has_begun: bool = True
     refused: frozenset[str] = frozenset()
 
 
@@ -208,9 +219,6 @@
 ) -> MovePlan:
     """Return what to do with the streams of a leaving engine.
 
-    Streams that cannot be resumed come first, and of these the largest. The
-    others are moved if there is time left after them.
-
     Args:
         engine: The leaving engine.
         streams: Its streams that this daemon relays and is not moving yet.
@@ -275,8 +283,13 @@
         copy_s: Time that its own copy takes.
     """
     time_left_s = engine.time_left_s - _END_MARGIN_S
-    if stream.remaining_s * _REMAINING_FACTOR <= time_left_s:
+    needed_s = stream.remaining_s * _REMAINING_FACTOR + _NOTICE_DELAY_S
+    if needed_s <= time_left_s:
         return StayReason.ENDS_IN_TIME
+    if not stream.has_begun and (
+        stream.is_resumable or engine.time_left_s > _UNBEGUN_MOVE_S
+    ):
+        return StayReason.NOT_BEGUN
     if not possible:
         return StayReason.NO_TARGET
     if copy_s >= engine.traits.kv_handle_s:
--- a/packages/daemon/src/martenquay_daemon/migration/states.py
+++ b/packages/daemon/src/martenquay_daemon/migration/states.py
@@ -51,5 +51,6 @@
             (current.call.tokens_in or 0) + made,
             min(remaining_s, max(0.0, deadline_s)),
             current.route.is_resumable,
+            stream.has_begun,
             frozenset(current.refused_targets | current.excluded_runners),
         )
--- a/packages/daemon/src/martenquay_daemon/migration/stream.py
+++ b/packages/daemon/src/martenquay_daemon/migration/stream.py
@@ -99,11 +99,7 @@
 
     @property
     def has_begun(self) -> bool:
-        """Whether the caller has an event that another engine can go on from.
-
-        A run without one may still wait for its first step, and there is no
-        event id to continue after.
-        """
+        """Whether the runner has sent an event to go on after."""
         return (
             self.current.events_delivered > self._events_before
             and self.current.last_event_id is not None
--- a/tests/migration_builders.py
+++ b/tests/migration_builders.py
@@ -41,6 +41,7 @@
     return serving_builders.build_catalog(
         routes=(serving_builders.build_route(**(fields | route)),),
         services={"desk": service},
+        teams=(serving_builders.build_team(),),
     )
 
 
--- a/tests/migration_scene.py
+++ b/tests/migration_scene.py
@@ -29,7 +29,8 @@
     """Return a caller's request for a stream."""
     return (
         f"GET /lookup/7 HTTP/1.1\r\nhost: desk.example\r\nattempt-id: {call}"
-        f"\r\ndeadline-ms: {budget_ms}\r\ntoken-counts: 12000,80\r\n\r\n"
+        f"\r\ndeadline-ms: {budget_ms}\r\ntoken-counts: 12000,80"
+        "\r\nauthorization: Token key-1\r\n\r\n"
     ).encode()
 
 
@@ -137,6 +138,10 @@
         found = re.search(pattern, rendered)
         return int(found[1]) if found else 0
 
+    def count_usage(self) -> dict[int, dict[str, int]]:
+        """Return the counted requests by window and team."""
+        return self.scene.usage.list_counts()
+
     def list_texts(self, call: str = "call-1") -> list[str]:
         """Return the texts of the log lines about a request."""
         return [
--- a/tests/moving_engine.py
+++ b/tests/moving_engine.py
@@ -261,7 +261,8 @@
         await stream.send_all(http.send(head) or b"")
         try:
             with self._grid.record_active(self.id, run.call):
-                await trio.sleep(self.faults.first_event_s)
+                with trio.move_on_after(self.faults.first_event_s):
+                    await run.stop.wait()
                 while run.events < self.events and not run.is_stopped:
                     with trio.move_on_after(_EVENT_S):
                         await run.stop.wait()
--- a/tests/test_migration/test_moved_streams.py
+++ b/tests/test_migration/test_moved_streams.py
@@ -97,6 +97,35 @@
 
         self.play(scenario, engines=3)
 
+    def test_a_run_without_an_event_moves_before_its_engine_ends(self) -> None:
+        async def scenario(world: migration_scene.MigrationScene) -> None:
+            world.source.faults.first_event_s = 30.0
+            replies = []
+
+            async def ask() -> None:
+                replies.append(await world.ask())
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                while not world.source.running:
+                    await trio.sleep(0.005)
+                world.add_targets()
+                world.announce_leave(leaves_in_s=1.0)
+            self.check_whole(world, replies[0])
+            (sent,) = world.target.requests
+            self.assertIn("kv-from", sent)
+            self.assertNotIn("last-event-id", sent)
+            self.assertEqual({0: {"florists": 1}}, world.count_usage())
+
+        self.play(scenario)
+
+    def test_a_moved_stream_is_counted_once(self) -> None:
+        async def scenario(world: migration_scene.MigrationScene) -> None:
+            await world.ask_and_leave()
+            self.assertEqual({0: {"florists": 1}}, world.count_usage())
+
+        self.play(scenario)
+
     def test_many_streams_move_off_one_engine(self) -> None:
         async def scenario(world: migration_scene.MigrationScene) -> None:
             replies = []
--- a/tests/test_migration/test_plan.py
+++ b/tests/test_migration/test_plan.py
@@ -50,6 +50,19 @@
         planned = self.plan([builders.build_stream(remaining_s=1.9)])
         self.assertEqual(["call-1"], self.list_moved(planned))
 
+    def test_a_run_without_an_event_moves_only_at_the_last_moment(self) -> None:
+        # Its engine may not have begun with it, and could not copy it.
+        stream = builders.build_stream(has_begun=False)
+        planned = self.plan([stream])
+        self.assertIs(plan.StayReason.NOT_BEGUN, self.find_reason(planned))
+        planned = self.plan([stream], time_left_s=0.7)
+        self.assertEqual(["call-1"], self.list_moved(planned))
+
+    def test_a_resumable_run_without_an_event_is_never_moved(self) -> None:
+        stream = builders.build_stream(has_begun=False, is_resumable=True)
+        planned = self.plan([stream], time_left_s=0.7)
+        self.assertIs(plan.StayReason.NOT_BEGUN, self.find_reason(planned))
+
     def test_a_stream_of_unknown_length_moves(self) -> None:
         planned = self.plan([builders.build_stream(remaining_s=math.inf)])
         self.assertEqual(["call-1"], self.list_moved(planned))
