Count on notices that arrive late, and reserve targets during a copy

Cause: a notice reaches a daemon up to a second late, by the log's reads and a hub's reports, and the plan allowed for 0.4 s. One run of the soak (load average 23 on 8 cores, notice of 1.5 s) cut a draft off whose daemon had logged no decision at all, so it probably learnt of the reclaim too late.

A target counts a copy as a request while it is made, else the next plan fills it again.

Ruled out: excusing drafts that a daemon could not know of in time in the judge, as it would excuse a daemon that never learns as well.

Conclusion: the soak of moves needs more runs before it is called steady.

--- a/packages/daemon/src/martenquay_daemon/migration/mover.py
+++ b/packages/daemon/src/martenquay_daemon/migration/mover.py
@@ -206,9 +206,12 @@
             await self._refresh_entries()
             usable = self._targets.list_targets(stream.source)
             usable_ids = {runner.id for runner, _ in usable}
-            outcome = await self._transfer.move(
-                stream, [one for one in order if one.id in usable_ids], copy_s
-            )
+            with self._targets.reserve(order[0]):
+                outcome = await self._transfer.move(
+                    stream,
+                    [one for one in order if one.id in usable_ids],
+                    copy_s,
+                )
         except Exception as error:  # noqa: BLE001
             # A fault in one move must not end the others.
             trace_lines = traceback.format_exception(error)
--- a/packages/daemon/src/martenquay_daemon/migration/plan.py
+++ b/packages/daemon/src/martenquay_daemon/migration/plan.py
@@ -38,14 +38,14 @@
 # The end of a reclaimed engine is known to about a tenth of a second; as much
 # again is left for the calls.
 _END_MARGIN_S = 0.2
-# A notice takes up to this long from the log over a hub to this daemon, so the
-# time left is less than it seems. Moving too early costs two calls, staying too
-# long costs the answer.
-_NOTICE_DELAY_S = 0.4
+# A notice reaches this daemon up to this much later, by the log's reads and a
+# hub's reports, each 0.5 s apart, so less time is left than it seems. A move
+# that was not needed costs two calls, a stream that stays too long its answer.
+_NOTICE_DELAY_S = 1.0
 # A run without an event may not have begun to be computed, and an engine may
-# not know it yet. It is moved only when it is lost otherwise; later than this
-# before the engine's end, its calls and those of other streams would not fit.
-_UNBEGUN_MOVE_S = 0.8
+# not know it yet. It is moved only when it is lost otherwise: a delayed notice,
+# and 0.5 s for its calls and those of other streams, before the engine's end.
+_UNBEGUN_MOVE_S = _NOTICE_DELAY_S + 0.5
 # Two calls and the request to the target, each with a new connection: six
 # round trips of 1 ms, and the time that an engine takes between two steps.
 _CALLS_S = 0.05
--- a/packages/daemon/src/martenquay_daemon/migration/targets.py
+++ b/packages/daemon/src/martenquay_daemon/migration/targets.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import collections
+import contextlib
 from typing import TYPE_CHECKING
 
 from martenquay_daemon.migration import plan
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from martenquay_core.serving import runners
     from martenquay_daemon.backpressure import runner_admission
@@ -38,6 +40,7 @@
         self._ejector = ejector
         self._ledger = ledger
         self._is_zone_silent = is_zone_silent
+        self._reserved: collections.Counter[str] = collections.Counter()
 
     def list_targets(
         self, source: runners.Runner
@@ -62,6 +65,18 @@
             if runner.id in allowed
         ]
 
+    @contextlib.contextmanager
+    def reserve(self, runner: runners.Runner) -> Iterator[None]:
+        """Count a request at a runner that gets a copy, while it is copied.
+
+        The loads have the request only once it is sent.
+        """
+        self._reserved[runner.id] += 1
+        try:
+            yield
+        finally:
+            self._reserved[runner.id] -= 1
+
     def find_link_share(self, source: runners.Runner, own: int) -> float:
         """Return the share of a runner's link for this daemon's streams.
 
@@ -75,7 +90,10 @@
         return min(1.0, own / max(1, requests))
 
     def _describe(self, runner: runners.Runner) -> plan.TargetState:
-        load = self._ledger.find(runner.id)
+        requests = self._ledger.find(runner.id).requests
         return plan.TargetState(
-            runner.id, runner.zone, runner.slots, load.requests
+            runner.id,
+            runner.zone,
+            runner.slots,
+            requests + self._reserved[runner.id],
         )
