Do not pass on the end of a stream that was stopped to be moved

Cause: read against the rule that no end comes before the last event. A source that ends the stopped stream like a complete one, instead of closing it, would have made a part of an answer look whole. An end is now passed on only once the call that stops the run was answered, and only if it stopped none; an invalid end of a stopped run continues from its copy as well.

Ruled out: relying on the wire page alone, which says that the stream is closed without its end, since the daemon can tell both cases apart.

--- a/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
@@ -21,7 +21,7 @@
 from martenquay_daemon.forwarding import runner_connection as connections
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Awaitable, Callable, Iterator
 
     from martenquay_core.serving import ports, runners
     from martenquay_daemon.backpressure import runner_admission
@@ -204,13 +204,15 @@
         current.sent_at = trio.current_time()
         current.first_event_s = None
 
-        async def send_and_relay() -> exchange.AttemptResult:
+        async def send_and_relay(
+            is_end: Callable[[], Awaitable[bool]],
+        ) -> exchange.AttemptResult:
             return await self._send_and_relay(
-                current, placement, connection, running, request
+                current, placement, connection, running, request, is_end
             )
 
         if self._mover is None:
-            result = await send_and_relay()
+            result = await send_and_relay(_confirm_end)
         else:
             result = await self._mover.watch(
                 current, placement.runner, connection, send_and_relay
@@ -228,7 +230,13 @@
         connection: connections.RunnerConnection,
         running: loads.Running,
         request: connections.RunnerRequest,
+        is_end: Callable[[], Awaitable[bool]],
     ) -> exchange.AttemptResult:
+        """Send the request and receive its answer.
+
+        `is_end` tells whether a stream that ends is complete, as opposed to
+        stopped by a move.
+        """
         is_stream = current.route.kind is catalog.CallKind.STREAM
         with self._record_usage(current, is_counted=not is_stream) as usage:
             status, headers = await self._send(current, connection, request)
@@ -242,7 +250,7 @@
             return exchange.Broken(problem)
         if is_stream and status == _OK:
             return await self._relay_stream(
-                current, placement, head, connection, running
+                current, placement, head, connection, running, is_end
             )
         running.note_first_event()
         body = await connection.read_body()
@@ -358,6 +366,7 @@
         head: calls.AnswerHead,
         connection: connections.RunnerConnection,
         running: loads.Running,
+        is_end: Callable[[], Awaitable[bool]],
     ) -> exchange.AttemptResult:
         """Relay each event to the caller once it has arrived completely."""
         splitter = event_stream.EventSplitter()
@@ -378,6 +387,8 @@
                 return exchange.Broken(problem)
         if splitter.rest:
             return exchange.Broken("the stream ended in the middle of an event")
+        if not await is_end():
+            return exchange.Broken("the run was stopped to continue elsewhere")
         if not current.writer.has_started:
             return exchange.Broken("the stream ended without an event")
         await current.writer.finish()
@@ -434,6 +445,10 @@
         return ""
 
 
+async def _confirm_end() -> bool:
+    return True
+
+
 def _check_head(call: calls.Call, head: calls.AnswerHead) -> str:
     """Return why an answer must not be relayed, or ""."""
     if head.call_id is not None and head.call_id != call.id:
--- a/packages/daemon/src/martenquay_daemon/migration/mover.py
+++ b/packages/daemon/src/martenquay_daemon/migration/mover.py
@@ -73,7 +73,9 @@
         current: exchange.Exchange,
         source: runners.Runner,
         connection: connections.RunnerConnection,
-        relay: Callable[[], Awaitable[exchange.AttemptResult]],
+        relay: Callable[
+            [Callable[[], Awaitable[bool]]], Awaitable[exchange.AttemptResult]
+        ],
     ) -> exchange.AttemptResult:
         """Relay a stream and move it if its engine leaves before its end.
 
@@ -81,7 +83,9 @@
             current: The request.
             source: The runner that serves it.
             connection: The connection to the runner.
-            relay: Relays the stream to its end.
+            relay: Relays the stream to its end. Before it ends the answer, it
+                has to call its argument, which tells whether the run was not
+                stopped to be moved.
 
         Returns:
             The outcome of the relay, or `exchange.Moved`.
@@ -89,15 +93,23 @@
         Raises:
             BrokenAnswerError: The stream broke off and no copy can continue it.
         """
-        if not self._may_move(current):
-            return await relay()
         stream = streams.WatchedStream(current, source, connection)
+
+        async def is_end() -> bool:
+            return not await _is_stopped(stream)
+
+        if not self._may_move(current):
+            return await relay(is_end)
         self._add(stream)
         try:
-            result = await relay()
-            if isinstance(result, exchange.Delivered):
-                self._states.note_end(stream)
-            return result
+            result = await relay(is_end)
+            match result:
+                case exchange.Delivered():
+                    self._states.note_end(stream)
+                case exchange.Broken() | exchange.NotRun():
+                    if await _is_stopped(stream):
+                        stream.continued = stream.stopped
+            return stream.continued or result
         except connections.BrokenAnswerError:
             stream.continued = await _await_continuation(stream)
             if stream.continued is None:
@@ -238,6 +250,19 @@
             self._nursery.start_soon(self._transfer.free, stream.source, copy)
 
 
+async def _is_stopped(stream: streams.WatchedStream) -> bool:
+    """Return whether the source has stopped the run to be moved.
+
+    While the call that stops it has no answer, that is waited for: the stream
+    may end before the answer, and its end alone does not tell that the run is
+    complete.
+    """
+    if stream.is_stopping:
+        with trio.move_on_after(transfer.LAST_COPY_TIMEOUT_S):
+            await stream.call_ended.wait()
+    return stream.stopped is not None
+
+
 async def _await_continuation(
     stream: streams.WatchedStream,
 ) -> exchange.Moved | None:
--- a/tests/moving_engine.py
+++ b/tests/moving_engine.py
@@ -34,6 +34,7 @@
         copy_s: Time that a copy takes.
         late_events: Events that it still sends after a last copy.
         keeps_open: It does not close the stream of a stopped run.
+        ends_cleanly: It ends the stream of a stopped run like a complete one.
         forgets_runs: It answers calls about copies with 404.
         ends_on_last: As a source it ends when a last copy is asked for.
         ends_with_copy: As a target it ends when it got a last copy.
@@ -49,6 +50,7 @@
     copy_s: float = 0.0
     late_events: int = 0
     keeps_open: bool = False
+    ends_cleanly: bool = False
     forgets_runs: bool = False
     ends_on_last: bool = False
     ends_with_copy: bool = False
@@ -79,7 +81,6 @@
     seed: int
     events: int
     stop: trio.Event = dataclasses.field(default_factory=trio.Event)
-    closed: trio.Event = dataclasses.field(default_factory=trio.Event)
     late_events: int = 0
     is_stopped: bool = False
 
@@ -283,7 +284,8 @@
         for _ in range(run.late_events):
             await trio.sleep(_EVENT_S)
             await self._send_event(http, stream, run)
-        run.closed.set()
+        if self.faults.ends_cleanly:
+            await stream.send_all(http.send(h11.EndOfMessage()) or b"")
         if self.faults.keeps_open:
             await trio.sleep_forever()
 
--- a/tests/test_migration/test_failed_moves.py
+++ b/tests/test_migration/test_failed_moves.py
@@ -161,6 +161,23 @@
 
         self.play(scenario)
 
+    def test_the_end_of_a_stopped_stream_is_not_passed_on(self) -> None:
+        # The caller would take a part of the answer for all of it.
+        for copy_s in (0.0, 0.2):
+            with self.subTest(copy_s=copy_s):
+
+                async def scenario(
+                    world: migration_scene.MigrationScene,
+                    copy_s: float = copy_s,
+                ) -> None:
+                    world.source.faults.ends_cleanly = True
+                    world.source.faults.copy_s = copy_s
+                    reply = await world.ask_and_leave()
+                    self.check_whole(world, reply)
+                    self.assertEqual(1, world.count_outcome("moved"))
+
+                self.play(scenario)
+
     def test_a_source_that_answers_no_call_serves_on(self) -> None:
         async def scenario(world: migration_scene.MigrationScene) -> None:
             world.source.faults.is_mute = True
