Hold an end back only while a call that stops the run is open

Cause: after a last call that stopped nothing, each later copy in progress delayed the end of a complete stream by up to 0.5 s.

--- a/packages/daemon/src/martenquay_daemon/migration/stream.py
+++ b/packages/daemon/src/martenquay_daemon/migration/stream.py
@@ -67,7 +67,8 @@
         decision: Reason that was last logged for not moving it.
         copy: Copy of the run as it was some time ago; None without one.
         stopped: Where the run continues, once the source has stopped it.
-        is_stopping: The call that stops the run has been sent.
+        is_stopping: The call that stops the run has been sent, and no answer
+            says that it did not.
         is_moving: A move is in progress.
         is_over: The stream has ended here.
         is_ended_there: The source has no such run any more.
--- a/packages/daemon/src/martenquay_daemon/migration/transfer.py
+++ b/packages/daemon/src/martenquay_daemon/migration/transfer.py
@@ -119,9 +119,11 @@
                     stream.source, stream.source, handle
                 )
             case moves.RunMissing():
+                stream.is_stopping = False
                 stream.is_ended_there = True
                 return MoveOutcome.ENDED
             case _:
+                stream.is_stopping = False
                 return MoveOutcome.FAILED
         await self._await_close(stream)
         return None
--- a/tests/migration_builders.py
+++ b/tests/migration_builders.py
@@ -2,21 +2,58 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from martenquay_core.serving import catalog
+from martenquay_daemon.forwarding import exchange
 from martenquay_daemon.migration import plan
+from martenquay_daemon.migration import stream as streams
 from tests import serving_builders
 
+if TYPE_CHECKING:
+    from martenquay_core.serving import runners
+
 __all__ = [
     "build_catalog",
     "build_leaving_engine",
     "build_stream",
     "build_target",
     "build_traits",
+    "build_watched_stream",
 ]
 
 
+class FakeConnection:
+    """Connection whose stream is silent.
+
+    Attributes:
+        is_reading_stopped: Whether the body was made to end.
+    """
+
+    def __init__(self) -> None:
+        self.last_activity_at = 0.0
+        self.has_peer_closed = False
+        self.is_reading_stopped = False
+
+    def stop_reading(self) -> None:
+        """Record that the body has to end."""
+        self.is_reading_stopped = True
+
+
+def build_watched_stream(source: runners.Runner) -> streams.WatchedStream:
+    """Return a stream that a runner serves over a silent connection."""
+    current = exchange.Exchange(
+        call=serving_builders.build_call(),
+        route=serving_builders.build_route(kind=catalog.CallKind.STREAM),
+        team=None,
+        service="desk",
+        received_at=0.0,
+        deadline=10.0,
+        writer=None,
+    )
+    return streams.WatchedStream(current, source, FakeConnection())
+
+
 def build_traits(**changes: Any) -> catalog.EngineTraits:
     """Return the traits of an engine of deployment B that can move runs."""
     fields: dict[str, Any] = {
