Merge live migration of streams off leaving engines

Cause: long answers ended with the engine that served them, also when the daemon had known for seconds that it would leave.

Ruled out: see docs/design/stream-migration.md (waiting, backups).

Resolved by hand: a moved run is neither counted twice as usage nor taken as a result for an engine's speed.

Conclusion: kept, setting load.stream_migration.

--- a/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
@@ -21,7 +21,7 @@
 from martenquay_daemon.forwarding import runner_connection as connections
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Awaitable, Callable, Iterator
 
     from martenquay_core.serving import ports, runners
     from martenquay_daemon.backpressure import runner_admission
@@ -33,6 +33,7 @@
         placer,
         speed_tracker,
     )
+    from martenquay_daemon.migration import mover
     from martenquay_daemon.overload import backlog
 
 __all__ = ["AttemptMaker"]
@@ -68,10 +69,12 @@
         gate: runner_admission.RunnerAdmission,
         speeds: speed_tracker.SpeedTracker,
         backlogs: backlog.BacklogLedger,
+        stream_mover: mover.StreamMover | None = None,
     ) -> None:
         self._speeds = speeds
         self._backlogs = backlogs
         self._gate = gate
+        self._mover = stream_mover
         self._codec = codec
         self._ledger = ledger
         self._usage = usage
@@ -212,15 +215,50 @@
     ) -> exchange.AttemptResult:
         current.check_caller()
         # The runner may have reported a limit or a drain since it was chosen.
-        problem = self._gate.try_admit(placement.runner)
+        problem = self._find_rejection(current, placement.runner)
         if problem:
             return exchange.Withheld(problem)
         current.stage = disconnects.Stage.SENDING
         request = self._create_request(current, placement)
-        current.attempts += 1
+        if current.kv_source is None:
+            current.attempts += 1
         current.may_have_run = True
         current.sent_at = trio.current_time()
         current.first_event_s = None
+
+        async def send_and_relay(
+            is_end: Callable[[], Awaitable[bool]],
+        ) -> exchange.AttemptResult:
+            return await self._send_and_relay(
+                current, placement, connection, running, request, is_end
+            )
+
+        if self._mover is None:
+            result = await send_and_relay(_confirm_end)
+        else:
+            result = await self._mover.watch(
+                current, placement.runner, connection, send_and_relay
+            )
+        is_complete = isinstance(result, exchange.Delivered | exchange.Whole)
+        # Of a run that continues from a copy only a part is measured here.
+        if is_complete and current.kv_source is None:
+            self._record_slot_time(current)
+        return result
+
+    async def _send_and_relay(
+        self,
+        current: exchange.Exchange,
+        placement: placer.Placement,
+        connection: connections.RunnerConnection,
+        running: loads.Running,
+        request: connections.RunnerRequest,
+        is_end: Callable[[], Awaitable[bool]],
+    ) -> exchange.AttemptResult:
+        """Send the request and receive its answer.
+
+        `is_end` tells whether a stream that ends is complete, as opposed to
+        stopped by a move.
+        """
         is_stream = current.route.kind is catalog.CallKind.STREAM
         with self._record_usage(current, is_counted=not is_stream) as usage:
             status, headers = await self._send(current, connection, request)
@@ -233,16 +271,22 @@
         if problem:
             return exchange.Broken(problem)
         if is_stream and status == _OK:
-            result = await self._relay_stream(
-                current, placement, head, connection, running
+            return await self._relay_stream(
+                current, placement, head, connection, running, is_end
             )
-        else:
-            running.note_first_event()
-            body = await connection.read_body()
-            result = exchange.Whole(head, body)
-        if isinstance(result, exchange.Delivered | exchange.Whole):
-            self._record_slot_time(current)
-        return result
+        running.note_first_event()
+        body = await connection.read_body()
+        return exchange.Whole(head, body)
+
+    def _find_rejection(
+        self, current: exchange.Exchange, runner: runners.Runner
+    ) -> str:
+        """Return why the runner must not get the request now, or ""."""
+        source = current.kv_source
+        if source is not None and source.address == runner.address:
+            # A draining runner takes back the run that it has stopped.
+            return ""
+        return self._gate.try_admit(runner)
 
     def _apply_signals(
         self,
@@ -284,6 +328,7 @@
             team=current.team and current.team.name,
             urgency=current.urgency,
             resume_after=current.last_event_id,
+            kv_source=current.kv_source,
         )
         return connections.RunnerRequest(
             call.method,
@@ -343,6 +388,7 @@
         head: calls.AnswerHead,
         connection: connections.RunnerConnection,
         running: loads.Running,
+        is_end: Callable[[], Awaitable[bool]],
     ) -> exchange.AttemptResult:
         """Relay each event to the caller once it has arrived completely."""
         splitter = event_stream.EventSplitter()
@@ -355,7 +401,9 @@
                 running.note_first_event()
                 took_s = trio.current_time() - current.sent_at
                 self._record_first_event(current, placement, took_s)
-                usage_entry.UsageEntry(self._usage, current.team).count()
+                # A moved run was counted where it sent its first event.
+                if current.kv_source is None or not current.events_delivered:
+                    usage_entry.UsageEntry(self._usage, current.team).count()
             elif events and current.watch is not None:
                 self._speeds.note_events(
                     current.watch, len(events), trio.current_time()
@@ -365,6 +413,8 @@
                 return exchange.Broken(problem)
         if splitter.rest:
             return exchange.Broken("the stream ended in the middle of an event")
+        if not await is_end():
+            return exchange.Broken("the run was stopped to continue elsewhere")
         if not current.writer.has_started:
             return exchange.Broken("the stream ended without an event")
         await current.writer.finish()
@@ -382,8 +432,10 @@
                 current.watch, took_s, trio.current_time()
             )
         # The estimate of the prefill speed excludes waits for a slot, and
-        # resumed streams, which prefill their earlier output as well.
-        if placement.has_free_slot and current.events_delivered == 0:
+        # resumed streams, which prefill their earlier output as well, or
+        # continue from a copy.
+        is_new = current.events_delivered == 0 and current.kv_source is None
+        if placement.has_free_slot and is_new:
             uncached_tokens = placement.uncached_tokens
             result = model.FirstEvent(
                 uncached_tokens,
@@ -423,6 +475,10 @@
         return ""
 
 
+async def _confirm_end() -> bool:
+    return True
+
+
 def _check_head(call: calls.Call, head: calls.AnswerHead) -> str:
     """Return why an answer must not be relayed, or ""."""
     if head.call_id is not None and head.call_id != call.id:
@@ -437,7 +493,9 @@
 def _has_usual_first_event(current: exchange.Exchange) -> bool:
     """Return whether the first event comes after the prefill alone.
 
-    A resumed stream prefills its earlier output as well.
+    A resumed stream prefills its earlier output as well, and a moved one
+    continues from a copy.
     """
     is_stream = current.route.kind is catalog.CallKind.STREAM
-    return is_stream and current.events_delivered == 0
+    is_new = current.events_delivered == 0 and current.kv_source is None
+    return is_stream and is_new
--- a/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
@@ -41,6 +41,7 @@
         trial_recorder,
     )
     from martenquay_daemon.limits import ejection
+    from martenquay_daemon.migration import handover
     from martenquay_daemon.overload import gate as overload_gate
 
 __all__ = ["Forwarder", "ForwarderParts"]
@@ -80,6 +81,7 @@
         trials: Records results of canary trials.
         overload: Rejects requests that engines would start too late; None if
             only those are rejected that miss their deadline.
+        handovers: Continues runs that were moved to another runner.
         metrics: Prometheus metrics.
         codec: Encodes and decodes headers.
         rng: Chooses among a route's weighted destinations.
@@ -100,6 +102,7 @@
     stop: stop_window.StopWindow
     trials: trial_recorder.TrialRecorder
     overload: overload_gate.OverloadGate | None
+    handovers: handover.Handovers
     metrics: metrics.ForwardingMetrics
     codec: ports.CallCodec
     rng: random.Random
@@ -300,7 +303,9 @@
         parts = self._parts
         parts.retries.count_request(current.service)
         while True:
-            placement = await self._find_next_placement(current)
+            placement = parts.handovers.take_placement(
+                current
+            ) or await self._find_next_placement(current)
             if not isinstance(placement, placer.Placement):
                 return placement
             had_run = current.may_have_run
@@ -316,6 +321,8 @@
             if isinstance(result, exchange.Delivered | exchange.Whole):
                 parts.ejector.note_success(placement.runner.id)
             self._request_log.log_attempt(current, placement, result)
+            if parts.handovers.apply(current, placement, result):
+                continue
             match result:
                 case exchange.Delivered():
                     return None
--- a/packages/daemon/src/martenquay_daemon/forwarding/metrics.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/metrics.py
@@ -103,6 +103,11 @@
             "Calls to the log and the cloud API, by kind, topic and outcome.",
             registry=registry,
         )
+        self._stream_moves = aioprometheus.Counter(
+            "martenquay_stream_moves_total",
+            "Moves of streams off leaving runners, by service and outcome.",
+            registry=registry,
+        )
 
     def count_platform_call(self, kind: str, topic: str, outcome: str) -> None:
         """Count a call to the log or the cloud API; topic "" for the latter."""
@@ -110,6 +115,10 @@
             {"call": kind, "topic": topic, "outcome": outcome}
         )
 
+    def count_stream_move(self, service: str, outcome: str) -> None:
+        """Count a move of a stream off a leaving runner, by outcome."""
+        self._stream_moves.inc({"service": service, "outcome": outcome})
+
     def observe_quota_request(self, outcome: str, took_s: float) -> None:
         """Observe a quota request to another daemon: outcome and duration."""
         self._quota_request_s.observe({"outcome": outcome}, took_s)
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -65,6 +65,8 @@
     trial_recorder,
 )
 from martenquay_daemon.limits import ejection
+from martenquay_daemon.migration import handover, targets
+from martenquay_daemon.migration import parts as migration_parts
 from martenquay_daemon.overload import backlog
 from martenquay_daemon.overload import metrics as overload_metrics
 from martenquay_daemon.overload import parts as overload_parts
@@ -139,6 +141,8 @@
         self._retries.bounds = _find_retry_bounds(bounds)
         self._quota_ledger.bounds = _find_tolerance_bounds(bounds)
         self._quota_ledger.shares.window_s = bounds.allowance_window_s
+        if self._mover is not None:
+            self._mover.is_enabled = settings.load.stream_migration
         if settings.platform.log:
             self._ports.log.set_address(settings.platform.log)
         if self._ports.cloud is not None and settings.platform.cloud:
@@ -187,6 +191,7 @@
             "quarantine": self.quarantine.run,
             "crash relay": self._crash_relay.run,
             "versions": self._rollouts.follower.run,
+            **({"migration": self._mover.run} if self._mover else {}),
             **self._duties,
         }
 
@@ -508,6 +513,21 @@
         self._retries = retry_window.RetryWindow(
             _find_retry_bounds(bounds), self._fleet_view.count_daemons
         )
+        self._mover = migration_parts.create_mover(
+            self._settings,
+            self._ports.engines,
+            self._catalog_store,
+            self._runner_directory,
+            targets.TargetFinder(
+                self._runner_directory,
+                self._backpressure.admission,
+                self._ejector,
+                self._loads,
+                self._fleet_view.is_zone_silent,
+            ),
+            self._entry_refresher.refresh,
+            self.metrics,
+        )
         parts = forwarder.ForwarderParts(
             store=self._catalog_store,
             directory=self._runner_directory,
@@ -537,6 +557,7 @@
                 self._backpressure.admission,
                 self._speeds,
                 self._backlogs,
+                self._mover,
             ),
             retries=self._retries,
             ejector=self._ejector,
@@ -562,6 +583,7 @@
                 self._rng,
                 self._speeds.find,
             ),
+            handovers=handover.Handovers(self.metrics),
             metrics=self.metrics,
             codec=codec,
             rng=self._rng,
--- a/tests/serving_scene.py
+++ b/tests/serving_scene.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 import h11
+import msgspec
 import trio
 
 from martenquay_core.serving import ports
@@ -40,6 +41,8 @@
     trial_recorder,
 )
 from martenquay_daemon.limits import ejection
+from martenquay_daemon.migration import handover, targets
+from martenquay_daemon.migration import parts as migration_parts
 from martenquay_daemon.overload import backlog
 from martenquay_daemon.overload import metrics as overload_metrics
 from martenquay_daemon.overload import parts as overload_parts
@@ -102,6 +105,7 @@
         estimates: Prefill speed of the runners.
         stop: Rejects requests that a graceful stop would cut off.
         runner_admission: Limits, drains and backoffs that runners reported.
+        mover: Moves streams off leaving engines; None without calls on them.
         early_digests: How often an early digest was requested.
     """
 
@@ -111,6 +115,8 @@
         platform_log: log.MemoryLog | None = None,
         *,
         is_gated: bool = True,
+        engines: ports.EnginePort | None = None,
+        settings: dict[str, Any] | None = None,
     ) -> None:
         records = builders.FakeRecords()
         records.catalogs[b"catalog"] = content
@@ -154,10 +160,28 @@
         )
         rng = random.Random(1)
         header_codec = codec.create_codec()
+        counts = metrics.create_metrics()
+        self.mover = migration_parts.create_mover(
+            msgspec.convert(
+                builders.build_gateway_settings(**(settings or {})),
+                gateway.GatewaySettings,
+            ),
+            engines,
+            self.store,
+            self.directory,
+            targets.TargetFinder(
+                self.directory,
+                self.runner_admission,
+                ejector,
+                self.ledger,
+                lambda _: False,
+            ),
+            self.entries.refresh,
+            counts,
+        )
         bounds = retry_window.RetryBounds(0.2, 10.0, 100.0)
         orders = registry.RolloutRegistry()
         tolerance = terms.ToleranceBounds(8.0, 0.0, 0.0)
-        forwarding_metrics = metrics.create_metrics()
         self.parts = forwarder.ForwarderParts(
             store=self.store,
             directory=self.directory,
@@ -189,6 +213,7 @@
                 self.runner_admission,
                 self.speeds,
                 self.backlogs,
+                self.mover,
             ),
             retries=retry_window.RetryWindow(bounds, lambda: 1),
             ejector=ejector,
@@ -210,11 +235,12 @@
                 self.backlogs,
                 self.estimates,
                 self.meter,
-                overload_metrics.create_metrics(forwarding_metrics.registry),
+                overload_metrics.create_metrics(counts.registry),
                 rng,
                 self.speeds.find,
             ),
-            metrics=forwarding_metrics,
+            handovers=handover.Handovers(counts),
+            metrics=counts,
             codec=header_codec,
             rng=rng,
             wait_until_read=trio.lowlevel.checkpoint,
@@ -251,6 +277,8 @@
             nursery.start_soon(self.entries.run)
             nursery.start_soon(self.crash_follower.run)
             nursery.start_soon(self.quarantine.run)
+            if self.mover is not None:
+                nursery.start_soon(self.mover.run)
             self.address = await nursery.start(self.listener.run)
             task_status.started()
 
