Serve a greedy team the requests to which it is entitled

Cause: the ledgers spent a greedy team's units on whichever requests came while some were left, and noted what a waiting request lacked only when it began to wait, while others kept spending. Levels were balanced so often that more units were transferred than refilled.

Each deciding daemon now replays what it is asked through an exact bucket with its part of the rate and burst. While the team asks for more than 1.4 times its rate and its burst, requests beyond that leave units to the others. Refused callers are told when units for them come, and these are kept for them. What waiting requests lack follows the level; small balancing transfers are left out; requests wait for units that are refilled within 0.25 s. The terms of the bound are unchanged (docs/design/allowances.md).

Ruled out: other sizes of balancing transfers, a longer demand average and transfers of 1.25 times the shortage (table of trials in allowances.md).

--- a/packages/daemon/src/martenquay_daemon/fleet/quota_exchange.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/quota_exchange.py
@@ -213,7 +213,10 @@
             reply(passed)
             return
         admission = terms.AdmissionRequest(
-            request.units, request.reserve, request.is_late
+            request.units,
+            request.reserve,
+            request.is_late,
+            is_returning=request.is_returning,
         )
         # The hub that redirected a request has already counted its demand.
         verdict = self._ledger.try_spend(
@@ -254,6 +257,8 @@
             owed=round(status.owed),
             part=round(status.part, 3),
             asked=round(status.asked),
+            promised=round(status.promised),
+            is_beyond=decision.is_beyond,
         )
 
     def forget(self, member: str) -> None:
--- a/tests/allowance_fleet.py
+++ b/tests/allowance_fleet.py
@@ -124,7 +124,6 @@
 @dataclasses.dataclass(frozen=True)
 class _WaitingRequest:
     attempt: entitlement.Attempt
-    missing: float
     deadline: float
 
 
@@ -198,12 +197,10 @@
         match self._ledger.try_spend(team, request):
             case terms.Admitted():
                 return True
-            case terms.HeldElsewhere(missing=missing):
-                self._ledger.note_shortage(team, missing)
+            case terms.HeldElsewhere():
+                self._ledger.start_waiting(team, request)
                 deadline = trio.current_time() + _WAIT_S
-                self._waiting.append(
-                    _WaitingRequest(attempt, missing, deadline)
-                )
+                self._waiting.append(_WaitingRequest(attempt, deadline))
         return False
 
     def admit_waiting(self) -> list[entitlement.Attempt]:
@@ -219,7 +216,7 @@
             if is_admitted:
                 admitted.append(attempt)
             if is_admitted or trio.current_time() >= waiting.deadline:
-                self._ledger.note_shortage(attempt.team, -waiting.missing)
+                self._ledger.stop_waiting(attempt.team, request)
                 self._waiting.remove(waiting)
         return admitted
 
--- /dev/null
+++ b/tests/test_allowances/test_entitlement.py
@@ -0,0 +1,117 @@
+"""A greedy team's quota goes to the requests to which it is entitled.
+
+Guards against quota that is spent for whichever requests come while some is
+left: a team at six times its rate then got its units, but was refused three
+quarters of the requests that one exact token bucket admits.
+"""
+
+from __future__ import annotations
+
+import testtools
+
+from martenquay_daemon.allowances import entitlement
+from tests import (
+    allowance_days,
+    allowance_fleet,
+    entitlement_days,
+)
+from tests import entitlement as comparison
+from tests import serving_builders as builders
+
+_TEAM = builders.build_team(rate=100.0, burst=50.0)
+
+
+def _create_meter(
+    demand: entitlement.FleetDemand, lasts_s: float
+) -> entitlement.EntitlementMeter:
+    """Return the meter of a team whose demand was constant for a time."""
+    meter = entitlement.EntitlementMeter(0.0)
+    for step in range(1, int(10 * lasts_s) + 1):
+        meter.update(step / 10, _TEAM, demand)
+    return meter
+
+
+class ReplayTest(testtools.TestCase):
+    def test_an_exact_bucket_admits_its_burst_and_then_its_rate(self) -> None:
+        attempts = [
+            comparison.Attempt(number, at_s, _TEAM, 30.0)
+            for number, at_s in enumerate([0.0, 0.0, 0.05, 0.1, 0.5, 0.5])
+        ]
+        self.assertEqual({0, 3, 4}, comparison.replay_bucket(attempts))
+
+    def test_only_entitled_requests_count_as_served(self) -> None:
+        attempts = [
+            comparison.Attempt(number, at_s, _TEAM, 50.0)
+            for number, at_s in enumerate([0.0, 0.1, 2.0])
+        ]
+        found = comparison.compare_team(attempts, {1, 2}, _TEAM, 0.0, 8.0)
+        self.assertEqual((2, 1), (found.entitled, found.served))
+        self.assertEqual(0.5, found.served_ratio)
+        self.assertEqual(1.0, found.spent_ratio)
+
+
+class EntitlementMeterTest(testtools.TestCase):
+    def test_the_bucket_has_this_daemons_part_of_the_rate(self) -> None:
+        meter = _create_meter(entitlement.FleetDemand(100.0, 300.0), 2.0)
+        # A quarter of the burst.
+        self.assertTrue(meter.try_take(12.0))
+        self.assertFalse(meter.try_take(12.0))
+        meter.update(2.4, _TEAM, entitlement.FleetDemand(100.0, 300.0))
+        self.assertTrue(meter.try_take(10.0))
+        self.assertFalse(meter.try_take(2.0))
+
+    def test_a_request_that_is_not_entitled_takes_nothing(self) -> None:
+        meter = _create_meter(entitlement.FleetDemand(100.0, 0.0), 2.0)
+        self.assertFalse(meter.try_take(60.0))
+        self.assertTrue(meter.try_take(50.0))
+
+    def test_a_team_at_its_rate_is_not_over_its_entitlement(self) -> None:
+        demand = entitlement.FleetDemand(60.0, 40.0)
+        self.assertFalse(_create_meter(demand, 20.0).is_over(_TEAM))
+
+    def test_a_steep_rise_is_noticed_at_once(self) -> None:
+        demand = entitlement.FleetDemand(300.0, 300.0)
+        self.assertTrue(_create_meter(demand, 0.1).is_over(_TEAM))
+
+    def test_a_lasting_excess_below_the_burst_is_noticed(self) -> None:
+        demand = entitlement.FleetDemand(90.0, 90.0)
+        self.assertFalse(_create_meter(demand, 1.0).is_over(_TEAM))
+        self.assertTrue(_create_meter(demand, 20.0).is_over(_TEAM))
+
+
+class GreedyDayTest(testtools.TestCase):
+    """Six daemons, a team at six times its rate beside two within theirs."""
+
+    def _play(
+        self, *, is_one_zone: bool = False, has_cut: bool = False
+    ) -> allowance_days.Played:
+        outline = entitlement_days.DayOutline(0, 6, is_one_zone, has_cut)
+        return entitlement_days.play_outline(outline)
+
+    def _check(
+        self, played: allowance_days.Played, greedy: float, modest: float
+    ) -> None:
+        """Check the ratios of entitled requests that are served."""
+        found = entitlement_days.compare_all(played)
+        self.assertGreater(
+            found[allowance_fleet.TEAM.name].served_ratio, greedy
+        )
+        for team in entitlement_days.MODEST_TEAMS:
+            self.assertGreater(found[team.name].served_ratio, modest)
+        most = allowance_days.find_most_spent(
+            played.spent, allowance_fleet.BOUNDS.window_s
+        )
+        self.assertLess(most, allowance_fleet.find_bound())
+
+    def test_entitled_requests_are_served_from_callers_in_all_zones(
+        self,
+    ) -> None:
+        self._check(self._play(), 0.75, 0.97)
+
+    def test_entitled_requests_are_served_from_callers_in_one_zone(
+        self,
+    ) -> None:
+        self._check(self._play(is_one_zone=True), 0.78, 0.97)
+
+    def test_entitled_requests_are_served_while_a_zone_is_cut_off(self) -> None:
+        self._check(self._play(has_cut=True), 0.65, 0.9)
--- a/tests/zone_fleet.py
+++ b/tests/zone_fleet.py
@@ -108,7 +108,6 @@
     number: int
     team: catalog.Team
     request: terms.AdmissionRequest
-    missing: float
     until: float
 
 
@@ -368,12 +367,12 @@
                         request.number, redirected, holder=holder
                     ),
                 )
-            case terms.HeldElsewhere(missing=missing):
+            case terms.HeldElsewhere():
                 waiting = messages.QuotaVerdict.WAITING
                 self._send_message(
                     address, messages.QuotaReply(request.number, waiting)
                 )
-                self._ledger.note_shortage(team, missing)
+                self._ledger.start_waiting(team, admission)
                 until = trio.current_time() + quota_client.HUB_WAIT_S
                 self._waiting_requests.append(
                     _WaitingRequest(
@@ -381,7 +380,6 @@
                         request.number,
                         team,
                         admission,
-                        missing,
                         until,
                     )
                 )
@@ -412,7 +410,7 @@
             )
             is_admitted = isinstance(verdict, terms.Admitted)
             if is_admitted or now >= one.until:
-                self._ledger.note_shortage(one.team, -one.missing)
+                self._ledger.stop_waiting(one.team, one.request)
                 self._waiting_requests.remove(one)
                 self._reply(one.address, one.number, 0.0 if is_admitted else 1)
 
