Keep part of a daemon's own overdraft for entitled requests

Cause: requests beyond the entitlement were refused by the level of all daemons alone. A hub without units of its own then refused entitled requests of 1 and 200 units, as what others hold came too late.

--- a/packages/daemon/src/martenquay_daemon/allowances/quota_ledger.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/quota_ledger.py
@@ -30,9 +30,12 @@
 _ON_TIME_RESERVE_RATIO = 0.5
 # While a team asks for more than it is entitled to, requests beyond the
 # entitlement may use this part of the overdraft of all daemons, and less by the
-# second figure for each step of lower priority.
+# second figure for each step of lower priority. Of the overdraft of the
+# deciding daemon they leave the third figure more: what others hold comes too
+# late for entitled requests here.
 _BEYOND_OVERDRAFT_RATIO = 0.7
 _BEYOND_STEP_RATIO = 0.1
+_BEYOND_OWN_MARGIN_RATIO = 0.2
 # While a team stays within its entitlement, a request waits if what it lacks is
 # refilled by all daemons within this time.
 _REFILL_WAIT_S = 0.25
@@ -326,11 +329,12 @@
         steps = request.reserve + request.is_late
         ratio = _BEYOND_OVERDRAFT_RATIO - _BEYOND_STEP_RATIO * steps
         others = self._peers.list_recent(team.name).values()
-        level = account.bucket.level + sum(one.level for one in others)
-        overdraft = self._find_max_overdraft(account) + sum(
-            one.overdraft for one in others
-        )
-        left = level - request.units - account.retries.promised
+        own_overdraft = self._find_max_overdraft(account)
+        left = account.bucket.level - request.units - account.retries.promised
+        if left < -(ratio - _BEYOND_OWN_MARGIN_RATIO) * own_overdraft:
+            return True
+        left += sum(one.level for one in others)
+        overdraft = own_overdraft + sum(one.overdraft for one in others)
         return left < -ratio * overdraft
 
     def _is_kept_for_on_time(
--- a/tests/test_allowances/test_entitlement.py
+++ b/tests/test_allowances/test_entitlement.py
@@ -7,12 +7,16 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import testtools
+import trio
 
-from martenquay_daemon.allowances import entitlement
+from martenquay_daemon.allowances import entitlement, quota_ledger, terms
 from tests import (
     allowance_days,
     allowance_fleet,
+    clocked,
     entitlement_days,
 )
 from tests import entitlement as comparison
@@ -79,6 +83,86 @@
         self.assertTrue(_create_meter(demand, 20.0).is_over(_TEAM))
 
 
+class GreedyLedgerTest(clocked.ClockedTestCase):
+    """One ledger with all quota of a team that asks for too much."""
+
+    async def _overload(
+        self, request: terms.AdmissionRequest
+    ) -> quota_ledger.QuotaLedger:
+        """Return a ledger after such requests at eight times the rate."""
+        ledger = allowance_fleet.build_ledger()
+        ledger.refill([allowance_fleet.TEAM])
+        # From then on it may overdraw.
+        await trio.sleep(allowance_fleet.BOUNDS.window_s)
+        interval_s = request.units / (8 * allowance_fleet.TEAM.rate)
+        for _ in range(int(1.0 / interval_s)):
+            ledger.try_spend(allowance_fleet.TEAM, request)
+            await trio.sleep(interval_s)
+        return ledger
+
+    def test_requests_beyond_the_entitlement_leave_units_to_entitled_ones(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            ledger = await self._overload(terms.AdmissionRequest(8_000.0))
+            self.assertEqual(
+                terms.Refused(is_beyond=True),
+                ledger.try_spend(
+                    allowance_fleet.TEAM, terms.AdmissionRequest(8_000.0)
+                ),
+            )
+            owed = ledger.describe(allowance_fleet.TEAM.name).owed
+            self.assertGreater(owed, 0.0)
+            # The rate of 0.02 s, which an exact bucket admits.
+            await trio.sleep(0.02)
+            self.assertEqual(
+                terms.Admitted(),
+                ledger.try_spend(
+                    allowance_fleet.TEAM,
+                    terms.AdmissionRequest(900.0, reserve=2),
+                ),
+            )
+
+        self.run_clocked(scenario)
+
+    def test_the_least_urgent_and_largest_are_refused_first(self) -> None:
+        async def scenario() -> None:
+            levels = {}
+            for units, reserve in ((2_000.0, 0), (2_000.0, 2), (12_000.0, 0)):
+                request = terms.AdmissionRequest(units, reserve)
+                ledger = await self._overload(request)
+                status = ledger.describe(allowance_fleet.TEAM.name)
+                levels[units, reserve] = status.there - status.owed
+            # The lower the level, the longer such requests were admitted.
+            self.assertLess(levels[2_000.0, 0], levels[2_000.0, 2])
+            self.assertLess(levels[2_000.0, 0], levels[12_000.0, 0])
+
+        self.run_clocked(scenario)
+
+    def test_a_caller_that_returns_when_told_finds_its_units(self) -> None:
+        async def scenario() -> None:
+            ledger = await self._overload(terms.AdmissionRequest(2_000.0))
+            request = terms.AdmissionRequest(3_000.0)
+            team = allowance_fleet.TEAM
+            self.assertIsInstance(
+                ledger.try_spend(team, request), terms.Refused
+            )
+            retry_s = ledger.schedule_retry(team, 3_000.0, is_beyond=True)
+            self.assertLess(retry_s, allowance_fleet.BOUNDS.window_s)
+            # New requests keep coming, and take what they can.
+            new = terms.AdmissionRequest(3_000.0)
+            for _ in range(int(retry_s / 0.01)):
+                ledger.try_spend(team, new)
+                await trio.sleep(0.01)
+            await trio.sleep(0.02)
+            returning = dataclasses.replace(request, is_returning=True)
+            self.assertEqual(
+                terms.Admitted(), ledger.try_spend(team, returning)
+            )
+
+        self.run_clocked(scenario)
+
+
 class GreedyDayTest(testtools.TestCase):
     """Six daemons, a team at six times its rate beside two within theirs."""
 
