--- a/bench/fleet_cost.py
+++ b/bench/fleet_cost.py
@@ -13,7 +13,15 @@
 from tests import serving_builders as builders
 
 from bench import figures
-from martenquay_daemon.fleet import hub, messages, timing, topology, zones
+from martenquay_daemon.fleet import (
+    hub,
+    messages,
+    speed_entries,
+    timing,
+    topology,
+    zones,
+)
+from martenquay_daemon.overload import messages as overload
 
 _SIZES = (8, 80, 400)
 _TEAMS = 16
@@ -67,6 +75,18 @@
         reading={
             "service-1": messages.PrefillEntry(40, 400_000_000, 24_000_000)
         },
+        speeds={
+            f"i-{(first_runner + n) % runners:010x}": speed_entries.SpeedEntry(
+                12, 640
+            )
+            for n in range(_REQUESTS_PER_DAEMON)
+        },
+        backlog={
+            "service-1": {
+                urgency: overload.BacklogEntry(2, 1800, 2500)
+                for urgency in range(3)
+            }
+        },
     )
 
 
