Fix overflows, stale loads of silent zones, and moves after lost answers

Cause: reviews of the merged parts by others than their authors found exponentials that overflow after 95 minutes, two hours and 1,025 refusals, loads of a cut-off zone that counted as new ones, a request that the gate drew twice, copies used up by one busy source, a stopped stream that might pass as complete after a lost answer, an assumed end of a runner that no report replaced, and large requests of a greedy team that no daemon's part of the bucket admits.

Ruled out: larger parts of the bucket for each daemon (they would add up to more than the team's burst).

--- a/packages/daemon/src/martenquay_daemon/allowances/entitlement.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/entitlement.py
@@ -56,6 +56,7 @@
         self._fleet = 0.0
         self._fast_fleet = 0.0
         self._capacity = 0.0
+        self._burst = 0.0
 
     def update(
         self, now: float, team: catalog.Team, demand: FleetDemand
@@ -72,6 +73,7 @@
         self._fleet += weight * (fleet - self._fleet)
         part = self.own_demand / self._fleet if self._fleet > 0 else 1.0
         refilled = self.level + team.rate * part * elapsed_s
+        self._burst = team.burst
         self._capacity = team.burst * part
         self.level = min(self._capacity, refilled)
 
@@ -92,7 +94,11 @@
                 half of the bucket to first attempts.
         """
         kept = 0.0 if is_first else _FIRST_ATTEMPT_RATIO * self._capacity
-        if self.level - units < kept:
+        # The part of the bucket here may be smaller than a request that the
+        # whole bucket admits. Such a request needs a full one and overdraws it;
+        # otherwise the largest requests would starve.
+        needed = min(units, self._capacity - kept)
+        if units > self._burst or needed <= 0 or self.level - needed < kept:
             return False
         self.level -= units
         return True
--- a/packages/daemon/src/martenquay_daemon/allowances/gate.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/gate.py
@@ -96,6 +96,9 @@
         deadline = trio.current_time() + request.max_wait_s
         verdict = self._ledger.try_spend(team, request)
         while isinstance(verdict, terms.Refused) and self.lacks_shares():
+            # Quota that arrives is kept for requests within the entitlement.
+            if verdict.is_beyond:
+                break
             if trio.current_time() >= deadline:
                 break
             await trio.sleep(_SHARE_POLL_S)
--- a/packages/daemon/src/martenquay_daemon/allowances/quota_ledger.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/quota_ledger.py
@@ -112,7 +112,7 @@
         account = self._refill(team)
         if is_again:
             # It waited because it is entitled, here or where it came from.
-            return self._decide(team, account, request)
+            return self._decide(team, account, request, is_again=True)
         account.record_demand(
             trio.current_time(),
             request.units,
@@ -264,6 +264,8 @@
         team: catalog.Team,
         account: team_account.TeamAccount,
         request: terms.AdmissionRequest,
+        *,
+        is_again: bool = False,
     ) -> terms.Verdict:
         bucket = account.bucket
         units = request.units
@@ -288,7 +290,10 @@
         if not is_over and self._can_wait_for_refill(team):
             refilled = _REFILL_WAIT_S * account.policy.rate
         if self._peers.is_available(team.name, missing - refilled):
-            holder = self._peers.choose_holder(team.name, units)
+            # A waiting request is not redirected, so it takes nothing there.
+            holder = (
+                "" if is_again else self._peers.choose_holder(team.name, units)
+            )
             return terms.HeldElsewhere(missing, holder)
         return terms.Refused()
 
--- a/packages/daemon/src/martenquay_daemon/allowances/retry_schedule.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/retry_schedule.py
@@ -92,7 +92,10 @@
         if not is_beyond:
             self._expected += units
             wait_s = (self._expected - supply.level) / supply.rate
-            wait_s = min(_MAX_RETRY_S, max(_MIN_RETRY_S, wait_s))
+            if wait_s > _MAX_RETRY_S:
+                # More units would be promised than are refilled until then.
+                return _MAX_RETRY_S
+            wait_s = max(_MIN_RETRY_S, wait_s)
         else:
             wait_s = (self._promised + units) / max(1e-9, supply.surplus_rate)
             if wait_s > supply.window_s:
@@ -112,7 +115,7 @@
         if sum(one.units for one in due) < units:
             return False
         left = units
-        while left > 0:
+        while left > 0 and self._promises:
             first = self._drop_first()
             if first.units > left:
                 rest = dataclasses.replace(first, units=first.units - left)
--- a/packages/daemon/src/martenquay_daemon/duties/capacity_order.py
+++ b/packages/daemon/src/martenquay_daemon/duties/capacity_order.py
@@ -14,6 +14,9 @@
 # The pause after a refusal doubles up to the boot time: supply that returns is
 # then found before an on-demand runner ordered in its place would serve.
 _RETRY_GROWTH = 2.0
+# The pause is bounded by the boot time anyway; a power of more than a thousand
+# refusals would overflow.
+_MAX_DOUBLINGS = 10
 # A reclaim reaches the runners of a zone within a heartbeat, which is 0.5 s;
 # those that leave after the order need another one.
 _LOST_RETRY_S = 0.5
@@ -117,7 +120,7 @@
 
     def _find_retry_s(self, boot_s: float) -> float:
         """Return the pause after an order that was not accepted."""
-        growth = _RETRY_GROWTH ** max(0, self.refusals - 1)
+        growth = _RETRY_GROWTH ** min(_MAX_DOUBLINGS, max(0, self.refusals - 1))
         return min(_FIRST_RETRY_S * growth, max(_FIRST_RETRY_S, boot_s))
 
     def _find_repeat_s(self, boot_s: float) -> float:
--- a/packages/daemon/src/martenquay_daemon/engines/demand.py
+++ b/packages/daemon/src/martenquay_daemon/engines/demand.py
@@ -111,7 +111,9 @@
         if rate is None:
             return 0.0
         age_s = max(_MIN_WINDOW_S, rate.find_age_s())
-        return DECAY_TIME_S - age_s / math.expm1(age_s / DECAY_TIME_S)
+        # Decaying exponentials, as growing ones overflow after 95 minutes.
+        passed = age_s / DECAY_TIME_S
+        return DECAY_TIME_S - age_s * math.exp(-passed) / -math.expm1(-passed)
 
     def is_settled(self, service: str) -> bool:
         """Return whether a rise of the rate is a rise of the demand.
--- a/packages/daemon/src/martenquay_daemon/engines/prefix_shares.py
+++ b/packages/daemon/src/martenquay_daemon/engines/prefix_shares.py
@@ -12,6 +12,9 @@
 # Short enough to follow a burst of one prompt, long enough to count requests
 # of a daemon that gets a few per second.
 _DECAY_TIME_S = 10.0
+# After this long without a request nothing is left of the counts. The weight of
+# a new request would overflow after two hours.
+_MAX_IDLE_S = 50 * _DECAY_TIME_S
 # Fewer requests say nothing about shares.
 _MIN_REQUESTS = 20.0
 # Parts counted at once; the rarest half is dropped beyond it.
@@ -58,6 +61,8 @@
         """
         now = trio.current_time()
         counts = self._services.setdefault(service, _PartCounts(now))
+        if now - counts.started_at > _MAX_IDLE_S:
+            counts = self._services[service] = _PartCounts(now)
         weight = math.exp((now - counts.started_at) / _DECAY_TIME_S)
         counts.total += weight
         counts.parts[part] = counts.parts.get(part, 0.0) + weight
--- a/packages/daemon/src/martenquay_daemon/fleet/hub.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/hub.py
@@ -116,6 +116,11 @@
             for known in self._zones.list_active()
             if known.summary.zone != self._own_digest.zone
         ]
+        # A silent zone's last figures would count as new ones at the receivers.
+        others = [
+            known if now - known.heard_at <= silent_s else _strip_loads(known)
+            for known in others
+        ]
         receivers = self.list_subscribers(now)
         receivers[self._own_digest.address] = self._own_digest
         self._report_round += 1
@@ -215,3 +220,9 @@
         backlog={},
         window=messages.NO_WINDOW,
     )
+
+
+def _strip_loads(known: zones.KnownSummary) -> zones.KnownSummary:
+    """Return what is known of a silent zone without its loads."""
+    summary = msgspec.structs.replace(known.summary, reading={}, backlog={})
+    return dataclasses.replace(known, summary=summary, loads={}, speeds={})
--- a/packages/daemon/src/martenquay_daemon/fleet/record_relay.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/record_relay.py
@@ -95,7 +95,8 @@
         if self.follower is None:
             return
         self._heard_at = trio.current_time()
-        self._heard_end = message.end
+        # A hub that has lost the log repeats an old end.
+        self._heard_end = max(self._heard_end, message.end)
         records = [
             ports.KeyedRecord(one.offset, one.key, one.value)
             for one in message.records
--- a/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
@@ -283,6 +283,12 @@
         match final:
             case None:
                 self._request_log.log_end(current, "delivered", 0)
+            case exchange.Whole(head=head) if current.writer.has_started:
+                # A runner that gets a moved run may answer with an error.
+                current.writer.abort()
+                self._request_log.log_end(
+                    current, f"cut off: status {head.status}", 0
+                )
             case exchange.Whole(head=head, body=body):
                 await current.writer.start(head.status, head.headers, len(body))
                 await current.writer.write(body)
@@ -387,7 +393,8 @@
             if lateness_s <= 0:
                 return None
             return own_answers.describe_overload(current, lateness_s)
-        if current.attempts:
+        # The gate has already admitted a request whose runner was not reached.
+        if current.attempts or current.uncounted_attempts:
             return None
         asked = overload_request.create_request(current)
         shed = gate.check(asked, placement)
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -490,7 +490,9 @@
     def _build_forwarding(self) -> None:
         bounds = self._settings.bounds
         self._loads = loads.LoadLedger()
-        self._backlogs = backlog.BacklogLedger()
+        self._backlogs = backlog.BacklogLedger(
+            is_gossiped=self._settings.load.overload_admission
+        )
         self._demand_meter = demand.DemandMeter()
         self._speeds = speed_tracker.create_speed_tracker(
             is_enabled=self._settings.load.runner_speeds,
--- a/packages/daemon/src/martenquay_daemon/migration/departures.py
+++ b/packages/daemon/src/martenquay_daemon/migration/departures.py
@@ -25,6 +25,7 @@
 class _Departure:
     noticed_at: float
     ends_at: float
+    is_assumed: bool = False
 
 
 class Departures:
@@ -58,12 +59,15 @@
         if known is None:
             self._evict_old(now)
             assumed_s = _RECLAIM_S if runner.is_reclaimable else self._drain_s
-            known = _Departure(now, now + assumed_s)
+            known = _Departure(now, now + assumed_s, is_assumed=True)
             if math.isfinite(left_s):
                 known = _Departure(now, now + left_s)
             self._known[key] = known
-        elif now + left_s < known.ends_at:
-            known = dataclasses.replace(known, ends_at=now + left_s)
+        elif now + left_s < known.ends_at or (
+            known.is_assumed and math.isfinite(left_s)
+        ):
+            # A reported time replaces an assumed one, also by a later end.
+            known = _Departure(known.noticed_at, now + left_s)
             self._known[key] = known
         return known.ends_at - now
 
--- a/packages/daemon/src/martenquay_daemon/migration/mover.py
+++ b/packages/daemon/src/martenquay_daemon/migration/mover.py
@@ -108,7 +108,7 @@
                     self._states.note_end(stream)
                 case exchange.Broken() | exchange.NotRun():
                     if await _is_stopped(stream):
-                        stream.continued = stream.stopped
+                        stream.continued = stream.find_continuation()
             return stream.continued or result
         except connections.BrokenAnswerError:
             stream.continued = await _await_continuation(stream)
@@ -260,7 +260,9 @@
     if stream.is_stopping:
         with trio.move_on_after(transfer.LAST_COPY_TIMEOUT_S):
             await stream.call_ended.wait()
-    return stream.stopped is not None
+    return stream.stopped is not None or (
+        stream.may_be_stopped and stream.copy is not None
+    )
 
 
 async def _await_continuation(
--- a/packages/daemon/src/martenquay_daemon/migration/stream.py
+++ b/packages/daemon/src/martenquay_daemon/migration/stream.py
@@ -69,6 +69,8 @@
         stopped: Where the run continues, once the source has stopped it.
         is_stopping: The call that stops the run has been sent, and no answer
             says that it did not.
+        may_be_stopped: The answer to the call that stops the run was lost, so
+            an end of the stream does not tell that the run is complete.
         is_moving: A move is in progress.
         is_over: The stream has ended here.
         is_ended_there: The source has no such run any more.
@@ -90,6 +92,7 @@
         self.copy: Copy | None = None
         self.stopped: exchange.Moved | None = None
         self.is_stopping = False
+        self.may_be_stopped = False
         self.is_moving = False
         self.is_over = False
         self.is_ended_there = False
@@ -126,7 +129,8 @@
         """
         if self.stopped is not None:
             return self.stopped
-        if self.copy is not None and self.connection.has_peer_closed:
+        is_closed = self.connection.has_peer_closed or self.may_be_stopped
+        if self.copy is not None and is_closed:
             return exchange.Moved(
                 self.source, self.copy.target, self.copy.handle
             )
--- a/packages/daemon/src/martenquay_daemon/migration/transfer.py
+++ b/packages/daemon/src/martenquay_daemon/migration/transfer.py
@@ -122,6 +122,10 @@
                 stream.is_stopping = False
                 stream.is_ended_there = True
                 return MoveOutcome.ENDED
+            case moves.MoveFailed(is_sent=True):
+                stream.is_stopping = False
+                stream.may_be_stopped = True
+                return MoveOutcome.FAILED
             case _:
                 stream.is_stopping = False
                 return MoveOutcome.FAILED
@@ -141,9 +145,9 @@
         answer: moves.MoveAnswer = moves.MoveBusy()
         stream.call_ended = trio.Event()
         try:
+            if not is_last:
+                stream.copy_calls += 1
             for _ in range(_BUSY_ATTEMPTS):
-                if not is_last:
-                    stream.copy_calls += 1
                 answer = await self._engines.move_run(
                     stream.source.address, order, timeout_s
                 )
--- a/packages/daemon/src/martenquay_daemon/overload/backlog.py
+++ b/packages/daemon/src/martenquay_daemon/overload/backlog.py
@@ -91,7 +91,13 @@
 class BacklogLedger:
     """Backlogs by service and urgency: exact for this daemon, else gossiped."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, is_gossiped: bool = True) -> None:
+        """Create an empty ledger.
+
+        Args:
+            is_gossiped: Whether other daemons need this daemon's backlog.
+        """
+        self._is_gossiped = is_gossiped
         self._own: dict[str, dict[int, _OwnBacklog]] = {}
         self._others: dict[str, _GossipedBacklog] = {}
 
@@ -115,6 +121,8 @@
     def list_own(self) -> BacklogTable:
         """Return this daemon's own backlog, as it is gossiped."""
         table: BacklogTable = {}
+        if not self._is_gossiped:
+            return table
         for service, by_urgency in self._own.items():
             for urgency, own in by_urgency.items():
                 own.decay()
--- a/tests/test_allowances/test_entitlement.py
+++ b/tests/test_allowances/test_entitlement.py
@@ -64,6 +64,19 @@
         self.assertTrue(meter.try_take(10.0))
         self.assertFalse(meter.try_take(2.0))
 
+    def test_a_request_larger_than_this_daemons_part_is_not_starved(
+        self,
+    ) -> None:
+        """Of six daemons none would ever admit the largest prompts."""
+        demand = entitlement.FleetDemand(100.0, 300.0)
+        meter = _create_meter(demand, 2.0)
+        self.assertTrue(meter.try_take(40.0))
+        # It is paid for before anything else is entitled here.
+        meter.update(3.0, _TEAM, demand)
+        self.assertFalse(meter.try_take(10.0))
+        meter.update(4.0, _TEAM, demand)
+        self.assertTrue(meter.try_take(10.0))
+
     def test_a_request_that_is_not_entitled_takes_nothing(self) -> None:
         meter = _create_meter(entitlement.FleetDemand(100.0, 0.0), 2.0)
         self.assertFalse(meter.try_take(60.0))
--- a/tests/test_allowances/test_retry_schedule.py
+++ b/tests/test_allowances/test_retry_schedule.py
@@ -76,3 +76,19 @@
         self.assertAlmostEqual(0.3, delay)
         self.assertTrue(schedule.try_redeem(0.4, 300.0))
         self.assertEqual(700.0, schedule.promised)
+
+    def test_no_units_are_promised_for_later_than_the_longest_delay(
+        self,
+    ) -> None:
+        """They would be kept from callers that are entitled to them."""
+        schedule = retry_schedule.RetrySchedule()
+        for _ in range(40):
+            schedule.schedule(0.0, 1000.0, _SUPPLY, is_beyond=False)
+        self.assertLessEqual(schedule.promised, 4.0 * _SUPPLY.rate + 1000.0)
+
+    def test_fractions_of_units_are_redeemed(self) -> None:
+        """Rounding left a remainder to take from an empty schedule."""
+        schedule = retry_schedule.RetrySchedule()
+        for units in (0.1, 0.2):
+            schedule.schedule(0.0, units, _SUPPLY, is_beyond=False)
+        self.assertTrue(schedule.try_redeem(2.0, 0.1 + 0.2 - 1e-17))
--- a/tests/test_duties/test_capacity_order.py
+++ b/tests/test_duties/test_capacity_order.py
@@ -33,6 +33,14 @@
             await trio.sleep(_POLL_S)
         return calls
 
+    def test_an_order_that_is_refused_for_hours_stays_due(self) -> None:
+        """The growth of the pause overflowed after a thousand refusals."""
+
+        async def scenario() -> None:
+            self.assertGreater(await self._count_calls(6000.0), 1100)
+
+        self.run_clocked(scenario)
+
     def test_a_refused_order_is_repeated_with_growing_pauses(self) -> None:
         """With a pause of 1.5 s there were 8 calls a zone in 14 s."""
 
--- a/tests/test_engines/test_demand.py
+++ b/tests/test_engines/test_demand.py
@@ -86,3 +86,15 @@
             self.assertTrue(meter.is_settled("model"))
 
         self.run_clocked(scenario)
+
+    def test_a_window_of_a_day_has_a_lag(self) -> None:
+        """A growing exponential overflowed after 95 minutes."""
+
+        async def scenario() -> None:
+            meter = demand.DemandMeter()
+            meter.note("model", 1000)
+            await trio.sleep(86_400.0)
+            lag_s = meter.find_lag_s("model")
+            self.assertAlmostEqual(demand.DECAY_TIME_S, lag_s)
+
+        self.run_clocked(scenario)
--- a/tests/test_engines/test_prefix_homes.py
+++ b/tests/test_engines/test_prefix_homes.py
@@ -89,3 +89,15 @@
             self.assertLess(shares.count_parts("model"), 1100)
 
         self.run_clocked(scenario)
+
+    def test_requests_after_hours_without_any_are_counted(self) -> None:
+        """The weight of the first one overflowed, and each one after it."""
+
+        async def scenario() -> None:
+            shares = prefix_shares.PrefixShares()
+            shares.note("model", "p-1")
+            await trio.sleep(10_000.0)
+            shares.note("model", "p-2")
+            self.assertEqual(1, shares.count_parts("model"))
+
+        self.run_clocked(scenario)
--- a/tests/test_fleet/test_backlog_copies.py
+++ b/tests/test_fleet/test_backlog_copies.py
@@ -60,3 +60,16 @@
         assert isinstance(decoded, messages.FleetReport), "as encoded"
         self.assertEqual(report.backlog, decoded.backlog)
         self.assertEqual([{}, {}], [s.backlog for s in decoded.zones])
+
+    def test_the_last_figures_of_a_silent_zone_do_not_count(self) -> None:
+        """Requests were rejected for a queue of a zone that was cut off."""
+        later = _SILENT_S + 1.0
+        reports = self.hub.create_reports(_HUB_STATE, later, 2 * later)
+        self.assertEqual(14, _count_requests(reports["127.0.0.1:1"]))
+        reports = self.hub.create_reports(_HUB_STATE, later, _SILENT_S)
+        self.assertEqual(0, _count_requests(reports["127.0.0.1:1"]))
+
+
+def _count_requests(report: messages.FleetReport) -> int:
+    entries = report.backlog.get("model", {}).values()
+    return sum(entry.requests for entry in entries)
--- a/tests/test_migration/test_departures.py
+++ b/tests/test_migration/test_departures.py
@@ -49,6 +49,19 @@
 
         self.play(scenario)
 
+    def test_a_reported_end_replaces_an_assumed_earlier_one(self) -> None:
+        """No stream was moved after the assumed end had passed."""
+
+        async def scenario() -> None:
+            self.put(is_leaving=True)
+            self.assertAlmostEqual(_DRAIN_S, self.find_time_left())
+            await trio.sleep(_DRAIN_S - 1.0)
+            self.put()
+            self.put(is_leaving=True, leaves_in_s=2.4)
+            self.assertAlmostEqual(2.4, self.find_time_left())
+
+        self.play(scenario)
+
     def test_the_entry_of_a_reclaimed_runner_tells_its_end(self) -> None:
         async def scenario() -> None:
             self.put(is_leaving=True, leaves_in_s=2.4)
--- a/tests/test_migration/test_transfer.py
+++ b/tests/test_migration/test_transfer.py
@@ -91,6 +91,24 @@
             self.assertIsNone(self.stream.stopped)
             self.assertFalse(self.stream.is_stopping)
 
+    def test_a_lost_answer_leaves_open_whether_the_run_is_complete(
+        self,
+    ) -> None:
+        """A stopped stream that ends cleanly was passed on as complete."""
+        self.move(_COPIED, moves.MoveFailed("no answer in time"))
+        self.assertTrue(self.stream.may_be_stopped)
+        self.assertEqual(
+            exchange.Moved(_SOURCE, _TARGETS[0], "h-1"),
+            self.stream.find_continuation(),
+        )
+        self.move(_COPIED, moves.MoveFailed("refused", is_sent=False))
+        self.assertFalse(self.stream.may_be_stopped)
+
+    def test_a_busy_source_does_not_use_up_the_copies(self) -> None:
+        """Ten tries of one call kept the stream from being moved again."""
+        self.move(*[moves.MoveBusy()] * 10)
+        self.assertEqual(1, self.stream.copy_calls)
+
     def test_a_failed_call_is_not_held_against_the_target(self) -> None:
         outcome = self.move(moves.MoveFailed("no answer"))
         self.assertIs(stream.MoveOutcome.FAILED, outcome)
--- a/tests/test_overload/test_backlog.py
+++ b/tests/test_overload/test_backlog.py
@@ -38,6 +38,14 @@
 
         self.run_clocked(scenario)
 
+    def test_nothing_is_gossiped_that_no_daemon_needs(self) -> None:
+        async def scenario() -> None:
+            ledger = backlog.BacklogLedger(is_gossiped=False)
+            ledger.begin("model", 0, 600)
+            self.assertEqual({}, ledger.list_own())
+
+        self.run_clocked(scenario)
+
     def test_the_rate_of_a_burst_fades(self) -> None:
         """Otherwise less urgent work would be rejected long after it."""
 
