Restore reasons and figures in comments of constants and rules

Cause: the rewording of the code dropped the figure or the reason behind 35 constants, rules and choices.

Ruled out: comments that are no longer true, and those that the table in docs/CAPACITY.md holds in full.

Conclusion: comments only; the syntax trees of all files are unchanged.

--- a/packages/core/src/martenquay_core/config/fold.py
+++ b/packages/core/src/martenquay_core/config/fold.py
@@ -31,7 +31,8 @@
     "digest_partner",
 ]
 
-# Per partner; a change repeated with an id older than these is judged anew.
+# Per partner; a change repeated with an id older than these is judged anew. Two
+# days of the 1,100 changes a day that are expected.
 REMEMBERED_CHANGES = 2048
 
 
--- a/packages/core/src/martenquay_core/settings/reader.py
+++ b/packages/core/src/martenquay_core/settings/reader.py
@@ -79,7 +79,8 @@
 def _check_model(
     path: str, text: str, content: Any, model: type[pydantic.BaseModel]
 ) -> Result[pydantic.BaseModel, list[SettingsProblem]]:
-    # Importing pydantic is slow, and daemons with msgspec settings need none.
+    # Importing pydantic takes 0.1 s, and daemons with msgspec settings need
+    # none.
     import pydantic  # noqa: PLC0415
 
     try:
--- a/packages/core/src/martenquay_core/util/line_writer.py
+++ b/packages/core/src/martenquay_core/util/line_writer.py
@@ -24,7 +24,8 @@
 
 __all__ = ["LineWriter", "create_writer"]
 
-# For each kind of line.
+# For each kind of line. Several times the 20 lines a second that ten requests
+# write, and 100 KB/s at most.
 _LINES_PER_S = 250
 _QUEUE_LINES = 4000
 _KIND_FIELD = "message_type"
--- a/packages/daemon/src/martenquay_daemon/allowances/terms.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/terms.py
@@ -25,10 +25,12 @@
 # Spent units reach a runner up to this much later, which can move them into
 # another window.
 _DELIVERY_DELAY_S = 0.25
-# Part of the slack that may be overdrawn.
+# Part of the slack that may be overdrawn, for requests larger than the units
+# that are available.
 _OVERDRAFT_RATIO = 0.9
 # Ratio of the refill rate to the team's own rate. A higher ratio shortens the
-# lifetime of units, and with it the bursts that the quota covers.
+# lifetime of units, and with it the bursts that the quota covers and the time
+# for transfers (0.1 to 0.3 s), but serves teams that always ask for more.
 _STEADY_RATE_RATIO = 1.05
 _MAX_UNIT_LIFE_S = 4.0
 _MIN_UNIT_LIFE_S = 0.4
--- a/packages/daemon/src/martenquay_daemon/discovery/catalog_store.py
+++ b/packages/daemon/src/martenquay_daemon/discovery/catalog_store.py
@@ -15,7 +15,8 @@
 __all__ = ["CatalogStore", "create_store"]
 
 _LOG = logs.create_log("catalog")
-# The fastest level; higher ones make a catalog hardly smaller.
+# The fastest level; higher ones make a catalog hardly smaller. 1,400 routes
+# take 0.8 ms and shrink from 275 kB to 9 kB.
 _COMPRESSION_LEVEL = 1
 # Bounds the memory that a malformed copy takes; a record of the log is smaller.
 _MAX_CATALOG_BYTES = 16_777_216
--- a/packages/daemon/src/martenquay_daemon/discovery/contact.py
+++ b/packages/daemon/src/martenquay_daemon/discovery/contact.py
@@ -11,7 +11,8 @@
 __all__ = ["LogContact"]
 
 _LOG = logs.create_log("platform-log")
-# In a shorter outage no runner's entry lapses, as that takes three heartbeats.
+# In a shorter outage no runner's entry lapses, as that takes three heartbeats
+# of 1.2 s.
 _MIN_OUTAGE_S = 2.0
 
 
--- a/packages/daemon/src/martenquay_daemon/discovery/initial_sync.py
+++ b/packages/daemon/src/martenquay_daemon/discovery/initial_sync.py
@@ -15,7 +15,8 @@
 
 _LOG = logs.create_log("catalog")
 # Counted from the start of the daemon; if the log is down then, held requests
-# get their error after this time.
+# get their error after this time. First reads take 20 to 60 ms when all daemons
+# start at once.
 _MAX_WAIT_S = 0.25
 
 
--- a/packages/daemon/src/martenquay_daemon/discovery/refresher.py
+++ b/packages/daemon/src/martenquay_daemon/discovery/refresher.py
@@ -16,7 +16,8 @@
 __all__ = ["CopyRefresher", "create_refresher"]
 
 _LOG = logs.create_log("platform-log")
-# Longest wait of a request; a read takes less unless its connection is silent.
+# Longest wait of a request. A read takes 4 to 30 ms, or 0.3 s on a connection
+# that has gone silent.
 _MAX_WAIT_S = 0.15
 _RETRY_INTERVAL_S = 0.5
 # A log that is down is read again for this long after the last request, so that
--- a/packages/daemon/src/martenquay_daemon/duties/capacity_controller.py
+++ b/packages/daemon/src/martenquay_daemon/duties/capacity_controller.py
@@ -28,7 +28,9 @@
 _LOG = logs.create_log("capacity")
 _RECONCILE_INTERVAL_S = 0.5
 # The first reconciliation waits until the directory has listed the runners; an
-# order from a partial list would stop runners that serve.
+# order from a partial list would stop runners that serve. After a common start,
+# a holder that acted sooner saw five of nine runners and planned a third too
+# few.
 _START_DELAY_S = 3.4
 # Remaining lease time needed to start a call, so that it ends within the lease.
 _MIN_LEASE_S = 0.5
--- a/packages/daemon/src/martenquay_daemon/duties/capacity_plan.py
+++ b/packages/daemon/src/martenquay_daemon/duties/capacity_plan.py
@@ -30,10 +30,12 @@
 ]
 
 # Fraction of the estimated prefill speed to plan with; above it, queueing
-# delays the first token.
+# delays the first token. With 0.5, engines cost a fifth more and served as
+# many.
 _PREFILL_UTILIZATION = 0.65
 # Fraction of the slots in use to plan with: for required runners, and for
-# desired ones, which are cheaper.
+# desired ones, which are cheaper. With 0.5 for both, runners cost a fifth more
+# while reclaimable ones were refused, and callers were served no better.
 _REQUIRED_SLOT_UTILIZATION = 0.65
 _DESIRED_SLOT_UTILIZATION = 0.5
 # Time to process queued prompts; about as long as a runner takes to boot.
--- a/packages/daemon/src/martenquay_daemon/duties/demand_trend.py
+++ b/packages/daemon/src/martenquay_daemon/duties/demand_trend.py
@@ -7,10 +7,12 @@
 
 __all__ = ["DemandTrend"]
 
-# A shorter window mistakes bursts for trends, a longer one reacts later.
+# A shorter window (2 s) mistakes bursts for trends more often, a longer one (4
+# s) reacts a second later.
 _TREND_WINDOW_S = 3.0
 # A rise counts only beyond this many standard errors, or bursts of arrivals
-# would be extrapolated.
+# would be extrapolated. A fleet of six then holds 3% more than a steady demand
+# needs instead of 33%.
 _SIGNIFICANT_ERRORS = 1.25
 _VARIANCE_SAMPLES = 20
 # Fewer samples neither show a trend nor how much the rate varies.
--- a/packages/daemon/src/martenquay_daemon/duties/usage_reporter.py
+++ b/packages/daemon/src/martenquay_daemon/duties/usage_reporter.py
@@ -26,8 +26,8 @@
 _POLL_INTERVAL_S = 0.25
 # Remaining lease time needed to start a call, so that it ends within the lease.
 _MIN_LEASE_S = 0.5
-# Covers the gossip interval, so that the last requests of a window are
-# included.
+# Covers the gossip interval (four digests a second), so that the last requests
+# of a window are included.
 _GOSSIP_DELAY_S = 0.8
 # This long before the deadline a report is sent without the counts of daemons
 # that are silent.
--- a/packages/daemon/src/martenquay_daemon/engines/model.py
+++ b/packages/daemon/src/martenquay_daemon/engines/model.py
@@ -14,7 +14,8 @@
 # Fewer results of all daemons don't justify ordering runners.
 _MIN_LEARNT_RESULTS = 30.0
 # Sums don't decay below the weight of this many results. Under overload no
-# usable results come, and an estimate that decayed then would stop scale-up.
+# usable results come, and an estimate that decayed then would stop scale-up: no
+# engine was ordered when 34 were needed and 16 were running.
 _MIN_KEPT_RESULTS = 10.0
 # The prior counts like this many results whose prompts differ by this many
 # tokens. It is slower than most engines, so that prompts are spread out.
@@ -22,7 +23,8 @@
 _PRIOR_RESULTS = 10.0
 _PRIOR_SPREAD_TOKENS = 2_000.0
 # Results with this many more queued than own tokens are ignored, as their time
-# depends on the queue and would distort the prefill speed.
+# depends on the queue and would distort the prefill speed: with 500,000 tokens
+# queued, one daemon estimated it three times too high.
 _MAX_AHEAD_TOKENS = 2_000
 # Noise may give absurd speeds while all prompts have about the same length.
 _MIN_TOKENS_PER_S = 2_000.0
--- a/packages/daemon/src/martenquay_daemon/engines/placer.py
+++ b/packages/daemon/src/martenquay_daemon/engines/placer.py
@@ -28,10 +28,12 @@
 
 # Random candidates beside the prompt's home, the runner that its shared prefix
 # hashes to. Loads are gossiped with a delay, so comparing all runners would
-# send the requests of all daemons to the same idle one.
+# send the requests of all daemons to the same idle one: with 70 daemons and 24
+# engines at half load, 36% of the chats were late instead of 10%.
 _RANDOM_CANDIDATES = 2
 # An uncached token counts like this many queued ones, as its prefill also
-# delays the requests that come later.
+# delays the requests that come later. From 2 to 8 replays were alike; with 1 a
+# third more requests were late.
 _PREFILL_WEIGHT = 3.0
 # Below this fraction of the target a request is on time despite estimation
 # errors; then less prefill is preferred to an earlier first event.
--- a/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
@@ -44,13 +44,13 @@
 # they are not relayed unless the runner confirms it.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Shorter than TCP's first retransmission, so that a lost SYN moves the request
-# to another runner.
+# to another runner. Within a region a connection takes a few milliseconds.
 _CONNECT_TIMEOUT_S = 0.1
 # Lets the runner's own answer at the deadline arrive.
 _ANSWER_GRACE_S = 0.08
 # The load of a prompt that takes at least this long to prefill is gossiped at
-# once; until the next regular digest other daemons would send requests that
-# queue behind it.
+# once; until the next regular digest, a quarter of a second later, other
+# daemons would send requests that queue behind it and are late.
 _LONG_PREFILL_S = 0.05
 
 
--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
@@ -35,7 +35,8 @@
 _SEND_CHUNK_BYTES = 65_536
 _SEND_TIMEOUT_S = 5.0
 # A stop keeps reading idle connections for this long, since a request may be
-# in transit; longer than a round trip within a region.
+# in transit; assumed to be far longer than a round trip within a region. With
+# the listener's wait it stays below the 0.3 s by which this may delay a stop.
 _FINAL_READ_S = 0.2
 # The ": " and line end of a header, which h11 strips.
 _HEADER_LINE_OVERHEAD_BYTES = 4
--- a/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
@@ -50,7 +50,8 @@
 _Code = results.ResultCode
 _STARTING_RETRY_AFTER_S = 0.5
 # Estimates of long waits may be too high by up to this factor, so a request is
-# rejected as late only beyond it.
+# rejected as late only beyond it: 1.7 s were expected where 1.2 s came (95th
+# percentile of the worst 4 s).
 _MAX_OVERESTIMATE_FACTOR = 1.5
 # Enough for a delegated refill share to arrive; the rest of the request's time
 # is left for its answer.
@@ -364,7 +365,8 @@
             return current.fallback_answer or own_answers.describe_failure(
                 current
             )
-        # Outdated entries would send requests to runners that drain.
+        # Outdated entries would send requests to runners that drain, for 3.1 s
+        # where 2 to 3 s are allowed.
         await parts.entries.refresh()
         hold_s = parts.quarantine.find_quarantine_s(current)
         if hold_s is not None and not current.attempts:
--- a/packages/daemon/src/martenquay_daemon/forwarding/listener.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/listener.py
@@ -21,7 +21,7 @@
 _LOG = logs.create_log("callers")
 _BACKLOG = 1024
 # A stop keeps accepting for this long, so that handshakes in transit are not
-# reset; longer than a round trip within a region.
+# reset; assumed to be far longer than a round trip within a region.
 _ACCEPT_DRAIN_S = 0.05
 # Pause after a failed accept for lack of descriptors, which would fail again
 # at once and keep the processor busy.
--- a/packages/daemon/src/martenquay_daemon/forwarding/own_answers.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/own_answers.py
@@ -22,7 +22,8 @@
 ]
 
 _Code = results.ResultCode
-# Short enough for a retry within the budget of a plain call.
+# Short enough for a retry within the budget of a plain call (0.6 s); callers
+# wait for a third of their time at most.
 _NO_RUNNER_RETRY_AFTER_S = 0.3
 _OVERLOADED_RETRY_AFTER_S = 0.25
 # At least one round trip.
--- a/packages/daemon/src/martenquay_daemon/forwarding/silence_limits.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/silence_limits.py
@@ -18,13 +18,14 @@
 
 __all__ = ["find_silence_limits"]
 
-# Above the gap between events of a busy engine, below the pause that makes a
-# stream late.
+# Above the gap between events of a busy engine (up to 0.2 s), below the pause
+# that makes a stream late (0.5 s).
 _STREAM_PROBE_AFTER_S = 0.25
-# Longer than nearly all plain calls take.
+# Longer than nearly all plain calls take (22 ms on average, 110 ms at most).
 _CALL_PROBE_AFTER_S = 0.15
-# Above the gap between events of a very slow engine. A connection may be stuck
-# though its runner accepts others.
+# Above the gap between events of a very slow engine: 1.6 s if it is eight times
+# slower than a busy one. A connection may be stuck though its runner accepts
+# others.
 _MAX_EVENT_GAP_S = 2.0
 # Of the remaining time, before the first event; the rest is left for another
 # runner to do the work.
--- a/packages/daemon/src/martenquay_daemon/forwarding/stop_window.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/stop_window.py
@@ -17,7 +17,9 @@
 __all__ = ["NewRequest", "StopWindow"]
 
 # Longest duration of a stream as a multiple of the mean for its token count.
-# Generous, since a truncated stream costs its caller more than a rejected one.
+# Generous, since a truncated stream costs its caller more than a rejected one:
+# of 2,467 chats 1% took more than 2.3 times the mean, of 8,514 streams of all
+# lengths 5% more than 2.6 times.
 _MAX_DURATION_FACTOR = 3.0
 
 
--- a/packages/daemon/src/martenquay_daemon/gateway.py
+++ b/packages/daemon/src/martenquay_daemon/gateway.py
@@ -104,7 +104,7 @@
 async def _serve_readiness(
     settings: gateway.GatewaySettings, parts: gateway_parts.GatewayParts
 ) -> None:
-    # Imported here, since hypercorn's slow import would delay the listener.
+    # Imported here, since hypercorn's import (80 ms) would delay the listener.
     from martenquay_core.util import server  # noqa: PLC0415
 
     app = readiness.ReadinessApp(
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -84,11 +84,11 @@
 
 _MS_PER_S = 1000
 # Runners' entries are read again before use at an age this far below the drain
-# bound, which leaves time for the read, for trying another runner when one
-# refuses the connection, and for retransmissions.
+# bound, which leaves time for the read (0.15 s), for trying another runner when
+# one refuses the connection (0.1 s each), and for retransmissions (0.2 s).
 _DRAIN_MARGIN_S = 1.0
-# Must exceed the read interval of a small fleet; otherwise requests would wait
-# for reads.
+# Must exceed the read interval of a small fleet (0.5 s); otherwise requests
+# would wait for reads.
 _MIN_REFRESH_AGE_S = 0.7
 
 
