--- a/packages/daemon/src/martenquay_daemon/allowances/team_account.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/team_account.py
@@ -76,6 +76,13 @@
         decay = math.exp((self.demand_at - now) / _DEMAND_DECAY_S)
         return decay * self.demand
 
+    def _find_mean_demand(self, now: float) -> float:
+        """Return the mean of the demand since the last request."""
+        passed = (now - self.demand_at) / _DEMAND_DECAY_S
+        if passed <= 0:
+            return self.demand
+        return self.demand * -math.expm1(-passed) / passed
+
     def record_demand(self, now: float, units: float, others: float) -> None:
         """Count a request as demand.
 
@@ -84,10 +91,12 @@
             units: What the request costs.
             others: What callers ask of other daemons, in units per second.
         """
+        # The meter averages over the time since the last request. A sample
+        # right after a request would count its peak for all of that time.
+        fleet = entitlement.FleetDemand(self._find_mean_demand(now), others)
+        self.entitlement.update(now, self.policy.team, fleet)
         self.demand = self.find_demand(now) + units / _DEMAND_DECAY_S
         self.demand_at = now
-        fleet = entitlement.FleetDemand(self.demand, others)
-        self.entitlement.update(now, self.policy.team, fleet)
 
     def create_balance(
         self, now: float, overdraft: float
--- a/tests/test_allowances/test_entitlement.py
+++ b/tests/test_allowances/test_entitlement.py
@@ -12,7 +12,12 @@
 import testtools
 import trio
 
-from martenquay_daemon.allowances import entitlement, quota_ledger, terms
+from martenquay_daemon.allowances import (
+    entitlement,
+    quota_ledger,
+    team_account,
+    terms,
+)
 from tests import (
     allowance_days,
     allowance_fleet,
@@ -96,6 +101,20 @@
         self.assertTrue(_create_meter(demand, 20.0).is_over(_TEAM))
 
 
+class TeamAccountTest(testtools.TestCase):
+    def test_sparse_requests_are_averaged_over_the_time_between(self) -> None:
+        """A team below its rate was taken as over it, and refused."""
+        policy = team_account.RefillPolicy(
+            _TEAM, terms.ToleranceBounds(8.0, 0.1, 0.0), 100.0, 1.0
+        )
+        account = team_account.create_account(policy, 0.0, 0.0)
+        for number in range(1, 21):
+            # 50 units a second, as one request every 4 s.
+            account.record_demand(4.0 * number, 200.0, 0.0)
+        self.assertLess(account.entitlement.own_demand, 60.0)
+        self.assertFalse(account.entitlement.is_over(_TEAM))
+
+
 class GreedyLedgerTest(clocked.ClockedTestCase):
     """One ledger with all quota of a team that asks for too much."""
 
