--- a/packages/daemon/src/martenquay_daemon/allowances/gate.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/gate.py
@@ -20,7 +20,6 @@
 # transfer back.
 _TRANSFER_WAIT_S = 0.2
 _SHARE_POLL_S = 0.05
-_REFILL_POLL_S = 0.02
 
 
 class QuotaHolders(Protocol):
@@ -96,9 +95,6 @@
         deadline = trio.current_time() + request.max_wait_s
         verdict = self._ledger.try_spend(team, request)
         while isinstance(verdict, terms.Refused) and self.lacks_shares():
-            # Quota that arrives is kept for requests within the entitlement.
-            if verdict.is_beyond:
-                break
             if trio.current_time() >= deadline:
                 break
             await trio.sleep(_SHARE_POLL_S)
@@ -121,41 +117,37 @@
             wait_s: How long the request may wait for transfers.
         """
         match verdict:
-            case terms.HeldElsewhere():
-                verdict = await self._wait_for_quota(team, request, wait_s)
+            case terms.HeldElsewhere(missing=missing):
+                verdict = await self._wait_for_quota(
+                    team, request, missing, wait_s
+                )
         status = self._ledger.describe(team.name)
         match verdict:
             case terms.Admitted():
                 return terms.AdmissionDecision(0.0, status)
             case _:
-                is_beyond = verdict == terms.Refused(is_beyond=True)
-                retry_s = self._ledger.schedule_retry(
-                    team, request.units, is_beyond=is_beyond
-                )
-                return terms.AdmissionDecision(
-                    retry_s, status, is_beyond=is_beyond
-                )
+                retry_s = self._ledger.schedule_retry(team, request.units)
+                return terms.AdmissionDecision(retry_s, status)
 
     async def _wait_for_quota(
         self,
         team: catalog.Team,
         request: terms.AdmissionRequest,
+        missing: float,
         wait_s: float,
     ) -> terms.Verdict:
-        """Retry on transfers and refills until decided or timed out."""
-        verdict: terms.Verdict = terms.HeldElsewhere(request.units)
-        self._ledger.start_waiting(team, request)
+        """Retry on each transfer until the request is decided or times out."""
+        verdict: terms.Verdict = terms.HeldElsewhere(missing)
+        self._ledger.note_shortage(team, missing)
         try:
             with trio.move_on_after(wait_s):
                 while isinstance(verdict, terms.HeldElsewhere):
-                    # Units may also be refilled here.
-                    with trio.move_on_after(_REFILL_POLL_S):
-                        await self._ledger.quota_received.wait()
+                    await self._ledger.quota_received.wait()
                     verdict = self._ledger.try_spend(
                         team, request, is_again=True
                     )
         finally:
-            self._ledger.stop_waiting(team, request)
+            self._ledger.note_shortage(team, -missing)
         return verdict
 
 
--- a/packages/daemon/src/martenquay_daemon/allowances/quota_ledger.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/quota_ledger.py
@@ -3,19 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import TYPE_CHECKING
 
 import trio
 
-from martenquay_daemon.allowances import (
-    peer_balances,
-    quota_bucket,
-    retry_schedule,
-    sharing,
-    team_account,
-    terms,
-    waiting,
-)
+from martenquay_daemon.allowances import quota_bucket, sharing, terms
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -25,20 +18,22 @@
 
 __all__ = ["QuotaLedger", "QuotaTransfer", "create_quota_ledger"]
 
+# Time constant of the moving average of demand.
+_DEMAND_DECAY_S = 1.0
+# Per step of lower priority, this part of the overdraft is kept for requests of
+# higher priority.
+_RESERVE_STEP_RATIO = 0.1
+_MAX_RESERVE_RATIO = 0.3
+_MIN_RETRY_S = 0.1
+_MAX_RETRY_S = 4.0
+# Retry delay while this daemon has no refill share.
+_DEFAULT_RETRY_S = 0.5
+# Older balances are ignored: their daemon may be unreachable, and units that
+# are transferred to it would be lost.
+_BALANCE_MAX_AGE_S = 1.2
 # While quota is scarce, late requests leave this part of the capacity to
 # requests that can still meet their deadline.
 _ON_TIME_RESERVE_RATIO = 0.5
-# While a team asks for more than it is entitled to, requests beyond the
-# entitlement may use this part of the overdraft of all daemons, and less by the
-# second figure for each step of lower priority. Of the overdraft of the
-# deciding daemon they leave the third figure more: what others hold comes too
-# late for entitled requests here.
-_BEYOND_OVERDRAFT_RATIO = 0.7
-_BEYOND_STEP_RATIO = 0.1
-_BEYOND_OWN_MARGIN_RATIO = 0.2
-# While a team stays within its entitlement, a request waits if what it lacks is
-# refilled by all daemons within this time.
-_REFILL_WAIT_S = 0.25
 # Below this part of its capacity, a daemon sends its balance early.
 _LOW_LEVEL_RATIO = 0.3
 
@@ -58,6 +53,84 @@
     lots: dict[str, list[tuple[float, float]]]
 
 
+@dataclasses.dataclass
+class _Peer:
+    """The last balances of another daemon.
+
+    Attributes:
+        last_number: The number of its last message.
+        received_at: When that message arrived, in trio's time.
+        address: Where it accepts requests for quota.
+        balances: Its balances by team.
+        transferred: Units transferred to it since, by team.
+        redirected: Units that redirected requests took there since, by team.
+    """
+
+    last_number: int
+    received_at: float
+    address: str
+    balances: dict[str, sharing.QuotaBalance]
+    transferred: dict[str, float] = dataclasses.field(default_factory=dict)
+    redirected: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True)
+class _RefillPolicy:
+    """A team's refill rate and unit lifetime.
+
+    Attributes:
+        team: The team that the policy was computed for.
+        bounds: The bounds that it was computed from.
+        rate: Units per second that all daemons together refill.
+        life_s: How long a unit may be spent.
+    """
+
+    team: catalog.Team
+    bounds: terms.ToleranceBounds
+    rate: float
+    life_s: float
+
+
+@dataclasses.dataclass
+class _Account:
+    """One team's quota at this daemon.
+
+    Attributes:
+        policy: The refill rate and unit lifetime.
+        bucket: The units that may be spent here.
+        refilled_at: The time up to which the bucket is refilled.
+        demand: Moving average of the units requested per second.
+        demand_at: When the average was last updated.
+        shortage: Units that waiting requests lack.
+        refilled: Units refilled since transfers were last computed.
+        promised: Units that refused callers are expected to retry for, less
+            what was refilled since.
+    """
+
+    policy: _RefillPolicy
+    bucket: quota_bucket.QuotaBucket
+    refilled_at: float
+    demand: float = 0.0
+    demand_at: float = 0.0
+    shortage: float = 0.0
+    refilled: float = 0.0
+    promised: float = 0.0
+
+    def find_demand(self, now: float) -> float:
+        """Return the units per second that callers request."""
+        decay = math.exp((self.demand_at - now) / _DEMAND_DECAY_S)
+        return decay * self.demand
+
+    def create_balance(
+        self, now: float, overdraft: float
+    ) -> sharing.QuotaBalance:
+        """Return the team's balance at this daemon."""
+        demand = self.find_demand(now)
+        return sharing.QuotaBalance(
+            self.bucket.level, demand, self.shortage, overdraft
+        )
+
+
 class QuotaLedger:
     """The teams' quota at one daemon.
 
@@ -92,8 +165,8 @@
         self.quota_received = trio.Event()
         self._notify_soon = notify_soon
         self._started_at = trio.current_time()
-        self._accounts: dict[str, team_account.TeamAccount] = {}
-        self._peers = peer_balances.PeerBalances()
+        self._accounts: dict[str, _Account] = {}
+        self._peers: dict[str, _Peer] = {}
 
     def try_spend(
         self,
@@ -110,58 +183,35 @@
             is_again: Whether the request is already counted as demand.
         """
         account = self._refill(team)
-        if is_again:
-            # It waited because it is entitled, here or where it came from.
-            return self._decide(team, account, request, is_again=True)
-        account.record_demand(
-            trio.current_time(),
-            request.units,
-            self._peers.find_demand(team.name),
-        )
-        if self._find_claim(account, request) is terms.Claim.NONE and (
-            self._is_kept_for_entitled(team, account, request)
-        ):
-            return terms.Refused(is_beyond=True)
+        if not is_again:
+            self._record_demand(account, request.units)
         return self._decide(team, account, request)
 
-    def schedule_retry(
-        self, team: catalog.Team, units: float, *, is_beyond: bool = False
-    ) -> float:
+    def schedule_retry(self, team: catalog.Team, units: float) -> float:
         """Return after how many seconds a refused caller should retry.
 
-        Args:
-            team: The team whose quota is short.
-            units: What the request costs.
-            is_beyond: Whether it is beyond the team's entitlement.
+        Delays grow with the units promised to earlier callers; with equal
+        delays they would retry together and mostly be refused again.
         """
         account = self._refill(team)
-        usable = self.shares.find_usable_share()
-        rate = account.policy.rate * usable
-        supply = retry_schedule.QuotaSupply(
-            account.bucket.level,
-            rate,
-            rate - team.rate * usable,
-            self.bounds.window_s,
-        )
-        return account.retries.schedule(
-            trio.current_time(),
-            units,
-            supply,
-            is_beyond=is_beyond,
-        )
+        account.promised += units
+        rate = account.policy.rate * self.shares.find_usable_share()
+        if rate <= 0:
+            return _DEFAULT_RETRY_S
+        wait_s = (account.promised - account.bucket.level) / rate
+        return min(_MAX_RETRY_S, max(_MIN_RETRY_S, wait_s))
 
-    def start_waiting(
-        self, team: catalog.Team, request: terms.AdmissionRequest
-    ) -> None:
-        """Count a request that waits for transfers, and ask for them."""
-        self._refill(team).waiting.add(request)
-        self._notify_soon()
+    def note_shortage(self, team: catalog.Team, units: float) -> None:
+        """Add to the units that waiting requests lack.
 
-    def stop_waiting(
-        self, team: catalog.Team, request: terms.AdmissionRequest
-    ) -> None:
-        """Stop counting a request that has waited."""
-        self._refill(team).waiting.remove(request)
+        Args:
+            team: The team whose quota is short.
+            units: The units; negative when a request stops waiting.
+        """
+        account = self._refill(team)
+        account.shortage = max(0.0, account.shortage + units)
+        if units > 0:
+            self._notify_soon()
 
     def refill(self, teams: Iterable[catalog.Team]) -> None:
         """Refill the quota of all teams up to now."""
@@ -179,7 +229,6 @@
             account.bucket.debt,
             self.shares.find_usable_share(),
             account.find_demand(trio.current_time()),
-            account.retries.promised,
         )
 
     def list_balances(self) -> dict[str, sharing.QuotaBalance]:
@@ -201,11 +250,13 @@
                 continue
             account = self._refill(team)
             for member, units in self._find_transfers(team, account).items():
+                peer = self._peers[member]
                 lots = account.bucket.withdraw(now, units)
-                self._peers.note_transferred(member, team.name, units)
-                number = self._peers.find_last_number(member)
+                peer.transferred[team.name] = (
+                    peer.transferred.get(team.name, 0.0) + units
+                )
                 transfer = transfers.setdefault(
-                    member, QuotaTransfer(number, {})
+                    member, QuotaTransfer(peer.last_number, {})
                 )
                 transfer.lots[team.name] = [
                     (lot.units, lot.expires_at - now) for lot in lots
@@ -220,8 +271,12 @@
         address: str = "",
     ) -> None:
         """Record another daemon's balances; older messages are ignored."""
-        if not self._peers.apply(member, number, balances, address):
+        known = self._peers.get(member)
+        if known is not None and number <= known.last_number:
             return
+        self._peers[member] = _Peer(
+            number, trio.current_time(), address, balances
+        )
         if any(self._can_transfer(team) for team in balances):
             self._notify_soon()
 
@@ -244,107 +299,48 @@
                 account.bucket.add(
                     now, quota_bucket.QuotaLot(units, sent_at + life_s)
                 )
-            overdraft = self._find_max_overdraft(account)
-            if account.create_balance(now, overdraft).needed > 0:
-                # Another part may have been lost.
-                self._notify_soon()
         self.quota_received.set()
         self.quota_received = trio.Event()
 
     def forget(self, member: str) -> None:
         """Drop the balances of a daemon that has left the fleet."""
-        self._peers.forget(member)
+        self._peers.pop(member, None)
 
     def forget_all(self) -> None:
         """Drop the balances of all other daemons."""
-        self._peers.forget_all()
+        self._peers.clear()
 
     def _decide(
         self,
         team: catalog.Team,
-        account: team_account.TeamAccount,
+        account: _Account,
         request: terms.AdmissionRequest,
-        *,
-        is_again: bool = False,
     ) -> terms.Verdict:
         bucket = account.bucket
         units = request.units
         if request.is_late and self._is_kept_for_on_time(account, units):
             return terms.Refused()
-        overdraft = waiting.find_overdraft_limit(
-            request, self._find_max_overdraft(account)
+        reserved = min(
+            _MAX_RESERVE_RATIO, _RESERVE_STEP_RATIO * request.reserve
         )
+        overdraft = (1 - reserved) * self._find_max_overdraft(account)
         # Any positive level admits a request, and the overdraft covers the
         # rest of it; otherwise small requests would drain every refill and
         # large ones would starve.
-        is_over = account.entitlement.is_over(team)
-        has_credit = request.reserve == 0 or bucket.level > 0 or is_over
+        has_credit = request.reserve == 0 or bucket.level > 0
         missing = units - bucket.level - overdraft
         if has_credit and missing <= 0:
             bucket.spend(units)
             self._notify_if_low(team, account)
             return terms.Admitted()
-        if not has_credit:
-            missing = max(missing, 1.0 - bucket.level)
-        refilled = 0.0
-        if not is_over and self._can_wait_for_refill(team):
-            refilled = _REFILL_WAIT_S * account.policy.rate
-        if self._peers.is_available(team.name, missing - refilled):
-            # A waiting request is not redirected, so it takes nothing there.
-            holder = (
-                "" if is_again else self._peers.choose_holder(team.name, units)
+        missing = max(missing, 1.0 - bucket.level)
+        if self._is_held_elsewhere(team, missing):
+            return terms.HeldElsewhere(
+                missing, self._choose_holder(team, units)
             )
-            return terms.HeldElsewhere(missing, holder)
         return terms.Refused()
 
-    def _find_claim(
-        self, account: team_account.TeamAccount, request: terms.AdmissionRequest
-    ) -> terms.Claim:
-        """Return why a request comes before others of a greedy team."""
-        now = trio.current_time()
-        if request.is_returning and account.retries.try_redeem(
-            now, request.units
-        ):
-            return terms.Claim.PROMISED
-        if account.entitlement.try_take(
-            request.units, is_first=not request.is_returning
-        ):
-            return terms.Claim.ENTITLED
-        return terms.Claim.NONE
-
-    def _can_wait_for_refill(self, team: catalog.Team) -> bool:
-        """Return whether units that this and other daemons refill come here."""
-        has_share = self.shares.find_usable_share() > 0
-        return has_share and bool(self._peers.list_recent(team.name))
-
-    def _is_kept_for_entitled(
-        self,
-        team: catalog.Team,
-        account: team_account.TeamAccount,
-        request: terms.AdmissionRequest,
-    ) -> bool:
-        """Return whether a request would use quota kept for entitled ones.
-
-        While a team asks for more than it is entitled to, requests beyond the
-        entitlement leave part of what all daemons may spend, the more, the
-        less urgent they are. Large ones leave least, so they are refused first.
-        """
-        if not account.entitlement.is_over(team):
-            return False
-        steps = request.reserve + request.is_late
-        ratio = _BEYOND_OVERDRAFT_RATIO - _BEYOND_STEP_RATIO * steps
-        others = self._peers.list_recent(team.name).values()
-        own_overdraft = self._find_max_overdraft(account)
-        left = account.bucket.level - request.units - account.retries.promised
-        if left < -(ratio - _BEYOND_OWN_MARGIN_RATIO) * own_overdraft:
-            return True
-        left += sum(one.level for one in others)
-        overdraft = own_overdraft + sum(one.overdraft for one in others)
-        return left < -ratio * overdraft
-
-    def _is_kept_for_on_time(
-        self, account: team_account.TeamAccount, units: float
-    ) -> bool:
+    def _is_kept_for_on_time(self, account: _Account, units: float) -> bool:
         """Return whether a late request would use quota kept for others."""
         now = trio.current_time()
         refill_rate = account.policy.rate * self.shares.find_usable_share()
@@ -353,7 +349,27 @@
         capacity = self._find_capacity(account)
         return account.bucket.level - units < _ON_TIME_RESERVE_RATIO * capacity
 
-    def _find_max_overdraft(self, account: team_account.TeamAccount) -> float:
+    def _choose_holder(self, team: catalog.Team, units: float) -> str:
+        """Return the address of a daemon that can admit a request, or "".
+
+        Redirecting the request is faster than waiting for a transfer, which
+        other waiting requests could use up first.
+        """
+        chosen = ""
+        max_level = 0.0
+        for member, balance in self._list_peer_balances(team).items():
+            peer = self._peers[member]
+            level = balance.level - peer.redirected.get(team.name, 0.0)
+            is_enough = level > 0 and level + balance.overdraft >= units
+            if peer.address and is_enough and level > max_level:
+                chosen, max_level = member, level
+        if not chosen:
+            return ""
+        peer = self._peers[chosen]
+        peer.redirected[team.name] = peer.redirected.get(team.name, 0.0) + units
+        return peer.address
+
+    def _find_max_overdraft(self, account: _Account) -> float:
         """Return how far below 0 this daemon's level may go, in units.
 
         On a share that this instance's former process may have overdrawn
@@ -366,15 +382,21 @@
             max_overdraft * fresh, account.bucket.expired_units
         )
 
-    def _notify_if_low(
-        self, team: catalog.Team, account: team_account.TeamAccount
-    ) -> None:
+    def _is_held_elsewhere(self, team: catalog.Team, missing: float) -> bool:
+        """Return whether other daemons hold the missing units."""
+        available = 0.0
+        for balance in self._list_peer_balances(team).values():
+            if balance.needed <= 0:
+                available += balance.spendable
+        return available >= missing
+
+    def _notify_if_low(self, team: catalog.Team, account: _Account) -> None:
         capacity = self._find_capacity(account)
         is_low = account.bucket.level < _LOW_LEVEL_RATIO * capacity
-        if is_low and self._peers.is_available(team.name, capacity):
+        if is_low and self._is_held_elsewhere(team, capacity):
             self._notify_soon()
 
-    def _find_capacity(self, account: team_account.TeamAccount) -> float:
+    def _find_capacity(self, account: _Account) -> float:
         """Return the most units that this daemon's share can refill."""
         capacity = account.policy.rate * account.policy.life_s
         return capacity * self.shares.find_usable_share()
@@ -386,15 +408,19 @@
             return False
         if account.bucket.level + self._find_max_overdraft(account) <= 0:
             return False
-        return self._peers.has_shortage(team)
+        return any(
+            peer.balances[team].needed > peer.transferred.get(team, 0.0)
+            for peer in self._peers.values()
+            if team in peer.balances
+        )
 
     def _find_transfers(
-        self, team: catalog.Team, account: team_account.TeamAccount
+        self, team: catalog.Team, account: _Account
     ) -> dict[str, float]:
         own = account.create_balance(
             trio.current_time(), self._find_max_overdraft(account)
         )
-        others = self._peers.list_recent(team.name)
+        others = self._list_peer_balances(team)
         rate = account.policy.rate
         transfers = sharing.find_transfers(own, others, rate)
         if not transfers:
@@ -404,27 +430,48 @@
         account.refilled = 0.0
         return transfers
 
-    def _refill(self, team: catalog.Team) -> team_account.TeamAccount:
+    def _list_peer_balances(
+        self, team: catalog.Team
+    ) -> dict[str, sharing.QuotaBalance]:
+        """Return other daemons' recent balances, with transfers since then."""
+        oldest = trio.current_time() - _BALANCE_MAX_AGE_S
+        found = {}
+        for member, peer in self._peers.items():
+            balance = peer.balances.get(team.name)
+            if balance is None or peer.received_at < oldest:
+                continue
+            transferred = peer.transferred.get(team.name, 0.0)
+            found[member] = sharing.QuotaBalance(
+                balance.level + transferred,
+                balance.asked,
+                max(0.0, balance.needed - transferred),
+                balance.overdraft,
+            )
+        return found
+
+    def _refill(self, team: catalog.Team) -> _Account:
         now = self.shares.advance()
         account = self._accounts.get(team.name)
         if account is None:
             policy = self._create_policy(team)
-            account = team_account.create_account(policy, self._started_at, now)
+            account = _Account(
+                policy,
+                quota_bucket.QuotaBucket(policy.life_s),
+                self._started_at,
+            )
             self._accounts[team.name] = account
         elif account.policy.team is not team or account.policy.bounds is not (
             self.bounds
         ):
-            account.apply_policy(now, self._create_policy(team))
+            self._apply_policy(account, self._create_policy(team))
         account.bucket.expire(now)
         refilled = self._add_refill(account, now)
         account.refilled += refilled
-        account.retries.note_refilled(now, refilled)
+        account.promised = max(0.0, account.promised - refilled)
         account.refilled_at = now
         return account
 
-    def _add_refill(
-        self, account: team_account.TeamAccount, now: float
-    ) -> float:
+    def _add_refill(self, account: _Account, now: float) -> float:
         """Refill an account up to now; return the units added."""
         refilled = 0.0
         for span in self.shares.list_spans(account.refilled_at):
@@ -433,12 +480,23 @@
             refilled += rate * (span.end - span.start)
         return refilled
 
-    def _create_policy(self, team: catalog.Team) -> team_account.RefillPolicy:
+    def _create_policy(self, team: catalog.Team) -> _RefillPolicy:
         bounds = self.bounds
         rate = bounds.find_refill_rate(team)
-        return team_account.RefillPolicy(
-            team, bounds, rate, bounds.find_unit_life(team)
-        )
+        return _RefillPolicy(team, bounds, rate, bounds.find_unit_life(team))
+
+    def _apply_policy(self, account: _Account, policy: _RefillPolicy) -> None:
+        """Change an account's refill rate and unit lifetime."""
+        if not math.isclose(account.policy.life_s, policy.life_s):
+            account.bucket = account.bucket.copy_with_life(
+                trio.current_time(), policy.life_s
+            )
+        account.policy = policy
+
+    def _record_demand(self, account: _Account, units: float) -> None:
+        now = trio.current_time()
+        account.demand = account.find_demand(now) + units / _DEMAND_DECAY_S
+        account.demand_at = now
 
 
 def create_quota_ledger(
--- a/packages/daemon/src/martenquay_daemon/allowances/sharing.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/sharing.py
@@ -15,7 +15,7 @@
 # next request.
 _BASE_DEMAND_RATIO = 0.3
 # Transfers below this ratio of an even share are not sent.
-_MIN_TRANSFER_RATIO = 0.5
+_MIN_TRANSFER_RATIO = 0.05
 # The most that is transferred for requests that wait at other daemons, as a
 # ratio of what may be spent here.
 _MAX_SHORTAGE_RATIO = 0.8
--- a/packages/daemon/src/martenquay_daemon/allowances/terms.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/terms.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import enum
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -11,7 +10,6 @@
 
 __all__ = [
     "Admitted",
-    "Claim",
     "AdmissionDecision",
     "HeldElsewhere",
     "Refused",
@@ -19,7 +17,6 @@
     "QuotaStatus",
     "Verdict",
     "AdmissionRequest",
-    "is_returning",
 ]
 
 # Spent units reach a runner up to this much later, which can move them into
@@ -34,8 +31,6 @@
 _STEADY_RATE_RATIO = 1.05
 _MAX_UNIT_LIFE_S = 4.0
 _MIN_UNIT_LIFE_S = 0.4
-# The shortest time after which a refused caller is told to return.
-_MIN_RETURN_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -90,24 +85,12 @@
         is_late: Whether it is a caller's retry that can no longer meet its
             deadline.
         max_wait_s: How long it may wait for refill shares to arrive.
-        is_returning: Whether its caller was refused before and has waited.
     """
 
     units: float
     reserve: int = 0
     is_late: bool = False
     max_wait_s: float = 0.6
-    is_returning: bool = False
-
-
-class Claim(enum.Enum):
-    """Why a request comes before others of a team that asks for too much."""
-
-    NONE = "none"
-    # One exact token bucket would admit it.
-    ENTITLED = "entitled"
-    # Its caller returns when it was told to.
-    PROMISED = "promised"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -117,14 +100,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Refused:
-    """Neither this daemon nor the others hold enough quota.
-
-    Attributes:
-        is_beyond: The request is beyond the entitlement of a team that asks
-            for too much, and what is left is kept for entitled requests.
-    """
-
-    is_beyond: bool = False
+    """Neither this daemon nor the others hold enough quota."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -153,14 +129,12 @@
         owed: Units that are overdrawn.
         part: Share of the team's refill rate that the daemon uses.
         asked: Units per second that callers request.
-        promised: Units that are kept for refused callers that are to return.
     """
 
     there: float = 0.0
     owed: float = 0.0
     part: float = 0.0
     asked: float = 0.0
-    promised: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -171,26 +145,13 @@
         retry_s: 0 if the quota is spent; else the delay until a retry.
         units: The quota figures after the decision.
         kept_at: The daemon that decided, if it was another one.
-        is_beyond: Whether the request was refused as beyond the entitlement.
     """
 
     retry_s: float
     units: QuotaStatus = QuotaStatus()
     kept_at: str = ""
-    is_beyond: bool = False
 
     @property
     def is_admitted(self) -> bool:
         """Whether the request is admitted."""
         return self.retry_s <= 0
-
-
-def is_returning(elapsed_s: float) -> bool:
-    """Return whether a caller has waited before it tries again.
-
-    Args:
-        elapsed_s: The estimated time since its first try, in seconds. Callers
-            that retry at once cannot be told from first attempts whose
-            budgets arrive a little shorter.
-    """
-    return elapsed_s >= _MIN_RETURN_S
--- a/packages/daemon/src/martenquay_daemon/fleet/messages.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/messages.py
@@ -485,7 +485,6 @@
         reserve: Priority levels to leave room for; 0 for the most urgent.
         is_late: It is a caller's retry and can no longer meet its deadline.
         is_redirected: Another daemon has named the receiver as holder.
-        is_returning: Its caller was refused before and has waited.
     """
 
     number: int
@@ -494,7 +493,6 @@
     reserve: int
     is_late: bool
     is_redirected: bool
-    is_returning: bool = False
 
 
 class QuotaVerdict(enum.IntEnum):
@@ -523,8 +521,6 @@
         owed: Overdrawn units at that daemon.
         part: Share of the team's refill rate that it uses.
         asked: Demand there, in units a second.
-        promised: Units kept there for refused callers that are to return.
-        is_beyond: Whether the request is beyond the team's entitlement.
     """
 
     number: int
@@ -536,8 +532,6 @@
     owed: float = 0.0
     part: float = 0.0
     asked: float = 0.0
-    promised: float = 0.0
-    is_beyond: bool = False
 
 
 FleetMessage = (
--- a/packages/daemon/src/martenquay_daemon/fleet/quota_client.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/quota_client.py
@@ -175,7 +175,6 @@
             admission.reserve,
             admission.is_late,
             is_redirected,
-            admission.is_returning,
         )
         pending = self._pending[number] = _PendingRequest(
             hubs[0] if hubs else ""
@@ -263,11 +262,7 @@
 
 
 def _read_reply(reply: messages.QuotaReply) -> terms.AdmissionDecision:
-    status = terms.QuotaStatus(
-        reply.there, reply.owed, reply.part, reply.asked, reply.promised
-    )
+    status = terms.QuotaStatus(reply.there, reply.owed, reply.part, reply.asked)
     is_granted = reply.verdict is messages.QuotaVerdict.GRANTED
     retry_s = 0.0 if is_granted else reply.retry_s
-    return terms.AdmissionDecision(
-        retry_s, status, reply.member, reply.is_beyond
-    )
+    return terms.AdmissionDecision(retry_s, status, reply.member)
--- a/packages/daemon/src/martenquay_daemon/fleet/quota_exchange.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/quota_exchange.py
@@ -213,10 +213,7 @@
             reply(passed)
             return
         admission = terms.AdmissionRequest(
-            request.units,
-            request.reserve,
-            request.is_late,
-            is_returning=request.is_returning,
+            request.units, request.reserve, request.is_late
         )
         # The hub that redirected a request has already counted its demand.
         verdict = self._ledger.try_spend(
@@ -257,8 +254,6 @@
             owed=round(status.owed),
             part=round(status.part, 3),
             asked=round(status.asked),
-            promised=round(status.promised),
-            is_beyond=decision.is_beyond,
         )
 
     def forget(self, member: str) -> None:
--- a/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
@@ -222,14 +222,12 @@
             self._find_priority_reserve(current),
             current.caller_elapsed_s > current.route.target_s > 0,
             _find_max_quota_wait(current),
-            terms.is_returning(current.caller_elapsed_s),
         )
         decision = await self._parts.allowances.acquire(team, admission_request)
         if decision.is_admitted:
             current.admission = decision
             return None
         quota = decision.units
-        self._parts.metrics.count_quota_refusal(decision.is_beyond)
         _LOG.write(
             f"Team {team.name} lacks quota for {current.units:.0f} units.",
             request=current.call.id,
@@ -239,8 +237,6 @@
             owed=round(quota.owed),
             part=round(quota.part, 3),
             asked=round(quota.asked),
-            promised=round(quota.promised),
-            beyond=decision.is_beyond,
             tried_ms=round(current.caller_elapsed_s * 1000),
             units=current.units,
             rate=team.rate,
--- a/packages/daemon/src/martenquay_daemon/forwarding/metrics.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/metrics.py
@@ -91,11 +91,6 @@
             registry=registry,
         )
 
-        self._quota_refusals = aioprometheus.Counter(
-            "martenquay_quota_refusals_total",
-            "Requests refused for lack of quota, by reason.",
-            registry=registry,
-        )
         self._quota_request_s = aioprometheus.Histogram(
             "martenquay_units_asked_seconds",
             "What it took to ask another daemon for units, by outcome.",
@@ -128,11 +123,6 @@
         """Observe a quota request to another daemon: outcome and duration."""
         self._quota_request_s.observe({"outcome": outcome}, took_s)
 
-    def count_quota_refusal(self, is_beyond: bool) -> None:
-        """Count a request that was refused for lack of quota."""
-        reason = "beyond_entitlement" if is_beyond else "no_units"
-        self._quota_refusals.inc({"reason": reason})
-
     def count_unusable_record(self, topic: str) -> None:
         """Count a log record that could not be decoded or applied."""
         self._unusable_records.inc({"topic": topic})
--- a/tests/allowance_days.py
+++ b/tests/allowance_days.py
@@ -6,15 +6,11 @@
 import dataclasses
 import heapq
 import random
-from typing import TYPE_CHECKING
 
 import trio
 import trio.testing
 
-from tests import allowance_fleet, entitlement
-
-if TYPE_CHECKING:
-    from martenquay_core.serving import catalog
+from tests import allowance_fleet
 
 __all__ = ["Day", "Played", "draw_day", "find_most_spent", "play_day"]
 
@@ -69,8 +65,6 @@
         greedy_s: When the demand rises.
         length_s: When the simulation ends.
         shares: Weights by which requests are distributed over instances.
-        others: Loads of other teams, from the start on.
-        has_urgencies: Whether requests differ in urgency.
     """
 
     seed: int
@@ -80,8 +74,6 @@
     greedy_s: float
     length_s: float
     shares: dict[str, float]
-    others: tuple[entitlement.TeamLoad, ...] = ()
-    has_urgencies: bool = False
 
 
 def draw_day(seed: int) -> Day:
@@ -123,30 +115,12 @@
     """The requests of a simulation.
 
     Attributes:
-        asked: Time and units of each request of the first team.
-        spent: Time and units of each of them that was admitted.
-        attempts: The requests of all teams, in their order.
-        admitted: When requests of all teams were admitted, by number.
+        asked: Time and units of each request.
+        spent: Time and units of each admitted request.
     """
 
-    asked: list[tuple[float, float]] = dataclasses.field(default_factory=list)
-    spent: list[tuple[float, float]] = dataclasses.field(default_factory=list)
-    attempts: list[entitlement.Attempt] = dataclasses.field(
-        default_factory=list
-    )
-    admitted: dict[int, float] = dataclasses.field(default_factory=dict)
-
-    def note_asked(self, attempt: entitlement.Attempt) -> None:
-        """Record a request."""
-        self.attempts.append(attempt)
-        if attempt.team is allowance_fleet.TEAM:
-            self.asked.append((attempt.at_s, attempt.units))
-
-    def note_admitted(self, attempt: entitlement.Attempt, now: float) -> None:
-        """Record that a request was admitted."""
-        self.admitted[attempt.number] = now
-        if attempt.team is allowance_fleet.TEAM:
-            self.spent.append((now, attempt.units))
+    asked: list[tuple[float, float]]
+    spent: list[tuple[float, float]]
 
     def find_served(self, start_s: float) -> float:
         """Return the ratio of requested units that were admitted."""
@@ -162,9 +136,6 @@
         self._day = day
         self._clock = clock
         self._rng = random.Random(day.seed + 1)
-        self._mix = entitlement.LoadMix(
-            day.seed, day.others, has_urgencies=day.has_urgencies
-        )
         self._log = allowance_fleet.FleetLog()
         self._daemons: dict[str, allowance_fleet.FleetDaemon] = {}
         self._processes: collections.Counter[str] = collections.Counter()
@@ -183,7 +154,7 @@
         )
         for trouble in day.troubles:
             self._troubles_by_kind[trouble.kind].append(trouble)
-        self.played = Played()
+        self.played = Played([], [])
 
     def play(self) -> None:
         """Run the simulation to its end."""
@@ -202,10 +173,7 @@
         self._processes[instance] += 1
         self._log_readers.discard(instance)
         self._daemons[instance] = allowance_fleet.FleetDaemon(
-            instance,
-            self._processes[instance],
-            self._log,
-            (allowance_fleet.TEAM, *(one.team for one in self._day.others)),
+            instance, self._processes[instance], self._log
         )
 
     def _change_fleet(self, now: float) -> None:
@@ -250,34 +218,15 @@
         count = int(requests) + (self._rng.random() < requests % 1)
         for daemon in self._rng.choices(awake, weights, k=count):
             units = self._rng.choices(_SIZES, _WEIGHTS)[0]
-            self._send_request(daemon, now, allowance_fleet.TEAM, units)
-        for load in self._mix.draw(_STEP_S):
-            daemon = self._mix.rng.choices(awake, weights)[0]
-            self._send_request(daemon, now, load.team, load.units)
-
-    def _send_request(
-        self,
-        daemon: allowance_fleet.FleetDaemon,
-        now: float,
-        team: catalog.Team,
-        units: float,
-    ) -> None:
-        attempt = entitlement.Attempt(
-            len(self.played.attempts),
-            now,
-            team,
-            units,
-            self._mix.draw_reserve(),
-        )
-        self.played.note_asked(attempt)
-        if daemon.ask(attempt):
-            self.played.note_admitted(attempt, now)
+            self.played.asked.append((now, units))
+            if daemon.ask(units):
+                self.played.spent.append((now, units))
 
     def _admit_waiting(self, now: float) -> None:
         """Admit waiting requests for which quota was transferred."""
         for daemon in self._list_awake(now):
-            for attempt in daemon.admit_waiting():
-                self.played.note_admitted(attempt, now)
+            for units in daemon.admit_waiting():
+                self.played.spent.append((now, units))
 
     def _exchange_messages(self, now: float, step: int) -> None:
         has_written = False
--- a/tests/allowance_fleet.py
+++ b/tests/allowance_fleet.py
@@ -4,7 +4,6 @@
 
 import dataclasses
 import math
-from typing import TYPE_CHECKING
 
 import trio
 
@@ -15,12 +14,8 @@
     terms,
 )
 from martenquay_daemon.fleet import roster, send_times
-from tests import entitlement
 from tests import serving_builders as builders
 
-if TYPE_CHECKING:
-    from martenquay_core.serving import catalog
-
 __all__ = [
     "BOUNDS",
     "TEAM",
@@ -123,7 +118,8 @@
 
 @dataclasses.dataclass(frozen=True)
 class _WaitingRequest:
-    attempt: entitlement.Attempt
+    units: float
+    missing: float
     deadline: float
 
 
@@ -136,13 +132,7 @@
         is_message_urgent: Its next message is to be sent early.
     """
 
-    def __init__(
-        self,
-        instance: str,
-        process: int,
-        log: FleetLog,
-        teams: tuple[catalog.Team, ...] = (TEAM,),
-    ) -> None:
+    def __init__(self, instance: str, process: int, log: FleetLog) -> None:
         self.instance = instance
         self.member = f"{instance}.{process}"
         self.is_message_urgent = False
@@ -164,8 +154,7 @@
         self._ledger = quota_ledger.create_quota_ledger(
             BOUNDS, shares, self._request_early_message
         )
-        self._teams = teams
-        self._ledger.refill(teams)
+        self._ledger.refill([TEAM])
 
     def _request_early_message(self) -> None:
         self.is_message_urgent = True
@@ -190,43 +179,39 @@
     def write_log(self) -> None:
         """Do nothing: a daemon of a small fleet stores nothing else."""
 
-    def ask(self, attempt: entitlement.Attempt) -> bool:
-        """Request quota; return whether the request is admitted at once."""
-        team = attempt.team
-        request = terms.AdmissionRequest(attempt.units, attempt.reserve)
-        match self._ledger.try_spend(team, request):
+    def ask(self, units: float) -> bool:
+        """Request quota for the team; return whether it is admitted at once."""
+        match self._ledger.try_spend(TEAM, terms.AdmissionRequest(units)):
             case terms.Admitted():
                 return True
-            case terms.HeldElsewhere():
-                self._ledger.start_waiting(team, request)
+            case terms.HeldElsewhere(missing=missing):
+                self._ledger.note_shortage(TEAM, missing)
                 deadline = trio.current_time() + _WAIT_S
-                self._waiting.append(_WaitingRequest(attempt, deadline))
+                self._waiting.append(_WaitingRequest(units, missing, deadline))
         return False
 
-    def admit_waiting(self) -> list[entitlement.Attempt]:
-        """Retry waiting requests; return those that are now admitted."""
+    def admit_waiting(self) -> list[float]:
+        """Retry waiting requests; return the units of those now admitted."""
         admitted = []
         for waiting in list(self._waiting):
-            attempt = waiting.attempt
-            request = terms.AdmissionRequest(attempt.units, attempt.reserve)
             verdict = self._ledger.try_spend(
-                attempt.team, request, is_again=True
+                TEAM, terms.AdmissionRequest(waiting.units), is_again=True
             )
             is_admitted = isinstance(verdict, terms.Admitted)
             if is_admitted:
-                admitted.append(attempt)
+                admitted.append(waiting.units)
             if is_admitted or trio.current_time() >= waiting.deadline:
-                self._ledger.stop_waiting(attempt.team, request)
+                self._ledger.note_shortage(TEAM, -waiting.missing)
                 self._waiting.remove(waiting)
         return admitted
 
     def create_message(self) -> DaemonMessage:
         """Return the next message to the other daemons."""
-        self._ledger.refill(self._teams)
+        self._ledger.refill([TEAM])
         self.is_message_urgent = False
         self._number += 1
         self._sent.note(self._number)
-        transfers = self._ledger.create_transfers(self._teams)
+        transfers = self._ledger.create_transfers([TEAM])
         return DaemonMessage(
             self.instance,
             self.member,
--- a/tests/zone_days.py
+++ b/tests/zone_days.py
@@ -12,10 +12,9 @@
 import trio.testing
 
 from martenquay_daemon.fleet import topology
-from tests import allowance_days, allowance_fleet, entitlement, zone_fleet
+from tests import allowance_days, allowance_fleet, zone_fleet
 
 if TYPE_CHECKING:
-    from martenquay_core.serving import catalog
     from martenquay_daemon.fleet import messages
 
 __all__ = ["ZoneDay", "draw_zone_day", "play_zone_day"]
@@ -58,9 +57,6 @@
         demand: Requested units a second, as a multiple of the team's rate.
         greedy_s: When that demand begins; it is half the rate before.
         length_s: Length of the day.
-        caller_zones: Zones with callers; all if empty.
-        others: Loads of other teams, from the start on.
-        has_urgencies: Whether requests differ in urgency.
     """
 
     seed: int
@@ -70,9 +66,6 @@
     demand: float
     greedy_s: float
     length_s: float
-    caller_zones: frozenset[str] = frozenset()
-    others: tuple[entitlement.TeamLoad, ...] = ()
-    has_urgencies: bool = False
 
 
 def draw_zone_day(seed: int, size: int) -> ZoneDay:
@@ -141,13 +134,7 @@
         self._day = day
         self._clock = clock
         self._rng = random.Random(day.seed + 1)
-        self._mix = entitlement.LoadMix(
-            day.seed, day.others, has_urgencies=day.has_urgencies
-        )
-        self._platform = zone_fleet.PlatformState(
-            day.places,
-            (allowance_fleet.TEAM, *(one.team for one in day.others)),
-        )
+        self._platform = zone_fleet.PlatformState(day.places)
         self._names = {place.address: n for n, place in day.places.items()}
         self._daemons: dict[str, zone_fleet.ZoneDaemon] = {}
         self._processes: collections.Counter[str] = collections.Counter()
@@ -162,7 +149,7 @@
         )
         for trouble in day.troubles:
             self._troubles_by_kind[trouble.kind].append(trouble)
-        self.played = allowance_days.Played()
+        self.played = allowance_days.Played([], [])
 
     def play(self) -> None:
         """Simulate the day to its end."""
@@ -223,12 +210,7 @@
         ]
 
     def _send_requests(self) -> None:
-        running = [
-            daemon
-            for daemon in self._list_running()
-            if not self._day.caller_zones
-            or self._day.places[daemon.instance].zone in self._day.caller_zones
-        ]
+        running = self._list_running()
         if not running:
             return
         is_greedy = self._now >= self._day.greedy_s
@@ -237,24 +219,9 @@
         count = int(asks) + (self._rng.random() < asks % 1)
         for daemon in self._rng.choices(running, k=count):
             units = self._rng.choices(_REQUEST_UNITS, _WEIGHTS)[0]
-            self._send_request(daemon, allowance_fleet.TEAM, units)
-        for load in self._mix.draw(_STEP_S):
-            daemon = self._mix.rng.choice(running)
-            self._send_request(daemon, load.team, load.units)
-
-    def _send_request(
-        self, daemon: zone_fleet.ZoneDaemon, team: catalog.Team, units: float
-    ) -> None:
-        attempt = entitlement.Attempt(
-            len(self.played.attempts),
-            self._now,
-            team,
-            units,
-            self._mix.draw_reserve(),
-        )
-        self.played.note_asked(attempt)
-        if daemon.request_units(attempt):
-            self.played.note_admitted(attempt, self._now)
+            self.played.asked.append((self._now, units))
+            if daemon.request_units(units):
+                self.played.spent.append((self._now, units))
 
     def _send(
         self, source: str, address: str, message: messages.FleetMessage
@@ -280,11 +247,11 @@
                 # The message stays in the socket while the process is frozen.
                 waiting.append(entry)
             elif instance in self._daemons:
-                attempt = self._daemons[instance].handle_message(
+                units = self._daemons[instance].handle_message(
                     entry[3], entry[4]
                 )
-                if attempt is not None:
-                    self.played.note_admitted(attempt, self._now)
+                if units:
+                    self.played.spent.append((self._now, units))
         for entry in waiting:
             heapq.heappush(self._in_flight, entry)
 
--- a/tests/zone_fleet.py
+++ b/tests/zone_fleet.py
@@ -32,15 +32,13 @@
     zone_mode,
 )
 from martenquay_standins.ports import log
-from tests import allowance_fleet, entitlement
+from tests import allowance_fleet
 from tests import serving_builders as builders
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
 
-    from martenquay_core.serving import catalog
-
 __all__ = ["Announcement", "PlatformState", "ZoneDaemon"]
 
 _INTERVALS = timing.ZONE_INTERVALS
@@ -71,22 +69,20 @@
 
     Attributes:
         places: Addresses of the instances, by name.
-        teams: The teams in the catalog.
         announcements: Announcements in the log, by offset.
         records: Decoded catalogs.
     """
 
     places: dict[str, topology.PeerAddress]
-    teams: tuple[catalog.Team, ...] = (allowance_fleet.TEAM,)
     announcements: list[Announcement] = dataclasses.field(default_factory=list)
     records: builders.FakeRecords = dataclasses.field(
         default_factory=builders.FakeRecords
     )
 
     def __post_init__(self) -> None:
-        """Put the teams into the catalog."""
+        """Put one team into the catalog."""
         self.records.catalogs[b"catalog"] = builders.build_catalog(
-            teams=self.teams
+            teams=(allowance_fleet.TEAM,)
         )
 
 
@@ -94,7 +90,7 @@
 class _PendingRequest:
     """A request for quota that waits for a hub's reply."""
 
-    attempt: entitlement.Attempt
+    units: float
     sent_at: float
     hubs: list[str]
     number: int
@@ -106,8 +102,8 @@
 
     address: str
     number: int
-    team: catalog.Team
-    request: terms.AdmissionRequest
+    units: float
+    missing: float
     until: float
 
 
@@ -192,7 +188,7 @@
         self._ledger = quota_ledger.create_quota_ledger(
             allowance_fleet.BOUNDS, self._refill_shares, self._notify_soon
         )
-        self._ledger.refill(self._record.teams)
+        self._ledger.refill([allowance_fleet.TEAM])
         self._quota_exchange = quota_exchange.QuotaExchange(
             self._member,
             place.zone,
@@ -257,12 +253,12 @@
         self._send_hedged_requests(now)
         self._retry_waiting_requests(now)
 
-    def request_units(self, attempt: entitlement.Attempt) -> bool:
-        """Request quota; return whether it may be spent at once."""
+    def request_units(self, units: float) -> bool:
+        """Request units; return whether they may be spent at once."""
         hubs = self._zone_mode.list_quota_hubs()[:_MAX_HUBS]
         self._last_number += 1
         one = _PendingRequest(
-            attempt, trio.current_time(), hubs, self._last_number
+            units, trio.current_time(), hubs, self._last_number
         )
         if hubs and not self._zone_mode.is_quota_hub():
             self._pending_requests[one.number] = one
@@ -270,8 +266,7 @@
             return False
         one.hubs = []
         match self._ledger.try_spend(
-            attempt.team,
-            terms.AdmissionRequest(attempt.units, attempt.reserve),
+            allowance_fleet.TEAM, terms.AdmissionRequest(units)
         ):
             case terms.Admitted():
                 return True
@@ -282,8 +277,8 @@
 
     def handle_message(
         self, address: str, message: messages.FleetMessage
-    ) -> entitlement.Attempt | None:
-        """Process a message; return the request that it admits in time."""
+    ) -> float:
+        """Process a message; return the units that it grants in time."""
         match message:
             case messages.DigestMessage(digest=digest):
                 self._handle_digest(digest)
@@ -298,7 +293,7 @@
                 self._handle_request(address, message)
             case messages.QuotaReply():
                 return self._handle_reply(message)
-        return None
+        return 0.0
 
     def _handle_digest(self, digest: messages.Digest) -> None:
         if not self._view.apply_digest(digest):
@@ -316,29 +311,27 @@
         for summary in report.zones:
             self._roster.note_zone_read_end(summary.zone, summary.members_end)
 
-    def _handle_reply(
-        self, reply: messages.QuotaReply
-    ) -> entitlement.Attempt | None:
+    def _handle_reply(self, reply: messages.QuotaReply) -> float:
         one = self._pending_requests.get(reply.number)
         match reply.verdict:
             case _ if one is None:
-                return None
+                return 0.0
             case messages.QuotaVerdict.WAITING:
                 one.hubs.clear()
-                return None
+                return 0.0
             case messages.QuotaVerdict.PASSED:
                 if one.hubs:
                     self._ask_next_hub(one)
-                return None
+                return 0.0
             case messages.QuotaVerdict.REDIRECTED:
                 one.hubs.clear()
                 self._ask_address(reply.holder, one, is_redirected=True)
-                return None
+                return 0.0
             case messages.QuotaVerdict.REFUSED:
-                return None
+                return 0.0
         del self._pending_requests[reply.number]
         is_late = trio.current_time() - one.sent_at > _REQUEST_TIMEOUT_S
-        return None if is_late else one.attempt
+        return 0.0 if is_late else one.units
 
     def _handle_request(
         self, address: str, request: messages.QuotaRequest
@@ -353,8 +346,9 @@
             )
             return
         is_again = request.is_redirected
-        team = next(t for t in self._record.teams if t.name == request.team)
-        match self._ledger.try_spend(team, admission, is_again=is_again):
+        match self._ledger.try_spend(
+            allowance_fleet.TEAM, admission, is_again=is_again
+        ):
             case terms.Admitted():
                 self._reply(address, request.number, 0.0)
             case terms.HeldElsewhere() if request.is_redirected:
@@ -367,20 +361,16 @@
                         request.number, redirected, holder=holder
                     ),
                 )
-            case terms.HeldElsewhere():
+            case terms.HeldElsewhere(missing=missing):
                 waiting = messages.QuotaVerdict.WAITING
                 self._send_message(
                     address, messages.QuotaReply(request.number, waiting)
                 )
-                self._ledger.start_waiting(team, admission)
+                self._ledger.note_shortage(allowance_fleet.TEAM, missing)
                 until = trio.current_time() + quota_client.HUB_WAIT_S
                 self._waiting_requests.append(
                     _WaitingRequest(
-                        address,
-                        request.number,
-                        team,
-                        admission,
-                        until,
+                        address, request.number, request.units, missing, until
                     )
                 )
             case _:
@@ -406,11 +396,13 @@
     def _retry_waiting_requests(self, now: float) -> None:
         for one in list(self._waiting_requests):
             verdict = self._ledger.try_spend(
-                one.team, one.request, is_again=True
+                allowance_fleet.TEAM,
+                terms.AdmissionRequest(one.units),
+                is_again=True,
             )
             is_admitted = isinstance(verdict, terms.Admitted)
             if is_admitted or now >= one.until:
-                self._ledger.stop_waiting(one.team, one.request)
+                self._ledger.note_shortage(allowance_fleet.TEAM, -one.missing)
                 self._waiting_requests.remove(one)
                 self._reply(one.address, one.number, 0.0 if is_admitted else 1)
 
@@ -427,14 +419,9 @@
     def _ask_address(
         self, address: str, one: _PendingRequest, *, is_redirected: bool = False
     ) -> None:
-        attempt = one.attempt
+        team = allowance_fleet.TEAM.name
         request = messages.QuotaRequest(
-            one.number,
-            attempt.team.name,
-            attempt.units,
-            attempt.reserve,
-            False,
-            is_redirected,
+            one.number, team, one.units, 0, False, is_redirected
         )
         self._send_message(address, request)
 
