--- a/packages/core/src/martenquay_core/serving/calls.py
+++ b/packages/core/src/martenquay_core/serving/calls.py
@@ -50,6 +50,8 @@
         tokens_out: Maximum length of the answer in tokens; None if unknown.
         resume_after: Number of the last stream event that the caller has;
             None if it does not resume a stream.
+        resumed_id: Id of the request that brought the first event of the
+            stream to resume; empty if the caller names none.
     """
 
     id: str
@@ -64,6 +66,7 @@
     tokens_in: int | None = None
     tokens_out: int | None = None
     resume_after: int | None = None
+    resumed_id: str = ""
 
     @property
     def path(self) -> str:
--- a/tests/test_platform/test_codec.py
+++ b/tests/test_platform/test_codec.py
@@ -15,6 +15,7 @@
     (b"token-counts", b"1460,80"),
     (b"prefix-hash", b"5c1e:800,91bd:410,e440:250"),
     (b"last-event-id", b"12"),
+    (b"resumes", b"7a02"),
     (b"tenant", b"somebody-else"),
     (b"connection", b"keep-alive, x-private"),
     (b"x-private", b"1"),
@@ -52,6 +53,7 @@
         )
         self.assertEqual([800, 410, 250], [p.tokens for p in self.call.prompt])
         self.assertEqual(12, self.call.resume_after)
+        self.assertEqual("7a02", self.call.resumed_id)
 
     def test_the_runner_gets_neither_the_key_nor_a_forged_team(self) -> None:
         options = calls.AttemptOptions("i-1", 1.5, team="florists", urgency=2)
