Add failing tests of streams that go on at another software version

Reproduced on the current code, in both ways: within one answer, where the daemon sends a broken stream on to any runner, and over a caller's tries, where the daemon that it meets does not know the version.

--- a/tests/test_platform/test_soak_judge.py
+++ b/tests/test_platform/test_soak_judge.py
@@ -94,6 +94,61 @@
             [breach.partition(" after")[0] for breach in found],
         )
 
+    def _add_resumed(self, number: int, software: str, **changes) -> None:
+        """Add a stream that goes on after its second event."""
+        first = _build_call(f"call-{number}", CallKind.LONG, status=200)
+        first.is_complete = False
+        first.body = b"".join(
+            runner.make_event(first.id, event) for event in (1, 2)
+        )
+        self._add(first)
+        self.seen.runs.append(_build_run(first.id, CallKind.LONG))
+        call = _build_call(
+            f"call-{number}-again",
+            CallKind.LONG,
+            resumed_id=first.id,
+            resume_after=2,
+            sent_at=14.0,
+            ended_at=14.1,
+        )
+        call.body = b"".join(
+            runner.make_event(call.id, event, software)
+            for event in range(3, runner.STREAM_EVENTS + 1)
+        )
+        self._add(call)
+        self.seen.runs.append(_build_run(call.id, CallKind.LONG))
+        for name, value in changes.items():
+            setattr(call, name, value)
+
+    def test_a_stream_that_goes_on_at_its_version_passes(self) -> None:
+        self._disturb("kill", "entry-0")
+        self._add_resumed(9, "v1")
+        self._expect()
+
+    def test_a_stream_that_goes_on_at_another_version_is_a_breach(self) -> None:
+        self._disturb("kill", "entry-0")
+        self._add_resumed(9, "v1.1")
+        self._expect("stream call-9 holds events of versions ['v1', 'v1.1']")
+
+    def test_two_versions_within_one_answer_are_a_breach(self) -> None:
+        call = _build_call("call-8", CallKind.LONG)
+        call.body = b"".join(
+            runner.make_event("call-8", n, "v1" if n < 5 else "v1.1")
+            for n in range(1, runner.STREAM_EVENTS + 1)
+        )
+        self._add(call)
+        self.seen.runs.append(_build_run("call-8", CallKind.LONG))
+        self._expect("stream call-8 holds events of versions ['v1', 'v1.1']")
+
+    def test_too_few_resumed_streams_that_go_on_are_a_breach(self) -> None:
+        self._disturb("kill", "entry-0")
+        self.seen.disturbances[0].ended_at = 10.5
+        for number in range(20, 32):
+            refused = {"status": 503, "body": b"", "is_sealed": False}
+            changes = refused if number < 27 else {}
+            self._add_resumed(number, "v1", **changes)
+        self._expect("5 of 12 resumed streams went on")
+
     def test_few_runs_after_three_crashes_pass(self) -> None:
         self.assertEqual(
             [], self._judge_crashing_request([1.0, 1.2, 1.4, 1.6, 9.0])
