--- a/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
@@ -9,10 +9,8 @@
 
 from martenquay_core import logs
 from martenquay_core.serving import calls, catalog, signals
-from martenquay_daemon.engines import model
 from martenquay_daemon.forwarding import (
     disconnects,
-    event_stream,
     exchange,
     silence,
     silence_limits,
@@ -28,11 +26,11 @@
     from martenquay_daemon.duties import usage_counts
     from martenquay_daemon.engines import (
         demand,
-        durations,
         loads,
         placer,
         speed_tracker,
     )
+    from martenquay_daemon.forwarding import stream_relay
     from martenquay_daemon.migration import mover
     from martenquay_daemon.overload import backlog
 
@@ -63,26 +61,24 @@
         ledger: loads.LoadLedger,
         usage: usage_counts.UsageCounts,
         meter: demand.DemandMeter,
-        estimates: model.RunnerModel,
-        streams: durations.StreamDurations,
         notify_soon: Callable[[], None],
         gate: runner_admission.RunnerAdmission,
         speeds: speed_tracker.SpeedTracker,
         backlogs: backlog.BacklogLedger,
+        relay: stream_relay.StreamRelay,
         stream_mover: mover.StreamMover | None = None,
         opener: connections.StreamOpener = connections.open_stream,
     ) -> None:
         self._speeds = speeds
         self._backlogs = backlogs
         self._gate = gate
+        self._relay = relay
         self._mover = stream_mover
         self._opener = opener
         self._codec = codec
         self._ledger = ledger
         self._usage = usage
         self._meter = meter
-        self._model = estimates
-        self._streams = streams
         self._notify_soon = notify_soon
 
     async def make(
@@ -247,7 +243,7 @@
         is_complete = isinstance(result, exchange.Delivered | exchange.Whole)
         # Of a run that continues from a copy only a part is measured here.
         if is_complete and current.kv_source is None:
-            self._record_slot_time(current)
+            self._relay.record_slot_time(current)
         return result
 
     async def _send_and_relay(
@@ -276,7 +272,7 @@
         if problem:
             return exchange.Broken(problem)
         if is_stream and status == _OK:
-            return await self._relay_stream(
+            return await self._relay.relay(
                 current, placement, head, connection, running, is_end
             )
         running.note_first_event()
@@ -313,16 +309,6 @@
             current.reported_signals = head.signals
             self._gate.note_answer(runner, head, current.sent_at)
 
-    def _record_slot_time(self, current: exchange.Exchange) -> None:
-        # Time before the first event is left out: it includes the wait for a
-        # slot, so a queue would make the slots look slower.
-        first_event_s = current.first_event_s or 0.0
-        held_s = trio.current_time() - current.sent_at - first_event_s
-        self._model.note_end(current.service, held_s)
-        tokens = current.call.tokens_out
-        if tokens and current.first_event_s is not None:
-            self._streams.note(current.service, first_event_s, tokens, held_s)
-
     def _create_request(
         self, current: exchange.Exchange, placement: placer.Placement
     ) -> connections.RunnerRequest:
@@ -386,99 +372,6 @@
             usage.count()
         yield usage
 
-    async def _relay_stream(
-        self,
-        current: exchange.Exchange,
-        placement: placer.Placement,
-        head: calls.AnswerHead,
-        connection: connections.RunnerConnection,
-        running: loads.Running,
-        is_end: Callable[[], Awaitable[bool]],
-    ) -> exchange.AttemptResult:
-        """Relay each event to the caller once it has arrived completely."""
-        splitter = event_stream.EventSplitter()
-        has_first_event = False
-        async for chunk in connection.iterate_body():
-            events = splitter.feed(chunk)
-            if events and not has_first_event:
-                has_first_event = True
-                connection.has_first_event = True
-                running.note_first_event()
-                took_s = trio.current_time() - current.sent_at
-                self._record_first_event(current, placement, took_s)
-                # A moved run was counted where it sent its first event.
-                if current.kv_source is None or not current.events_delivered:
-                    usage_entry.UsageEntry(self._usage, current.team).count()
-            elif events and current.watch is not None:
-                self._speeds.note_events(
-                    current.watch, len(events), trio.current_time()
-                )
-            problem = await self._relay_events(current, head, events)
-            if problem:
-                return exchange.Broken(problem)
-        if splitter.rest:
-            return exchange.Broken("the stream ended in the middle of an event")
-        if not await is_end():
-            return exchange.Broken("the run was stopped to continue elsewhere")
-        if not current.writer.has_started:
-            return exchange.Broken("the stream ended without an event")
-        await current.writer.finish()
-        return exchange.Delivered()
-
-    def _record_first_event(
-        self,
-        current: exchange.Exchange,
-        placement: placer.Placement,
-        took_s: float,
-    ) -> None:
-        current.first_event_s = took_s
-        if current.watch is not None:
-            self._speeds.note_first_event(
-                current.watch, took_s, trio.current_time()
-            )
-        # The estimate of the prefill speed excludes waits for a slot, and
-        # resumed streams, which prefill their earlier output as well, or
-        # continue from a copy.
-        is_new = current.events_delivered == 0 and current.kv_source is None
-        if placement.has_free_slot and is_new:
-            uncached_tokens = placement.uncached_tokens
-            result = model.FirstEvent(
-                uncached_tokens,
-                uncached_tokens + placement.unread_tokens,
-                took_s,
-                current.urgency,
-            )
-            self._model.note_first_event(current.service, result)
-
-    async def _relay_events(
-        self,
-        current: exchange.Exchange,
-        head: calls.AnswerHead,
-        events: list[event_stream.Event],
-    ) -> str:
-        """Write the events that the caller lacks; return a problem, or ""."""
-        new_events = []
-        for event in events:
-            last = current.last_event_id
-            if event.id is not None and last is not None:
-                if event.id <= last:
-                    continue
-                if event.id > last + 1:
-                    return (
-                        f"event {event.id} follows event {last}; some are lost"
-                    )
-            if event.id is not None:
-                current.last_event_id = event.id
-            new_events.append(event.raw)
-        if not new_events:
-            return ""
-        current.stage = disconnects.Stage.STREAMING
-        if not current.writer.has_started:
-            await current.writer.start(head.status, head.headers, None)
-        current.events_delivered += len(new_events)
-        await current.writer.write(b"".join(new_events))
-        return ""
-
 
 async def _confirm_end() -> bool:
     return True
--- a/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
@@ -1,4 +1,4 @@
-"""Handle a request: match its route, admit it, forward it with retries."""
+"""Handle a request: admit it and forward it with retries."""
 
 from __future__ import annotations
 
@@ -7,17 +7,15 @@
 
 import trio
 
-from martenquay_core import logs, results
-from martenquay_daemon.allowances import terms
+from martenquay_core import logs
 from martenquay_daemon.engines import placer
 from martenquay_daemon.forwarding import (
     answers,
     disconnects,
     exchange,
     own_answers,
+    request_admission,
     request_log,
-    retry_detector,
-    stop_window,
 )
 from martenquay_daemon.overload import request as overload_request
 
@@ -25,7 +23,7 @@
     import random
     from collections.abc import Awaitable, Callable
 
-    from martenquay_core.serving import calls, catalog, ports
+    from martenquay_core.serving import calls, ports
     from martenquay_daemon.allowances import gate
     from martenquay_daemon.backpressure import runner_admission
     from martenquay_daemon.discovery import (
@@ -38,6 +36,7 @@
         metrics,
         quarantine_filter,
         retry_window,
+        stop_window,
         trial_recorder,
     )
     from martenquay_daemon.limits import ejection
@@ -47,16 +46,10 @@
 __all__ = ["Forwarder", "ForwarderParts"]
 
 _LOG = logs.create_log("forwarding")
-_Code = results.ResultCode
-_STARTING_RETRY_AFTER_S = 0.5
 # Estimates of long waits may be too high by up to this factor, so a request is
 # rejected as late only beyond it: 1.7 s were expected where 1.2 s came (95th
 # percentile of the worst 4 s).
 _MAX_OVERESTIMATE_FACTOR = 1.5
-# Enough for a delegated refill share to arrive; the rest of the request's time
-# is left for its answer.
-_MAX_QUOTA_WAIT_S = 1.5
-_MAX_QUOTA_WAIT_FRACTION = 0.4
 # Bounds the attempts that `max_attempts` does not count, else a request would
 # go on to each unreachable runner until its deadline.
 _MAX_UNCOUNTED_ATTEMPTS = 4
@@ -118,7 +111,13 @@
 
     def __init__(self, parts: ForwarderParts) -> None:
         self._parts = parts
-        self._retry_detector = retry_detector.RetryDetector()
+        self._admission = request_admission.RequestAdmission(
+            parts.store,
+            parts.quarantine,
+            parts.stop,
+            parts.allowances,
+            parts.rng,
+        )
         self._request_log = request_log.RequestLog(parts.store, parts.metrics)
 
     async def handle(
@@ -135,132 +134,13 @@
             writer: Writes the answer to the caller.
         """
         await self._parts.wait_until_read()
-        admitted = await self._admit(call, received_at, writer)
+        admitted = await self._admission.admit(call, received_at, writer)
         match admitted:
             case answers.OwnAnswer():
                 await self._send_own_answer(call, writer, admitted)
             case exchange.Exchange():
                 await self._forward_until_disconnect(admitted)
 
-    async def _admit(
-        self,
-        call: calls.Call,
-        received_at: float,
-        writer: answers.AnswerWriter,
-    ) -> exchange.Exchange | answers.OwnAnswer:
-        parts = self._parts
-        table = parts.store.table
-        if parts.store.version == 0:
-            return answers.create_own_answer(
-                _Code.NOT_RUN_STARTING,
-                "no configuration is known yet",
-                retry_after_s=_STARTING_RETRY_AFTER_S,
-            )
-        route = table.find_route(call)
-        if route is None:
-            message = f"no route for {call.host}{call.path}"
-            return answers.create_own_answer(_Code.UNKNOWN_ROUTE, message)
-        team = table.find_team(call.key)
-        if team is None and table.needs_key(route):
-            message = "the key belongs to no team"
-            return answers.create_own_answer(_Code.BAD_CREDENTIAL, message)
-        budget_s = min(call.budget_s or route.timeout_s, route.timeout_s)
-        current = exchange.Exchange(
-            call=call,
-            route=route,
-            team=team,
-            service=self._choose_service(route),
-            received_at=received_at,
-            deadline=received_at + budget_s,
-            writer=writer,
-            last_event_id=call.resume_after,
-            caller_elapsed_s=self._retry_detector.find_elapsed(
-                route.name, call.budget_s
-            ),
-        )
-        # Checked before the quota, so that a rejected request costs none.
-        hold_s = self._parts.quarantine.find_quarantine_s(current)
-        if hold_s is not None:
-            return own_answers.describe_quarantine(hold_s)
-        return (
-            self._refuse_if_stop_interrupts(current)
-            or await self._refuse_if_over_quota(current)
-            or current
-        )
-
-    def _refuse_if_stop_interrupts(
-        self, current: exchange.Exchange
-    ) -> answers.OwnAnswer | None:
-        request = stop_window.NewRequest(
-            current.service,
-            current.route.kind,
-            current.call.tokens_out,
-            current.deadline - trio.current_time(),
-        )
-        overrun_s = self._parts.stop.find_overrun(request)
-        if overrun_s <= 0:
-            return None
-        return own_answers.describe_stop(overrun_s)
-
-    def _choose_service(self, route: catalog.Route) -> str:
-        if len(route.destinations) == 1:
-            return route.destinations[0].service
-        weights = [max(0.0, d.weight) for d in route.destinations]
-        if not sum(weights):
-            return route.destinations[0].service
-        chosen = self._parts.rng.choices(route.destinations, weights)
-        return chosen[0].service
-
-    async def _refuse_if_over_quota(
-        self, current: exchange.Exchange
-    ) -> answers.OwnAnswer | None:
-        team = current.team
-        if team is None:
-            return None
-        admission_request = terms.AdmissionRequest(
-            current.units,
-            self._find_priority_reserve(current),
-            current.caller_elapsed_s > current.route.target_s > 0,
-            _find_max_quota_wait(current),
-        )
-        decision = await self._parts.allowances.acquire(team, admission_request)
-        if decision.is_admitted:
-            current.admission = decision
-            return None
-        quota = decision.units
-        _LOG.write(
-            f"Team {team.name} lacks quota for {current.units:.0f} units.",
-            request=current.call.id,
-            team=team.name,
-            kept_at=decision.kept_at,
-            there=round(quota.there),
-            owed=round(quota.owed),
-            part=round(quota.part, 3),
-            asked=round(quota.asked),
-            tried_ms=round(current.caller_elapsed_s * 1000),
-            units=current.units,
-            rate=team.rate,
-            burst=team.burst,
-        )
-        return answers.create_own_answer(
-            _Code.NOT_RUN_OVERLOADED,
-            f"team {team.name} is over its allowance",
-            retry_after_s=decision.retry_s,
-        )
-
-    def _find_priority_reserve(self, current: exchange.Exchange) -> int:
-        """Return the request's distance from the highest priority.
-
-        The larger it is, the more quota is left to other requests. It is 0 for
-        calls of plain services: they cost next to nothing of a quota that
-        counts tokens.
-        """
-        services = self._parts.store.table.catalog.services
-        service = services.get(current.service)
-        if service is None or service.engine is None:
-            return 0
-        return 1 + min(current.route.urgency, 1)
-
     async def _forward_until_disconnect(
         self, current: exchange.Exchange
     ) -> None:
@@ -371,7 +251,7 @@
         refusal = (
             None
             if current.attempts
-            else self._refuse_if_stop_interrupts(current)
+            else self._admission.refuse_if_stop_interrupts(current)
         )
         if refusal is not None:
             return refusal
@@ -492,12 +372,6 @@
         )
 
 
-def _find_max_quota_wait(current: exchange.Exchange) -> float:
-    """Return how long to wait for quota while none is known, in seconds."""
-    remaining_s = current.deadline - trio.current_time()
-    return min(_MAX_QUOTA_WAIT_S, _MAX_QUOTA_WAIT_FRACTION * remaining_s)
-
-
 def _find_lateness(
     current: exchange.Exchange, placement: placer.Placement
 ) -> float:
--- /dev/null
+++ b/packages/daemon/src/martenquay_daemon/forwarding/stream_relay.py
@@ -0,0 +1,160 @@
+"""Relay the events of a runner's stream to the caller."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from martenquay_daemon.engines import model
+from martenquay_daemon.forwarding import (
+    disconnects,
+    event_stream,
+    exchange,
+    usage_entry,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from martenquay_core.serving import calls
+    from martenquay_daemon.duties import usage_counts
+    from martenquay_daemon.engines import (
+        durations,
+        loads,
+        placer,
+        speed_tracker,
+    )
+    from martenquay_daemon.forwarding import runner_connection
+
+__all__ = ["StreamRelay"]
+
+
+class StreamRelay:
+    """Relays streams, and records how long answers and events take."""
+
+    def __init__(
+        self,
+        usage: usage_counts.UsageCounts,
+        estimates: model.RunnerModel,
+        streams: durations.StreamDurations,
+        speeds: speed_tracker.SpeedTracker,
+    ) -> None:
+        self._usage = usage
+        self._model = estimates
+        self._streams = streams
+        self._speeds = speeds
+
+    async def relay(
+        self,
+        current: exchange.Exchange,
+        placement: placer.Placement,
+        head: calls.AnswerHead,
+        connection: runner_connection.RunnerConnection,
+        running: loads.Running,
+        is_end: Callable[[], Awaitable[bool]],
+    ) -> exchange.AttemptResult:
+        """Relay each event to the caller once it has arrived completely.
+
+        Args:
+            current: The request; its progress is updated.
+            placement: The runner and its load estimate.
+            head: The head of the runner's answer.
+            connection: The connection to the runner.
+            running: The request's load at the runner.
+            is_end: Returns whether a stream that ends is complete, as opposed
+                to stopped by a move.
+        """
+        splitter = event_stream.EventSplitter()
+        has_first_event = False
+        async for chunk in connection.iterate_body():
+            events = splitter.feed(chunk)
+            if events and not has_first_event:
+                has_first_event = True
+                connection.has_first_event = True
+                running.note_first_event()
+                took_s = trio.current_time() - current.sent_at
+                self._record_first_event(current, placement, took_s)
+                # A moved run was counted where it sent its first event.
+                if current.kv_source is None or not current.events_delivered:
+                    usage_entry.UsageEntry(self._usage, current.team).count()
+            elif events and current.watch is not None:
+                self._speeds.note_events(
+                    current.watch, len(events), trio.current_time()
+                )
+            problem = await self._relay_events(current, head, events)
+            if problem:
+                return exchange.Broken(problem)
+        if splitter.rest:
+            return exchange.Broken("the stream ended in the middle of an event")
+        if not await is_end():
+            return exchange.Broken("the run was stopped to continue elsewhere")
+        if not current.writer.has_started:
+            return exchange.Broken("the stream ended without an event")
+        await current.writer.finish()
+        return exchange.Delivered()
+
+    def record_slot_time(self, current: exchange.Exchange) -> None:
+        """Record how long a complete answer held its slot."""
+        # Time before the first event is left out: it includes the wait for a
+        # slot, so a queue would make the slots look slower.
+        first_event_s = current.first_event_s or 0.0
+        held_s = trio.current_time() - current.sent_at - first_event_s
+        self._model.note_end(current.service, held_s)
+        tokens = current.call.tokens_out
+        if tokens and current.first_event_s is not None:
+            self._streams.note(current.service, first_event_s, tokens, held_s)
+
+    def _record_first_event(
+        self,
+        current: exchange.Exchange,
+        placement: placer.Placement,
+        took_s: float,
+    ) -> None:
+        current.first_event_s = took_s
+        if current.watch is not None:
+            self._speeds.note_first_event(
+                current.watch, took_s, trio.current_time()
+            )
+        # The estimate of the prefill speed excludes waits for a slot, and
+        # resumed streams, which prefill their earlier output as well, or
+        # continue from a copy.
+        is_new = current.events_delivered == 0 and current.kv_source is None
+        if placement.has_free_slot and is_new:
+            uncached_tokens = placement.uncached_tokens
+            result = model.FirstEvent(
+                uncached_tokens,
+                uncached_tokens + placement.unread_tokens,
+                took_s,
+                current.urgency,
+            )
+            self._model.note_first_event(current.service, result)
+
+    async def _relay_events(
+        self,
+        current: exchange.Exchange,
+        head: calls.AnswerHead,
+        events: list[event_stream.Event],
+    ) -> str:
+        """Write the events that the caller lacks; return a problem, or ""."""
+        new_events = []
+        for event in events:
+            last = current.last_event_id
+            if event.id is not None and last is not None:
+                if event.id <= last:
+                    continue
+                if event.id > last + 1:
+                    return (
+                        f"event {event.id} follows event {last}; some are lost"
+                    )
+            if event.id is not None:
+                current.last_event_id = event.id
+            new_events.append(event.raw)
+        if not new_events:
+            return ""
+        current.stage = disconnects.Stage.STREAMING
+        if not current.writer.has_started:
+            await current.writer.start(head.status, head.headers, None)
+        current.events_delivered += len(new_events)
+        await current.writer.write(b"".join(new_events))
+        return ""
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -63,6 +63,7 @@
     quarantine_filter,
     retry_window,
     stop_window,
+    stream_relay,
     trial_recorder,
 )
 from martenquay_daemon.limits import ejection
@@ -585,12 +586,13 @@
                 self._loads,
                 self._usage,
                 self._demand_meter,
-                self._runner_model,
-                streams,
                 self._notify_mesh_peers_soon,
                 self._backpressure.admission,
                 self._speeds,
                 self._backlogs,
+                stream_relay.StreamRelay(
+                    self._usage, self._runner_model, streams, self._speeds
+                ),
                 self._mover,
                 self._dialer.open_stream,
             ),
--- a/tests/serving_scene.py
+++ b/tests/serving_scene.py
@@ -38,6 +38,7 @@
     quarantine_filter,
     retry_window,
     stop_window,
+    stream_relay,
     trial_recorder,
 )
 from martenquay_daemon.limits import ejection
@@ -207,12 +208,13 @@
                 self.ledger,
                 self.usage,
                 self.meter,
-                self.estimates,
-                self.streams,
                 self._count_early_digest,
                 self.runner_admission,
                 self.speeds,
                 self.backlogs,
+                stream_relay.StreamRelay(
+                    self.usage, self.estimates, self.streams, self.speeds
+                ),
                 self.mover,
             ),
             retries=retry_window.RetryWindow(bounds, lambda: 1),
