Let a stream go on only at the software version that began it

Cause: what binds an answer's parts together was kept with the try and not with the answer. An exchange had no version, so a stream that broke within an answer went on at any runner; and no daemon remembered which version began a request, so a caller that took the stream up began anew at any version. Ruled out: moves, whose targets are of the source's version.

Now: the exchange has the version of its first event, and the placer chooses among its runners alone, whatever a rollout gives new requests. For a stream that a caller resumes, the version is looked up by Resumes: in this daemon's memory, which other daemons fill as streams begin, then in the platform's log, which outlives a loss of all daemons. Nothing is shared or written while a service has had one version for as long as a stream may last. A version that is not known, or has no runner left, is answered 503 (3008) at once and never guessed. Silence between two events counts against a runner only if another one of its version can go on.

--- a/packages/core/src/martenquay_core/results.py
+++ b/packages/core/src/martenquay_core/results.py
@@ -32,6 +32,7 @@
     NOT_RUN_DEADLINE = 3005
     NOT_RUN_STARTING = 3006
     NOT_RUN_QUARANTINED = 3007
+    NOT_RUN_VERSION_LOST = 3008
     UNKNOWN_ANSWER_LOST = 4001
     UNKNOWN_HOLDER_LOST = 4002
     STREAM_BROKEN = 4003
@@ -114,6 +115,9 @@
     ResultCode.NOT_RUN_QUARANTINED: ResultInfo(
         503, 4, "Not run: runners ended under this request again and again."
     ),
+    ResultCode.NOT_RUN_VERSION_LOST: ResultInfo(
+        503, 4, "Not run: no runner can go on with the stream to resume."
+    ),
     ResultCode.UNKNOWN_ANSWER_LOST: ResultInfo(
         502, 5, "It may have run: the answer was lost. It is not sent again."
     ),
--- a/packages/core/src/martenquay_core/serving/topics.py
+++ b/packages/core/src/martenquay_core/serving/topics.py
@@ -21,6 +21,8 @@
         strikes: Keyed by request content; crash records, that is, runners
             that ended while they served that content.
         rollouts: Keyed by service; rollout steps.
+        origins: The software versions that began streams, while a service has
+            several.
         status: Keyed; rollout status for operators.
     """
 
@@ -32,4 +34,5 @@
     usage: str
     strikes: str
     rollouts: str
+    origins: str
     status: str
--- a/packages/daemon/src/martenquay_daemon/engines/placer.py
+++ b/packages/daemon/src/martenquay_daemon/engines/placer.py
@@ -70,6 +70,8 @@
         work_s: Seconds in which an engine of the service's mean speed prefills
             the uncached and the queued tokens.
         speed: Speed of the engine relative to the service's mean.
+        same_version: Number of runners of its software version among those to
+            choose from; a stream that has begun goes on at these only.
     """
 
     runner: runners.Runner
@@ -82,6 +84,7 @@
     is_learnt: bool = False
     work_s: float = 0.0
     speed: float = 1.0
+    same_version: int = 1
 
 
 class Placer:
@@ -127,6 +130,7 @@
         call: calls.Call,
         excluded: set[str],
         target_s: float = 0.0,
+        software: str | None = None,
     ) -> Placement | None:
         """Return the best runner of a service that is not excluded.
 
@@ -136,6 +140,8 @@
             call: The request.
             excluded: Ids of runners that must not be chosen.
             target_s: Target time to the first event in seconds.
+            software: The only version that may be chosen, whether or not it
+                gets new requests; None for those that do.
 
         Returns:
             The runner and its estimate; None if no usable runner is left.
@@ -145,16 +151,23 @@
             for runner in self._directory.list_usable(name)
             if runner.id not in excluded
         ]
-        usable = self._choose_versions(
-            name, self._admission.filter_accepting(usable)
-        )
+        usable = self._admission.filter_accepting(usable)
+        if software is None:
+            usable = self._choose_versions(name, usable)
+        else:
+            usable = [one for one in usable if one.software == software]
         if not usable:
             return None
         not_ejected = set(self._ejector.filter_usable([r.id for r in usable]))
         candidates = [runner for runner in usable if runner.id in not_ejected]
         if service is not None and service.engine is not None:
-            return self._choose_engine(name, call, candidates, target_s)
-        return self._choose_plain(name, candidates)
+            found = self._choose_engine(name, call, candidates, target_s)
+        else:
+            found = self._choose_plain(name, candidates)
+        same_version = sum(
+            one.software == found.runner.software for one in candidates
+        )
+        return dataclasses.replace(found, same_version=same_version)
 
     def _choose_engine(
         self,
--- a/packages/daemon/src/martenquay_daemon/fleet/links.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/links.py
@@ -51,6 +51,10 @@
     del message
 
 
+def _ignore_origins(record: bytes) -> None:
+    del record
+
+
 @dataclasses.dataclass(frozen=True)
 class Listeners:
     """Callbacks for messages of other daemons.
@@ -71,6 +75,8 @@
             account for announcements.
         runner_report_gossip: Creates and merges gossip of runners' reports.
         apply_relayed: Processes the records that a hub relays.
+        apply_origins: Processes the versions that began streams at another
+            daemon.
     """
 
     apply_digest: Callable[[messages.Digest], None]
@@ -88,6 +94,7 @@
     apply_relayed: Callable[[relay_messages.RelayedRecords], None] = (
         _ignore_relayed
     )
+    apply_origins: Callable[[bytes], None] = _ignore_origins
 
 
 @dataclasses.dataclass
@@ -258,6 +265,18 @@
         for address in self._zone.list_subscribers():
             self._send(address, raw)
 
+    def share_origins(self, record: bytes) -> None:
+        """Send the versions that began streams to those who keep them.
+
+        In a small fleet these are all daemons, in a large one the zone's hubs.
+        """
+        receivers = (
+            list(self._links) if self.is_mesh() else self._zone.list_own_hubs()
+        )
+        raw = messages.encode_message(relay_messages.StreamOrigins(record))
+        for address in receivers:
+            self._send(address, raw)
+
     async def _receive_requests(self, router: sockets.PeerSocket) -> None:
         while True:
             frames = await router.receive()
@@ -312,14 +331,24 @@
             case messages.QuotaUpdate():
                 if self.listeners is not None:
                     self.listeners.apply_quota_update(message)
-            case relay_messages.RelayedRecords():
-                self._handle_relayed(message)
+            case (
+                relay_messages.RelayedRecords() | relay_messages.StreamOrigins()
+            ):
+                self._handle_records(message)
             case messages.StateReply():
                 self._handle_state_reply(message)
 
-    def _handle_relayed(self, message: relay_messages.RelayedRecords) -> None:
-        if self.listeners is not None and not self.is_mesh():
-            self.listeners.apply_relayed(message)
+    def _handle_records(
+        self,
+        message: relay_messages.RelayedRecords | relay_messages.StreamOrigins,
+    ) -> None:
+        if self.listeners is None:
+            return
+        match message:
+            case relay_messages.StreamOrigins(record=record):
+                self.listeners.apply_origins(record)
+            case _ if not self.is_mesh():
+                self.listeners.apply_relayed(message)
 
     def _handle_state_reply(self, reply: messages.StateReply) -> None:
         self._state_transfer.apply_reply(reply)
--- a/packages/daemon/src/martenquay_daemon/fleet/messages.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/messages.py
@@ -544,6 +544,7 @@
     | QuotaRequest
     | QuotaReply
     | relay_messages.RelayedRecords
+    | relay_messages.StreamOrigins
 )
 
 _DECODER = msgspec.msgpack.Decoder(FleetMessage)
--- a/packages/daemon/src/martenquay_daemon/fleet/relay_messages.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/relay_messages.py
@@ -1,10 +1,10 @@
-"""Define the message with which a hub relays a topic's records to its zone."""
+"""Define the messages that pass records of the log between daemons."""
 
 from __future__ import annotations
 
 import msgspec
 
-__all__ = ["RelayedRecord", "RelayedRecords"]
+__all__ = ["RelayedRecord", "RelayedRecords", "StreamOrigins"]
 
 
 class RelayedRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -35,3 +35,13 @@
     start: int
     end: int
     records: list[RelayedRecord]
+
+
+class StreamOrigins(msgspec.Struct, frozen=True, array_like=True, tag="o"):
+    """The versions that began streams at the sender.
+
+    Attributes:
+        record: As in the topic of origins; see `origins.records`.
+    """
+
+    record: bytes
--- a/packages/daemon/src/martenquay_daemon/fleet/zone_mode.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/zone_mode.py
@@ -234,6 +234,10 @@
         """Return the addresses of the daemons that this hub reports to."""
         return list(self._hub.list_subscribers(trio.current_time()))
 
+    def list_own_hubs(self) -> list[str]:
+        """Return the addresses of the zone's other hubs."""
+        return list(self._own_hubs)
+
     def create_digest_messages(self, digest: messages.Digest) -> list[Outgoing]:
         """Return a digest's messages to this daemon's hubs."""
         raw = messages.encode_message(messages.DigestMessage(digest))
--- a/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
@@ -56,6 +56,8 @@
         may_have_run: Whether a runner may have executed the request.
         last_event_id: Id of the last event that the caller has, from this
             exchange or from an earlier one that it resumes.
+        software: Software version that began the stream, at which alone it
+            goes on; None while it may begin at any.
         events_delivered: Events written to the caller.
         uncounted_attempts: Attempts that do not count against
             `max_attempts`: no connection, or another runner at the address.
@@ -102,6 +104,7 @@
     attempts: int = 0
     may_have_run: bool = False
     last_event_id: int | None = None
+    software: str | None = None
     events_delivered: int = 0
     uncounted_attempts: int = 0
     misdirected: int = 0
@@ -148,6 +151,11 @@
             urgency = team.urgency
         return min(max(urgency, 0), _MAX_URGENCY)
 
+    @property
+    def stream_request(self) -> str:
+        """Id of the request that brought or brings the stream's first event."""
+        return self.call.resumed_id or self.call.id
+
     def check_caller(self) -> None:
         """Check that the caller is still connected.
 
--- a/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
@@ -37,6 +37,7 @@
         quarantine_filter,
         retry_window,
         stop_window,
+        stream_resumption,
         trial_recorder,
     )
     from martenquay_daemon.limits import ejection
@@ -72,6 +73,7 @@
         runner_admission: Limits, backoffs and drains that runners reported.
         quarantine: Rejects requests whose content crashes runners.
         stop: Rejects requests that the daemon's stop would cut off.
+        resumption: Binds resumed streams to the version that began them.
         trials: Records results of canary trials.
         overload: Rejects requests that engines would start too late; None if
             only those are rejected that miss their deadline.
@@ -94,6 +96,7 @@
     runner_admission: runner_admission.RunnerAdmission
     quarantine: quarantine_filter.QuarantineFilter
     stop: stop_window.StopWindow
+    resumption: stream_resumption.StreamResumption
     trials: trial_recorder.TrialRecorder
     overload: overload_gate.OverloadGate | None
     handovers: handover.Handovers
@@ -115,6 +118,7 @@
             parts.store,
             parts.quarantine,
             parts.stop,
+            parts.resumption,
             parts.allowances,
             parts.rng,
         )
@@ -314,6 +318,7 @@
             current.call,
             current.excluded_runners,
             current.route.target_s,
+            current.software,
         )
 
     def _note_failed_attempt(
--- a/packages/daemon/src/martenquay_daemon/forwarding/metrics.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/metrics.py
@@ -109,6 +109,12 @@
             registry=registry,
         )
 
+        self._resumed_streams = aioprometheus.Counter(
+            "martenquay_resumed_streams_total",
+            "Streams that callers resume, by service and how the version that"
+            " began them was found.",
+            registry=registry,
+        )
         self._relayed = aioprometheus.Counter(
             "martenquay_relayed_connections_total",
             "Connections to runners through other daemons, by role and result.",
@@ -142,6 +148,15 @@
         """Count a move of a stream off a leaving runner, by outcome."""
         self._stream_moves.inc({"service": service, "outcome": outcome})
 
+    def count_resumed_stream(self, service: str, outcome: str) -> None:
+        """Count a stream that a caller resumes.
+
+        Args:
+            service: The service.
+            outcome: `any` version, `bound` to one, `unknown` or `gone`.
+        """
+        self._resumed_streams.inc({"service": service, "outcome": outcome})
+
     def observe_quota_request(self, outcome: str, took_s: float) -> None:
         """Observe a quota request to another daemon: outcome and duration."""
         self._quota_request_s.observe({"outcome": outcome}, took_s)
--- a/packages/daemon/src/martenquay_daemon/forwarding/own_answers.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/own_answers.py
@@ -14,11 +14,13 @@
 __all__ = [
     "describe_backpressure",
     "describe_failure",
+    "describe_lost_version",
     "describe_overload",
     "describe_quarantine",
     "describe_shed",
     "describe_stop",
     "describe_timeout",
+    "describe_unknown_version",
 ]
 
 _Code = results.ResultCode
@@ -121,6 +123,34 @@
     )
 
 
+def describe_unknown_version(*, is_log_read: bool) -> answers.OwnAnswer:
+    """Return the answer to a resumed stream of an unknown version.
+
+    Args:
+        is_log_read: Whether the log with the versions of all streams was read;
+            if so, a retry would not find more.
+    """
+    return answers.create_own_answer(
+        _Code.NOT_RUN_VERSION_LOST,
+        "it is not known which software version began this stream",
+        retry_after_s=None if is_log_read else _NO_RUNNER_RETRY_AFTER_S,
+    )
+
+
+def describe_lost_version(service: str, software: str) -> answers.OwnAnswer:
+    """Return the answer to a resumed stream whose version has no runner left.
+
+    Args:
+        service: The service.
+        software: The version that began the stream.
+    """
+    return answers.create_own_answer(
+        _Code.NOT_RUN_VERSION_LOST,
+        f"{service} has no runner of version {software}, which began this"
+        " stream",
+    )
+
+
 def describe_stop(overrun_s: float) -> answers.OwnAnswer:
     """Return the answer to a request that this daemon's stop would cut off.
 
--- a/packages/daemon/src/martenquay_daemon/forwarding/request_admission.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/request_admission.py
@@ -22,7 +22,10 @@
     from martenquay_core.serving import calls, catalog
     from martenquay_daemon.allowances import gate
     from martenquay_daemon.discovery import catalog_store
-    from martenquay_daemon.forwarding import quarantine_filter
+    from martenquay_daemon.forwarding import (
+        quarantine_filter,
+        stream_resumption,
+    )
 
 __all__ = ["RequestAdmission"]
 
@@ -43,12 +46,14 @@
         store: catalog_store.CatalogStore,
         quarantine: quarantine_filter.QuarantineFilter,
         stop: stop_window.StopWindow,
+        resumption: stream_resumption.StreamResumption,
         allowances: gate.AllowanceGate,
         rng: random.Random,
     ) -> None:
         self._store = store
         self._quarantine = quarantine
         self._stop = stop
+        self._resumption = resumption
         self._allowances = allowances
         self._rng = rng
         self._retry_detector = retry_detector.RetryDetector()
@@ -101,6 +106,7 @@
             return own_answers.describe_quarantine(hold_s)
         return (
             self.refuse_if_stop_interrupts(current)
+            or await self._resumption.bind(current)
             or await self._refuse_if_over_quota(current)
             or current
         )
--- a/packages/daemon/src/martenquay_daemon/forwarding/silence_limits.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/silence_limits.py
@@ -51,7 +51,8 @@
         max_silence_s = _MAX_SILENCE_FRACTION * (
             current.deadline - trio.current_time()
         )
-        max_event_gap_s = _MAX_EVENT_GAP_S
+        if placement.same_version > 1:
+            max_event_gap_s = _MAX_EVENT_GAP_S
     if current.route.kind is catalog.CallKind.STREAM:
         first_probe_s = _STREAM_PROBE_AFTER_S + placement.expected_s
         return silence.SilenceLimits(
--- a/packages/daemon/src/martenquay_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/stream_relay.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from martenquay_core.serving import calls
+    from martenquay_core.serving import calls, runners
     from martenquay_daemon.duties import usage_counts
     from martenquay_daemon.engines import (
         durations,
@@ -39,7 +39,19 @@
         estimates: model.RunnerModel,
         streams: durations.StreamDurations,
         speeds: speed_tracker.SpeedTracker,
+        note_begun: Callable[[str, str, str], None],
     ) -> None:
+        """Create the relay.
+
+        Args:
+            usage: Counts of started requests.
+            estimates: Prefill speed of the engines.
+            streams: Durations of streams.
+            speeds: Speeds of the engines.
+            note_begun: Called with request id, service and software version of
+                each stream before its first event is relayed.
+        """
+        self._note_begun = note_begun
         self._usage = usage
         self._model = estimates
         self._streams = streams
@@ -82,7 +94,9 @@
                 self._speeds.note_events(
                     current.watch, len(events), trio.current_time()
                 )
-            problem = await self._relay_events(current, head, events)
+            problem = await self._relay_events(
+                current, placement.runner, head, events
+            )
             if problem:
                 return exchange.Broken(problem)
         if splitter.rest:
@@ -133,6 +147,7 @@
     async def _relay_events(
         self,
         current: exchange.Exchange,
+        runner: runners.Runner,
         head: calls.AnswerHead,
         events: list[event_stream.Event],
     ) -> str:
@@ -153,6 +168,11 @@
         if not new_events:
             return ""
         current.stage = disconnects.Stage.STREAMING
+        if current.software is None:
+            current.software = runner.software
+            self._note_begun(
+                current.stream_request, current.service, runner.software
+            )
         if not current.writer.has_started:
             await current.writer.start(head.status, head.headers, None)
         current.events_delivered += len(new_events)
--- /dev/null
+++ b/packages/daemon/src/martenquay_daemon/forwarding/stream_resumption.py
@@ -0,0 +1,93 @@
+"""Bind a stream that a caller resumes to the version that began it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from martenquay_core import logs
+from martenquay_core.serving import catalog
+from martenquay_daemon.forwarding import own_answers
+from martenquay_daemon.origins import finder
+
+if TYPE_CHECKING:
+    from martenquay_daemon.discovery import runner_directory
+    from martenquay_daemon.forwarding import answers, exchange, metrics
+
+__all__ = ["StreamResumption"]
+
+_LOG = logs.create_log("forwarding")
+# Above the interval at which daemons write origins to the log.
+_MAX_WAIT_S = 0.8
+_MAX_WAIT_FRACTION = 0.25
+
+
+class StreamResumption:
+    """Looks up the origin of each stream that a caller resumes.
+
+    What two versions write does not fit together, and runners do not check it.
+    """
+
+    def __init__(
+        self,
+        origins: finder.OriginFinder,
+        directory: runner_directory.RunnerDirectory,
+        counts: metrics.ForwardingMetrics,
+    ) -> None:
+        self._origins = origins
+        self._directory = directory
+        self._metrics = counts
+
+    async def bind(
+        self, current: exchange.Exchange
+    ) -> answers.OwnAnswer | None:
+        """Set the version of a resumed stream, or return why it cannot go on.
+
+        Args:
+            current: The request; its service and version are updated.
+        """
+        call = current.call
+        is_stream = current.route.kind is catalog.CallKind.STREAM
+        if call.resume_after is None or not is_stream:
+            return None
+        left_s = max(0.0, current.deadline - trio.current_time())
+        found = await self._origins.find(
+            call.resumed_id,
+            current.service,
+            min(_MAX_WAIT_S, _MAX_WAIT_FRACTION * left_s),
+        )
+        match found:
+            case finder.AnyVersion():
+                self._metrics.count_resumed_stream(current.service, "any")
+                return None
+            case finder.Begun(origin=origin):
+                return self._bind_to_version(current, origin)
+            case finder.UnknownVersion(is_log_read=is_log_read):
+                self._metrics.count_resumed_stream(current.service, "unknown")
+                _LOG.write(
+                    "It is not known which version began a stream.",
+                    request=call.id,
+                    resumed_request=call.resumed_id,
+                    service=current.service,
+                    is_log_read=is_log_read,
+                )
+                return own_answers.describe_unknown_version(
+                    is_log_read=is_log_read
+                )
+
+    def _bind_to_version(
+        self, current: exchange.Exchange, origin: finder.records.StreamOrigin
+    ) -> answers.OwnAnswer | None:
+        services = {one.service for one in current.route.destinations}
+        if origin.service in services:
+            current.service = origin.service
+        current.software = origin.software
+        usable = self._directory.list_usable(current.service)
+        if any(runner.software == origin.software for runner in usable):
+            self._metrics.count_resumed_stream(current.service, "bound")
+            return None
+        self._metrics.count_resumed_stream(current.service, "gone")
+        return own_answers.describe_lost_version(
+            current.service, origin.software
+        )
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -64,11 +64,13 @@
     retry_window,
     stop_window,
     stream_relay,
+    stream_resumption,
     trial_recorder,
 )
 from martenquay_daemon.limits import ejection
 from martenquay_daemon.migration import handover, targets
 from martenquay_daemon.migration import parts as migration_parts
+from martenquay_daemon.origins import parts as origin_parts
 from martenquay_daemon.overload import backlog
 from martenquay_daemon.overload import metrics as overload_metrics
 from martenquay_daemon.overload import parts as overload_parts
@@ -127,6 +129,7 @@
         self._build_relay()
         self._build_fleet()
         self._build_quarantine()
+        self._build_origins()
         self._build_forwarding()
         self._build_duties()
         self._initial_sync = self._create_initial_sync()
@@ -202,6 +205,7 @@
             "crash relay": self._crash_relay.run,
             "versions": self._rollouts.follower.run,
             "paths": self._runner_paths.run,
+            "origins": self._origins.log.run,
             **({"migration": self._mover.run} if self._mover else {}),
             **self._duties,
         }
@@ -451,6 +455,7 @@
             self._quota_exchange.find_zone_end,
             report_gossip,
             self._crash_relay.apply_message,
+            self._origins.log.apply_shared,
         )
         self._fleet_view.listen_for_ends(self._state_gossip.end_member)
 
@@ -516,6 +521,16 @@
         self._crash_relay.follower = self._crash_follower
         self._crash_follower.on_unreadable = self.metrics.count_unusable_record
 
+    def _build_origins(self) -> None:
+        self._origins = origin_parts.create_origins(
+            self._ports.log,
+            self._ports.topics.origins,
+            self._catalog_store,
+            self._runner_directory,
+            lambda: self._runner_follower.copy_age.age_s,
+            self.links,
+        )
+
     def _is_lease_held(self) -> bool:
         # A method, since `_lease` is built after its users.
         return self._lease.is_held()
@@ -591,7 +606,11 @@
                 self._speeds,
                 self._backlogs,
                 stream_relay.StreamRelay(
-                    self._usage, self._runner_model, streams, self._speeds
+                    self._usage,
+                    self._runner_model,
+                    streams,
+                    self._speeds,
+                    self._origins.finder.note_begun,
                 ),
                 self._mover,
                 self._dialer.open_stream,
@@ -607,6 +626,9 @@
                 ),
             ),
             stop=self._stop_window,
+            resumption=stream_resumption.StreamResumption(
+                self._origins.finder, self._runner_directory, self.metrics
+            ),
             trials=trial_recorder.TrialRecorder(
                 self._rollouts.orders,
                 self._rollouts.trials,
--- a/packages/daemon/src/martenquay_daemon/migration/handover.py
+++ b/packages/daemon/src/martenquay_daemon/migration/handover.py
@@ -39,7 +39,9 @@
         current.kv_source = handover.kv_source
         # Two considered runners: if this one is silent, another may resume a
         # resumable stream.
-        return placer.Placement(handover.runners[0], 0.0, 0, 2)
+        return placer.Placement(
+            handover.runners[0], 0.0, 0, considered=2, same_version=2
+        )
 
     def apply(
         self,
--- /dev/null
+++ b/packages/daemon/src/martenquay_daemon/origins/__init__.py
@@ -0,0 +1,1 @@
+"""Remember which software version began each stream, for all daemons."""
--- /dev/null
+++ b/packages/daemon/src/martenquay_daemon/origins/log.py
@@ -0,0 +1,217 @@
+"""Share the origins of streams among daemons through the platform's log.
+
+A caller resumes a stream at any daemon, often because the one that began it
+has ended. While a service is mixed, origins are sent to other daemons at once
+and written to the log a little later, so that they outlive a loss of all
+daemons. The log is read only when a stream of an unknown origin is resumed.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Protocol
+
+import trio
+from expression import Result
+
+from martenquay_core import logs
+from martenquay_core.serving import positions
+from martenquay_daemon.origins import records
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from martenquay_core.serving import ports
+    from martenquay_daemon.origins import table, versions
+
+__all__ = ["OriginLog", "OriginPeers"]
+
+_LOG = logs.create_log("origins")
+_MS = 1000
+# Each append has a price.
+_WRITE_INTERVAL_S = 0.5
+# Records that are read at most after a start or a loss: those of half a minute
+# by two writers in each of 25 zones.
+_MAX_TAIL_RECORDS = 3000
+
+
+class OriginPeers(Protocol):
+    """The other daemons that keep the origins of this one's streams."""
+
+    def share_origins(self, record: bytes) -> None:
+        """Send a record of origins to them."""
+
+    def leads_reading(self) -> bool:
+        """Return whether this daemon writes to the log for itself."""
+
+    def is_mesh(self) -> bool:
+        """Return whether each of them does so, too."""
+
+
+class OriginLog:
+    """Writes the origins of streams begun here and reads those of others."""
+
+    def __init__(
+        self,
+        log: ports.LogPort,
+        topic: str,
+        origins: table.OriginTable,
+        history: versions.VersionHistory,
+        find_lifetimes: Callable[[], dict[str, float]],
+        peers: OriginPeers,
+    ) -> None:
+        """Create the log.
+
+        Args:
+            log: The platform's log.
+            topic: The topic of origins.
+            origins: The known origins.
+            history: The versions of each service.
+            find_lifetimes: Returns for how long a stream may be resumed, in
+                seconds, for each service that has streams.
+            peers: The daemons to share origins with; unless this one writes
+                to the log itself, they do.
+        """
+        self._log = log
+        self._topic = topic
+        self._origins = origins
+        self._history = history
+        self._find_lifetimes = find_lifetimes
+        self._peers = peers
+        self._position = 0
+        self._has_read = False
+        self._ongoing: trio.Event | None = None
+
+    async def run(self) -> None:
+        """Write origins until cancelled."""
+        while True:
+            # Others may have seen a second version before this daemon began.
+            if not self._has_read:
+                await self.read()
+            await self._write_due()
+            await trio.sleep(_WRITE_INTERVAL_S)
+
+    def note_begun(self, origin: records.StreamOrigin) -> None:
+        """Record that a stream's first event is relayed here."""
+        self._origins.add_begun(origin)
+        if self._history.is_mixed(origin.service):
+            self._share_batch(self._create_batch([origin]))
+
+    def apply_shared(self, record: bytes) -> None:
+        """Apply what another daemon shares; a hub also writes it."""
+        batch = self._apply_record(record)
+        is_hub = self._peers.leads_reading() and not self._peers.is_mesh()
+        if batch is not None and is_hub:
+            for origin in batch.origins:
+                self._origins.add_begun(origin)
+
+    async def read(self, wait_s: float = 0.0) -> bool:
+        """Read the records that are new; return whether the log answered.
+
+        A call during another one waits for that one's end.
+
+        Args:
+            wait_s: How long to wait for a new record, in seconds.
+        """
+        if self._ongoing is not None:
+            await self._ongoing.wait()
+            return self._has_read
+        self._ongoing = trio.Event()
+        try:
+            self._has_read = await self._read_to_end(wait_s)
+        finally:
+            self._ongoing.set()
+            self._ongoing = None
+        return self._has_read
+
+    async def _read_to_end(self, wait_s: float) -> bool:
+        while True:
+            page = await self._log.read(
+                self._topic, self._position, wait_s=wait_s
+            )
+            match page:
+                case Result(tag="ok", ok=found) if found.is_lost:
+                    if found.start == self._position:
+                        return False
+                    self._position = found.start
+                case Result(tag="ok", ok=found):
+                    self._apply_page(found)
+                    if self._position >= found.end:
+                        return True
+                case _:
+                    message = page.error.message
+                    _LOG.write(f"Origins of streams are not read: {message}.")
+                    return False
+            wait_s = 0.0
+
+    def _apply_page(self, page: ports.Page) -> None:
+        for record in page.records:
+            self._apply_record(record)
+        next_position = page.start + len(page.records)
+        tail = page.end - next_position
+        if positions.find_era(page.end) != positions.find_era(next_position):
+            tail = 0
+        self._position = next_position + max(0, tail - _MAX_TAIL_RECORDS)
+
+    def _apply_record(self, record: bytes) -> records.OriginBatch | None:
+        try:
+            batch = records.decode_batch(record)
+        except ValueError as error:
+            _LOG.write(f"Ignored an invalid record of origins: {error}.")
+            return None
+        # Both clocks: a time of day is the same at all daemons, and trio's
+        # does not jump.
+        now_ms, now = time.time() * _MS, trio.current_time()
+        for service, until_ms in batch.mixed_until_ms.items():
+            self._history.note_mixed(service, now + (until_ms - now_ms) / _MS)
+        for origin in batch.origins:
+            self._origins.add(origin)
+        return batch
+
+    def _create_batch(
+        self, origins: list[records.StreamOrigin]
+    ) -> records.OriginBatch:
+        now_ms, now = time.time() * _MS, trio.current_time()
+        mixed_until_ms = {}
+        for service in {origin.service for origin in origins}:
+            left_s = self._history.find_mixed_until(service) - now
+            mixed_until_ms[service] = round(now_ms + left_s * _MS)
+        return records.OriginBatch(mixed_until_ms, origins)
+
+    def _share_batch(self, batch: records.OriginBatch) -> None:
+        self._peers.share_origins(records.encode_batch(batch))
+        if not self._peers.leads_reading():
+            self._origins.note_written(batch.origins)
+
+    async def _write_due(self) -> None:
+        """Write the origins of mixed services that the log does not have."""
+        origins = [
+            origin
+            for service, lifetime_s in self._find_lifetimes().items()
+            for origin in self._list_due(service, lifetime_s)
+        ]
+        if not origins:
+            return
+        batch = self._create_batch(origins)
+        if not self._peers.leads_reading():
+            self._share_batch(batch)
+            return
+        written = await self._log.append(
+            self._topic, [records.encode_batch(batch)]
+        )
+        if written.is_ok():
+            self._origins.note_written(origins)
+            return
+        # A repeated record changes nothing, so the next one has them again.
+        _LOG.write(
+            f"Origins of streams were not written: {written.error.message}.",
+            streams=len(origins),
+        )
+
+    def _list_due(
+        self, service: str, lifetime_s: float
+    ) -> list[records.StreamOrigin]:
+        """Return what is to be written; versions are observed in any case."""
+        is_mixed = self._history.is_mixed(service)
+        unwritten = self._origins.list_unwritten(service, lifetime_s)
+        return unwritten if is_mixed else []
--- /dev/null
+++ b/packages/daemon/src/martenquay_daemon/origins/records.py
@@ -0,0 +1,80 @@
+"""Encode and decode the origins of streams as records of a log topic."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import msgspec
+
+__all__ = [
+    "OriginBatch",
+    "StreamOrigin",
+    "decode_batch",
+    "encode_batch",
+]
+
+
+@dataclasses.dataclass(frozen=True)
+class StreamOrigin:
+    """Where a stream began.
+
+    Attributes:
+        request: Id of the request that brought its first event.
+        service: The service that the request was forwarded to.
+        software: Software version of the runner that wrote the event.
+    """
+
+    request: str
+    service: str
+    software: str
+
+
+@dataclasses.dataclass(frozen=True)
+class OriginBatch:
+    """Origins that a daemon has written at once.
+
+    Attributes:
+        mixed_until_ms: Until when streams of two versions may be resumed, by
+            service; in ms since the Unix epoch.
+        origins: The streams that began.
+    """
+
+    mixed_until_ms: dict[str, int]
+    origins: list[StreamOrigin]
+
+
+class _ServicePart(msgspec.Struct, frozen=True, array_like=True):
+    service: str
+    mixed_until_ms: int
+    # Request ids by software version.
+    requests: dict[str, list[str]]
+
+
+def encode_batch(batch: OriginBatch) -> bytes:
+    """Return the record of a batch; its services are those of the times."""
+    parts = {
+        service: _ServicePart(service, until_ms, {})
+        for service, until_ms in batch.mixed_until_ms.items()
+    }
+    for origin in batch.origins:
+        requests = parts[origin.service].requests
+        requests.setdefault(origin.software, []).append(origin.request)
+    return msgspec.json.encode(list(parts.values()))
+
+
+def decode_batch(record: bytes) -> OriginBatch:
+    """Return the batch that a record holds.
+
+    Raises:
+        ValueError: The record is malformed.
+    """
+    parts = msgspec.json.decode(record, type=list[_ServicePart])
+    return OriginBatch(
+        {part.service: part.mixed_until_ms for part in parts},
+        [
+            StreamOrigin(request, part.service, software)
+            for part in parts
+            for software, requests in part.requests.items()
+            for request in requests
+        ],
+    )
--- a/packages/standins/src/martenquay_standins/ports/log.py
+++ b/packages/standins/src/martenquay_standins/ports/log.py
@@ -14,7 +14,7 @@
 
 # Topics whose records have no key. The payload does not show it: an encoded
 # usage window may hold the byte of "=", which separates key and value.
-_UNKEYED_TOPICS = frozenset({"lease", "usage"})
+_UNKEYED_TOPICS = frozenset({"lease", "origins", "usage"})
 
 
 @dataclasses.dataclass
--- a/tests/serving_builders.py
+++ b/tests/serving_builders.py
@@ -23,6 +23,7 @@
 
 __all__ = [
     "TOPICS",
+    "FakeOriginPeers",
     "FakeRecords",
     "build_call",
     "build_catalog",
@@ -48,6 +49,7 @@
     usage="usage",
     strikes="strikes",
     rollouts="rollouts",
+    origins="origins",
     status="status",
 )
 
@@ -240,6 +242,33 @@
     return ports.DesiredRunners(**(fields | changes))
 
 
+class FakeOriginPeers:
+    """Fake of `log.OriginPeers`: by default a daemon of a small fleet.
+
+    Attributes:
+        shared: The records sent to other daemons.
+        has_hubs: Whether the fleet is large.
+        is_hub: Whether this daemon is the hub of its zone in a large fleet.
+    """
+
+    def __init__(self, *, has_hubs: bool = False, is_hub: bool = False) -> None:
+        self.shared: list[bytes] = []
+        self.has_hubs = has_hubs
+        self.is_hub = is_hub
+
+    def share_origins(self, record: bytes) -> None:
+        """Record what is sent."""
+        self.shared.append(record)
+
+    def leads_reading(self) -> bool:
+        """Return whether this daemon writes to the log."""
+        return self.is_hub or not self.has_hubs
+
+    def is_mesh(self) -> bool:
+        """Return whether the fleet is small."""
+        return not self.has_hubs
+
+
 class FakeRecords:
     """Fake of `ports.PlatformCodec` that decodes the records that tests set.
 
--- a/tests/serving_scene.py
+++ b/tests/serving_scene.py
@@ -39,11 +39,13 @@
     retry_window,
     stop_window,
     stream_relay,
+    stream_resumption,
     trial_recorder,
 )
 from martenquay_daemon.limits import ejection
 from martenquay_daemon.migration import handover, targets
 from martenquay_daemon.migration import parts as migration_parts
+from martenquay_daemon.origins import parts as origin_parts
 from martenquay_daemon.overload import backlog
 from martenquay_daemon.overload import metrics as overload_metrics
 from martenquay_daemon.overload import parts as overload_parts
@@ -98,6 +100,7 @@
         entries: Refreshes runners' entries that are too old.
         quarantine: Rejects requests that crash their runners.
         crash_follower: Follows the crash records in the log.
+        origins: Remembers the versions that began streams.
         usage: Counts of started requests.
         meter: Prefill tokens demanded.
         streams: Durations of streams.
@@ -159,6 +162,14 @@
             self.quarantine,
             keyed_follower.ReadSchedule(wait_s=1.0),
         )
+        self.origins = origin_parts.create_origins(
+            self.log,
+            builders.TOPICS.origins,
+            self.store,
+            self.directory,
+            lambda: self.follower.copy_age.age_s,
+            builders.FakeOriginPeers(),
+        )
         rng = random.Random(1)
         header_codec = codec.create_codec()
         counts = metrics.create_metrics()
@@ -213,7 +224,11 @@
                 self.speeds,
                 self.backlogs,
                 stream_relay.StreamRelay(
-                    self.usage, self.estimates, self.streams, self.speeds
+                    self.usage,
+                    self.estimates,
+                    self.streams,
+                    self.speeds,
+                    self.origins.finder.note_begun,
                 ),
                 self.mover,
             ),
@@ -224,6 +239,9 @@
                 self.quarantine, self.directory, self._has_ended
             ),
             stop=self.stop,
+            resumption=stream_resumption.StreamResumption(
+                self.origins.finder, self.directory, counts
+            ),
             trials=trial_recorder.TrialRecorder(
                 orders,
                 tallies.TallyTable(),
@@ -279,6 +297,7 @@
             nursery.start_soon(self.entries.run)
             nursery.start_soon(self.crash_follower.run)
             nursery.start_soon(self.quarantine.run)
+            nursery.start_soon(self.origins.log.run)
             if self.mover is not None:
                 nursery.start_soon(self.mover.run)
             self.address = await nursery.start(self.listener.run)
--- /dev/null
+++ b/tests/test_origins/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the origins family."""
--- a/tests/test_platform/test_soak_judge.py
+++ b/tests/test_platform/test_soak_judge.py
@@ -147,7 +147,13 @@
             refused = {"status": 503, "body": b"", "is_sealed": False}
             changes = refused if number < 27 else {}
             self._add_resumed(number, "v1", **changes)
-        self._expect("5 of 12 resumed streams went on")
+        call = _build_call("call-99", CallKind.NOTE, sent_at=20.0)
+        call.ended_at = 20.1
+        self._add(call)
+        self.seen.runs.append(_build_run(call.id, CallKind.NOTE))
+        self._expect(
+            "5 of 12 resumed streams went on, and 1 of 1 new ones began"
+        )
 
     def test_few_runs_after_three_crashes_pass(self) -> None:
         self.assertEqual(
