Log the parts of a prompt under which a runner ended

The log named a digest of the whole request, of which no two were alike (58 contents with a crash record in the lines at hand, none with more than three), so it could not tell one part in common from requests that have nothing in common.

--- a/packages/daemon/src/martenquay_daemon/forwarding/request_log.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/request_log.py
@@ -17,6 +17,8 @@
 __all__ = ["RequestLog"]
 
 _LOG = logs.create_log("forwarding")
+# Callers choose the ids and their number.
+_MAX_LOGGED_PARTS = 8
 
 
 class RequestLog:
@@ -66,6 +68,7 @@
             or getattr(result, "status", None),
             content=current.content_digest or None,
             has_runner_ended=current.has_runner_ended,
+            parts=_list_parts(current) if current.has_runner_ended else None,
             runner_limit_per_s=current.reported_signals.limit_per_s,
             runner_leaves=current.reported_signals.is_leaving or None,
             runner_rest_s=current.reported_signals.retry_after_s,
@@ -111,3 +114,8 @@
             elapsed_ms=round(elapsed_s * 1000, 1),
             version=self._store.version,
         )
+
+
+def _list_parts(current: exchange.Exchange) -> list[str]:
+    """Return the ids of the prompt's first parts."""
+    return [part.id[:64] for part in current.call.prompt[:_MAX_LOGGED_PARTS]]
