Add failing tests of a part of prompts that crashes runners

The stand-in runner crashes once it has begun the answer, the judge counts late runs and the share of sound requests that begin.

--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -30,11 +30,19 @@
 )
 
 
-def build_request(path: bytes, number: int = 0) -> bytes:
-    """Return a request; retries differ in their number."""
+def build_request(path: bytes, number: int = 0, parts: bytes = b"") -> bytes:
+    """Return a request; retries differ in their number.
+
+    Args:
+        path: Its path.
+        number: Number of its attempt id.
+        parts: Value of the header with the prompt's parts; empty for none.
+    """
+    prompt = b"prefix-hash: %s\r\n" % parts if parts else b""
     return (
         b"POST %s HTTP/1.1\r\nhost: desk.example\r\nattempt-id: call-%d\r\n"
-        b"deadline-ms: 5000\r\ncontent-length: 5\r\n\r\nhello" % (path, number)
+        b"deadline-ms: 5000\r\n%scontent-length: 5\r\n\r\nhello"
+        % (path, number, prompt)
     )
 
 
@@ -47,7 +55,8 @@
         daemons: The started daemons.
     """
 
-    def __init__(self, nursery: trio.Nursery) -> None:
+    def __init__(self, nursery: trio.Nursery, lethal: bytes) -> None:
+        self._lethal = lethal
         self.log = log.MemoryLog()
         self.runners: list[scripted.ScriptedRunner] = []
         self.daemons: list[serving_scene.Scene] = []
@@ -59,7 +68,7 @@
 
     async def add_runner(self) -> None:
         """Start a runner that daemons started later use."""
-        runner = scripted.ScriptedRunner([_STREAM], LETHAL)
+        runner = scripted.ScriptedRunner([_STREAM], self._lethal)
         await self._nursery.start(runner.run)
         self.runners.append(runner)
 
@@ -79,10 +88,18 @@
 
 
 @contextlib.asynccontextmanager
-async def open_fleet(daemons: int, runners: int) -> AsyncIterator[CrashFleet]:
-    """Run a fleet of so many daemons and runners."""
+async def open_fleet(
+    daemons: int, runners: int, lethal: bytes = LETHAL
+) -> AsyncIterator[CrashFleet]:
+    """Run a fleet of so many daemons and runners.
+
+    Args:
+        daemons: Number of daemons.
+        runners: Number of runners.
+        lethal: Bytes of requests that crash runners.
+    """
     async with trio.open_nursery() as nursery:
-        fleet = CrashFleet(nursery)
+        fleet = CrashFleet(nursery, lethal)
         for _ in range(runners):
             await fleet.add_runner()
         for _ in range(daemons):
--- /dev/null
+++ b/tests/test_platform/test_soak_crashing_parts.py
@@ -0,0 +1,26 @@
+"""Few runners end under a part of prompts, and sound requests are served."""
+
+from __future__ import annotations
+
+import testtools
+import trio
+
+from martenquay_platform_standins import crashing_parts, soak
+
+_LIMIT_S = 120.0
+_CRASHING_PART = soak.SoakPlan(
+    71, faults=2, crashing_part_callers=3, calm_s=24.0, daemons=5, runners=6
+)
+
+
+class CrashingPartTest(testtools.TestCase):
+    def test_a_crashing_part_ends_few_runners(self) -> None:
+        report = trio.run(self._run, _CRASHING_PART)
+        self.assertEqual([], report.breaches)
+        runs = crashing_parts.list_crashing_runs(report.history)
+        # With fewer, the part would never be quarantined.
+        self.assertGreaterEqual(len(runs), 3)
+
+    async def _run(self, plan: soak.SoakPlan) -> soak.SoakReport:
+        with trio.fail_after(_LIMIT_S):
+            return await soak.run_soak(plan)
--- a/tests/test_platform/test_soak_judge.py
+++ b/tests/test_platform/test_soak_judge.py
@@ -155,6 +155,42 @@
             "5 of 12 resumed streams went on, and 1 of 1 new ones began"
         )
 
+    def _add_crashing_parts(self, *times: float) -> None:
+        for number, at in enumerate(times):
+            parts = ("a1", history.CRASHING_PART, f"own{number}")
+            call = _build_call(f"bad-{number}", CallKind.NOTE, status=502)
+            call.parts = parts
+            self._add(call)
+            self.seen.runs.append(
+                _build_run(call.id, CallKind.NOTE, at=at, parts=parts)
+            )
+
+    def _add_sound_calls(self, at: float, status: int) -> None:
+        for number in range(25):
+            call = _build_call(f"sound-{at}-{number}", CallKind.NOTE)
+            call.parts = ("a1", f"own-{at}-{number}")
+            call.sent_at, call.ended_at = at, at + 0.1
+            call.status = status
+            self._add(call)
+            self.seen.runs.append(_build_run(call.id, CallKind.NOTE))
+
+    def test_few_runs_with_a_crashing_part_pass(self) -> None:
+        self._add_crashing_parts(1, 2, 3, 4, 5, 7.9, 9, 10, 11)
+        self._expect()
+
+    def test_a_part_that_keeps_crashing_runners_is_a_breach(self) -> None:
+        self._add_crashing_parts(1, 2, 3, 4, 5, 9, 10, 11, 12)
+        self._expect("9 runners ended under one part, 4 long after the fifth")
+
+    def test_sound_requests_beside_a_crashing_part_have_to_begin(self) -> None:
+        self._add_crashing_parts(31, 32, 33)
+        self._add_sound_calls(20.0, 200)
+        self._add_sound_calls(40.0, 503)
+        self._expect(
+            "0% of the sound requests begin beside those with the crashing"
+            " part, 100% before"
+        )
+
     def test_few_runs_after_three_crashes_pass(self) -> None:
         self.assertEqual(
             [], self._judge_crashing_request([1.0, 1.2, 1.4, 1.6, 9.0])
