Quarantine parts of prompts that crash runners

Cause: the unit of blame was the whole request. Requests that share a part have different digests, so each collected a crash record or two of its own and none came to a verdict.

Now: a crash is recorded against the shared parts of each prompt whose answer had not begun (fewer than three events) as well as against the request, in the same table and topic. What tells the part at fault from those it takes along: a part with which an answer begins anywhere is cleared at all daemons, also by an answer of the last 20 s; a part whose crashes are all among those of another one is free; of two with the same crashes, requests that have one of them go one at a time. A runner's 4xx or 5xx clears no part.

--- a/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
@@ -226,6 +226,8 @@
         current.may_have_run = True
         current.sent_at = trio.current_time()
         current.first_event_s = None
+        current.attempt_events = 0
+        current.is_answering = False
 
         async def send_and_relay(
             is_end: Callable[[], Awaitable[bool]],
--- a/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
@@ -75,8 +75,13 @@
         admission: The decision that admitted the request and spent the
             team's quota.
         content_digest: Digest of the request's content; empty until needed.
-        latest_crash_seen: Number of the latest crash record of the content
-            that was known when the request was sent; 0 for none.
+        part_digests: Digests of the prompt's shared parts; None until needed.
+        crashes_seen: Number of the latest crash record of each content that
+            was known when the request was sent.
+        is_probe: Whether the request is sent although its parts may have
+            caused crashes.
+        attempt_events: Events received in the current attempt.
+        is_answering: Whether so many came that the answer has begun.
         has_runner_ended: Whether the runner's process ended during the
             current attempt.
         relay: Address of the daemon that relays the current attempt; empty
@@ -116,7 +121,11 @@
     caller_elapsed_s: float = 0.0
     admission: terms.AdmissionDecision = terms.AdmissionDecision(0.0)
     content_digest: str = ""
-    latest_crash_seen: int = 0
+    part_digests: tuple[str, ...] | None = None
+    crashes_seen: dict[str, int] = dataclasses.field(default_factory=dict)
+    is_probe: bool = False
+    attempt_events: int = 0
+    is_answering: bool = False
     has_runner_ended: bool = False
     relay: str = ""
     reported_signals: signals.RunnerSignals = signals.NO_SIGNALS
--- a/packages/daemon/src/martenquay_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/stream_relay.py
@@ -40,6 +40,7 @@
         streams: durations.StreamDurations,
         speeds: speed_tracker.SpeedTracker,
         note_begun: Callable[[str, str, str], None],
+        note_events: Callable[..., None],
     ) -> None:
         """Create the relay.
 
@@ -50,7 +51,11 @@
             speeds: Speeds of the engines.
             note_begun: Called with request id, service and software version of
                 each stream before its first event is relayed.
+            note_events: Called with the request when events have come, and
+                with `is_whole` set before the end is relayed, as callers may
+                disconnect with it.
         """
+        self._note_events = note_events
         self._note_begun = note_begun
         self._usage = usage
         self._model = estimates
@@ -81,6 +86,8 @@
         has_first_event = False
         async for chunk in connection.iterate_body():
             events = splitter.feed(chunk)
+            current.attempt_events += len(events)
+            self._note_events(current, is_whole=False)
             if events and not has_first_event:
                 has_first_event = True
                 connection.has_first_event = True
@@ -105,6 +112,7 @@
             return exchange.Broken("the run was stopped to continue elsewhere")
         if not current.writer.has_started:
             return exchange.Broken("the stream ended without an event")
+        self._note_events(current, is_whole=True)
         await current.writer.finish()
         return exchange.Delivered()
 
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -503,6 +503,7 @@
         )
         self.quarantine.on_crash = self.metrics.count_crash
         self.quarantine.may_tidy = self._is_lease_held
+        self.quarantine.may_clear = self.links.leads_reading
         self._crash_relay = record_relay.RecordRelay(
             self.links.send_to_zone,
             lambda: self._uses_hubs() and self.links.leads_reading(),
@@ -578,6 +579,13 @@
             self._entry_refresher.refresh,
             self.metrics,
         )
+        quarantine = quarantine_filter.QuarantineFilter(
+            self.quarantine,
+            self._runner_directory,
+            functools.partial(
+                evidence.has_ended, opener=self._dialer.open_stream
+            ),
+        )
         parts = forwarder.ForwarderParts(
             store=self._catalog_store,
             directory=self._runner_directory,
@@ -611,6 +619,7 @@
                     streams,
                     self._speeds,
                     self._origins.finder.note_begun,
+                    quarantine.note_events,
                 ),
                 self._mover,
                 self._dialer.open_stream,
@@ -618,13 +627,7 @@
             retries=self._retries,
             ejector=self._ejector,
             runner_admission=self._backpressure.admission,
-            quarantine=quarantine_filter.QuarantineFilter(
-                self.quarantine,
-                self._runner_directory,
-                functools.partial(
-                    evidence.has_ended, opener=self._dialer.open_stream
-                ),
-            ),
+            quarantine=quarantine,
             stop=self._stop_window,
             resumption=stream_resumption.StreamResumption(
                 self._origins.finder, self._runner_directory, self.metrics
--- a/packages/daemon/src/martenquay_daemon/quarantine/contents.py
+++ b/packages/daemon/src/martenquay_daemon/quarantine/contents.py
@@ -1,4 +1,4 @@
-"""Identify a request's content by a digest that all daemons agree on."""
+"""Identify requests and parts of prompts by digests that daemons agree on."""
 
 from __future__ import annotations
 
@@ -8,10 +8,13 @@
 if TYPE_CHECKING:
     from martenquay_core.serving import calls, catalog
 
-__all__ = ["digest_content"]
+__all__ = ["digest_content", "digest_parts", "is_part"]
 
 # A collision would quarantine a harmless content.
 _DIGEST_BYTES = 16
+_PART_PREFIX = "part-"
+# Callers choose the number of parts.
+_MAX_PARTS = 16
 
 
 def digest_content(call: calls.Call, team: catalog.Team | None) -> str:
@@ -33,3 +36,25 @@
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
     return digest.hexdigest()
+
+
+def digest_parts(call: calls.Call, service: str) -> tuple[str, ...]:
+    """Return the ids of the shared parts of a prompt at one service.
+
+    The last part belongs to the request alone and is left out.
+
+    Args:
+        call: The request.
+        service: The service that it is forwarded to.
+    """
+    found = []
+    for part in call.prompt[:-1][:_MAX_PARTS]:
+        digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+        digest.update(f"{service}\n{part.id}".encode())
+        found.append(_PART_PREFIX + digest.hexdigest())
+    return tuple(dict.fromkeys(found))
+
+
+def is_part(content: str) -> bool:
+    """Return whether a content is a part of prompts, not a whole request."""
+    return content.startswith(_PART_PREFIX)
--- a/packages/daemon/src/martenquay_daemon/quarantine/crash_table.py
+++ b/packages/daemon/src/martenquay_daemon/quarantine/crash_table.py
@@ -35,7 +35,7 @@
     """A runner that ended while it served a content.
 
     Attributes:
-        content: The content's digest.
+        content: Digest of a request, or of a part of prompts.
         number: One more than the highest number known when the request was
             sent. Runners that end together, as with their host, have the same
             number; those that end one after the other have different ones.
@@ -111,6 +111,20 @@
         known = self._contents.get(content)
         return len(known.crashes) if known else 0
 
+    def list_crashed(self, content: str) -> frozenset[str]:
+        """Return the ids of the runners that ended under a content."""
+        known = self._contents.get(content)
+        crashes = known.crashes if known else ()
+        return frozenset(crash.runner for crash in crashes)
+
+    def list_at_fault(self) -> list[str]:
+        """Return the contents that are taken for the cause of crashes."""
+        return [
+            content
+            for content, known in self._contents.items()
+            if known.is_at_fault()
+        ]
+
     def find_latest(self, content: str) -> int:
         """Return the highest number of a content's records; 0 if none."""
         known = self._contents.get(content)
--- a/packages/daemon/src/martenquay_daemon/quarantine/manager.py
+++ b/packages/daemon/src/martenquay_daemon/quarantine/manager.py
@@ -10,10 +10,15 @@
 
 from martenquay_core import logs
 from martenquay_core.serving import positions
-from martenquay_daemon.quarantine import crash_table, records
+from martenquay_daemon.quarantine import (
+    answered_parts,
+    crash_table,
+    records,
+    verdicts,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from martenquay_core.serving import ports
 
@@ -42,13 +47,23 @@
         on_crash: Called for each crash that this daemon finds.
         may_tidy: Returns whether this daemon removes dropped records from the
             log; one daemon at a time has to.
+        may_clear: Returns whether this daemon removes records that others
+            wrote of parts that are answered here.
+        answered: The parts that are answered here.
     """
 
     def __init__(
-        self, log: ports.LogPort, topic: str, table: crash_table.CrashTable
+        self,
+        log: ports.LogPort,
+        topic: str,
+        table: crash_table.CrashTable,
+        answered: answered_parts.AnsweredParts,
     ) -> None:
         self.on_crash: Callable[[], None] = _ignore
         self.may_tidy: Callable[[], bool] = lambda: False
+        self.may_clear: Callable[[], bool] = lambda: True
+        self.answered = answered
+        self._verdicts = verdicts.Verdicts(table, trio.current_time)
         self._log = log
         self._topic = topic
         self._table = table
@@ -70,6 +85,14 @@
         """Return the seconds of quarantine left; None if there is none."""
         return self._table.find_quarantine_s(content)
 
+    def judge(self, contents: Sequence[str]) -> verdicts.Verdict:
+        """Return the verdict on a request with these contents."""
+        return self._verdicts.judge(contents)
+
+    def try_probe(self, suspect: verdicts.Suspect) -> bool:
+        """Return whether a suspect may be sent now, and count it if so."""
+        return self._verdicts.try_probe(suspect)
+
     def find_latest(self, content: str) -> int:
         """Return the highest number of a content's records; 0 if none."""
         return self._table.find_latest(content)
@@ -156,6 +179,8 @@
             self._log_crash(
                 crash, positions.describe_position(record.offset), None
             )
+            if self.answered.has(crash.content) and self.may_clear():
+                self.note_answer(crash.content)
 
     async def run(self) -> None:
         """Write changes to the log until cancelled."""
@@ -245,4 +270,5 @@
 ) -> QuarantineManager:
     """Return a manager without crash records."""
     table = crash_table.CrashTable(trio.current_time)
-    return QuarantineManager(log, topic, table)
+    answered = answered_parts.AnsweredParts(trio.current_time)
+    return QuarantineManager(log, topic, table, answered)
--- a/tests/serving_scene.py
+++ b/tests/serving_scene.py
@@ -194,6 +194,9 @@
         bounds = retry_window.RetryBounds(0.2, 10.0, 100.0)
         orders = registry.RolloutRegistry()
         tolerance = terms.ToleranceBounds(8.0, 0.0, 0.0)
+        quarantine = quarantine_filter.QuarantineFilter(
+            self.quarantine, self.directory, self._has_ended
+        )
         self.parts = forwarder.ForwarderParts(
             store=self.store,
             directory=self.directory,
@@ -229,15 +232,14 @@
                     self.streams,
                     self.speeds,
                     self.origins.finder.note_begun,
+                    quarantine.note_events,
                 ),
                 self.mover,
             ),
             retries=retry_window.RetryWindow(bounds, lambda: 1),
             ejector=ejector,
             runner_admission=self.runner_admission,
-            quarantine=quarantine_filter.QuarantineFilter(
-                self.quarantine, self.directory, self._has_ended
-            ),
+            quarantine=quarantine,
             stop=self.stop,
             resumption=stream_resumption.StreamResumption(
                 self.origins.finder, self.directory, counts
--- a/tests/test_quarantine/test_contents.py
+++ b/tests/test_quarantine/test_contents.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from martenquay_core.serving import calls
 from martenquay_daemon.quarantine import contents
 from tests import serving_builders as builders
 
@@ -26,6 +27,20 @@
         )
         self.assertEqual(first, retry)
 
+    def test_the_parts_of_a_prompt_are_the_same_for_all_requests(self) -> None:
+        def digest_parts(*ids: str, service: str = "desk") -> tuple[str, ...]:
+            prompt = tuple(calls.PromptPart(one, 100) for one in ids)
+            call = builders.build_call(prompt=prompt)
+            return contents.digest_parts(call, service)
+
+        first, second = digest_parts("a1", "bad", "own")
+        self.assertEqual((second,), digest_parts("bad", "other"))
+        self.assertEqual((first,), digest_parts("a1", "a1", "own"))
+        self.assertNotEqual((first,), digest_parts("a1", "x", service="b"))
+        self.assertEqual((), digest_parts("own"))
+        self.assertLessEqual(len(digest_parts(*map(str, range(99)))), 16)
+        self.assertNotIn(".", first)
+
     def test_path_query_method_host_and_body_change_the_digest(self) -> None:
         digests = {
             _digest(),
--- a/tests/test_quarantine/test_manager.py
+++ b/tests/test_quarantine/test_manager.py
@@ -128,6 +128,23 @@
 
         self.run_clocked(scenario)
 
+    def test_a_part_that_is_answered_elsewhere_keeps_no_crash(self) -> None:
+        async def scenario() -> None:
+            async with trio.open_nursery() as nursery:
+                finder, other = (self._start(nursery) for _ in range(2))
+                other.answered.note(["part-a"])
+                for part in ("part-a", "part-b"):
+                    for runner in ("runner-1", "runner-2", "runner-3"):
+                        latest = finder.find_latest(part)
+                        finder.note_crash(part, latest, runner, _CRASH)
+                await trio.sleep(_CONTACT_S)
+                for one in (finder, other):
+                    self.assertIsNone(one.find_quarantine_s("part-a"))
+                    self.assertIsNotNone(one.find_quarantine_s("part-b"))
+                nursery.cancel_scope.cancel()
+
+        self.run_clocked(scenario)
+
     def test_an_answer_during_the_write_removes_the_record_from_the_log(
         self,
     ) -> None:
