Read origins no further than needed, and tell a late log from a read one

Each call has a price. - A daemon of a large fleet without hubs dropped what it could not share. - Versions that left were remembered for ever.

--- a/packages/daemon/src/martenquay_daemon/fleet/links.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/links.py
@@ -265,17 +265,20 @@
         for address in self._zone.list_subscribers():
             self._send(address, raw)
 
-    def share_origins(self, record: bytes) -> None:
+    def share_origins(self, record: bytes) -> bool:
         """Send the versions that began streams to those who keep them.
 
         In a small fleet these are all daemons, in a large one the zone's hubs.
+
+        Returns:
+            Whether the record was sent to any of them.
         """
         receivers = (
             list(self._links) if self.is_mesh() else self._zone.list_own_hubs()
         )
         raw = messages.encode_message(relay_messages.StreamOrigins(record))
-        for address in receivers:
-            self._send(address, raw)
+        sent = [self._send(address, raw) for address in receivers]
+        return any(sent)
 
     async def _receive_requests(self, router: sockets.PeerSocket) -> None:
         while True:
--- a/packages/daemon/src/martenquay_daemon/forwarding/stream_resumption.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/stream_resumption.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from martenquay_daemon.discovery import runner_directory
     from martenquay_daemon.forwarding import answers, exchange, metrics
+    from martenquay_daemon.origins import records
 
 __all__ = ["StreamResumption"]
 
@@ -77,7 +78,7 @@
                 )
 
     def _bind_to_version(
-        self, current: exchange.Exchange, origin: finder.records.StreamOrigin
+        self, current: exchange.Exchange, origin: records.StreamOrigin
     ) -> answers.OwnAnswer | None:
         services = {one.service for one in current.route.destinations}
         if origin.service in services:
--- a/packages/daemon/src/martenquay_daemon/origins/finder.py
+++ b/packages/daemon/src/martenquay_daemon/origins/finder.py
@@ -98,23 +98,28 @@
             service: The service, if the stream's own is not known.
             timeout_s: How long to wait for the log, in seconds.
         """
-        deadline = trio.current_time() + timeout_s
         known = self._origins.find(request)
-        if known is None and self._is_settled(service):
+        if known is not None:
+            return Begun(known)
+        if self._is_settled(service):
             return AnyVersion()
-        is_read = True
-        wait_s = 0.0
-        while known is None and is_read and wait_s >= 0:
-            with trio.move_on_at(deadline) as limit:
-                is_read = await self._log.read(wait_s)
-            if limit.cancelled_caught:
-                break
-            if is_read and not self._history.is_mixed(service):
-                return AnyVersion()
-            known = self._origins.find(request)
+        is_log_read = False
+        with trio.move_on_after(timeout_s):
+            is_log_read = await self._log.read()
             # The daemon that began the stream may not have written it yet.
-            wait_s = deadline - trio.current_time() if request else -1.0
-        return UnknownVersion(is_read) if known is None else Begun(known)
+            while (
+                is_log_read
+                and request
+                and self._origins.find(request) is None
+                and self._history.is_mixed(service)
+            ):
+                is_log_read = await self._log.read(timeout_s)
+        known = self._origins.find(request)
+        if known is not None:
+            return Begun(known)
+        if is_log_read and not self._history.is_mixed(service):
+            return AnyVersion()
+        return UnknownVersion(is_log_read)
 
     def _is_settled(self, service: str) -> bool:
         """Return whether this daemon alone knows that the service is unmixed.
--- a/packages/daemon/src/martenquay_daemon/origins/log.py
+++ b/packages/daemon/src/martenquay_daemon/origins/log.py
@@ -38,8 +38,8 @@
 class OriginPeers(Protocol):
     """The other daemons that keep the origins of this one's streams."""
 
-    def share_origins(self, record: bytes) -> None:
-        """Send a record of origins to them."""
+    def share_origins(self, record: bytes) -> bool:
+        """Send a record of origins to them; return whether there are any."""
 
     def leads_reading(self) -> bool:
         """Return whether this daemon writes to the log for itself."""
@@ -79,15 +79,15 @@
         self._find_lifetimes = find_lifetimes
         self._peers = peers
         self._position = 0
-        self._has_read = False
+        self._is_up_to_date = False
         self._ongoing: trio.Event | None = None
 
     async def run(self) -> None:
         """Write origins until cancelled."""
+        has_read = False
         while True:
             # Others may have seen a second version before this daemon began.
-            if not self._has_read:
-                await self.read()
+            has_read = has_read or await self.read()
             await self._write_due()
             await trio.sleep(_WRITE_INTERVAL_S)
 
@@ -115,14 +115,15 @@
         """
         if self._ongoing is not None:
             await self._ongoing.wait()
-            return self._has_read
+            return self._is_up_to_date
         self._ongoing = trio.Event()
+        self._is_up_to_date = False
         try:
-            self._has_read = await self._read_to_end(wait_s)
+            self._is_up_to_date = await self._read_to_end(wait_s)
         finally:
             self._ongoing.set()
             self._ongoing = None
-        return self._has_read
+        return self._is_up_to_date
 
     async def _read_to_end(self, wait_s: float) -> bool:
         while True:
@@ -179,8 +180,8 @@
         return records.OriginBatch(mixed_until_ms, origins)
 
     def _share_batch(self, batch: records.OriginBatch) -> None:
-        self._peers.share_origins(records.encode_batch(batch))
-        if not self._peers.leads_reading():
+        is_sent = self._peers.share_origins(records.encode_batch(batch))
+        if is_sent and not self._peers.leads_reading():
             self._origins.note_written(batch.origins)
 
     async def _write_due(self) -> None:
--- a/packages/daemon/src/martenquay_daemon/origins/versions.py
+++ b/packages/daemon/src/martenquay_daemon/origins/versions.py
@@ -68,12 +68,19 @@
         """
         self.observe(service)
         until = self._mixed_until.get(service, -math.inf)
-        seen = sorted(self._seen_at[service].values(), reverse=True)
+        seen = self._seen_at[service]
         if len(seen) < 2:
             return until
+        lifetime_s = self._find_lifetime_s(service)
+        oldest = trio.current_time() - lifetime_s
+        for software, seen_at in list(seen.items()):
+            if seen_at < oldest:
+                del seen[software]
         # The newest one may be the only version left; streams of the one
         # before may still be resumed.
-        return max(until, seen[1] + self._find_lifetime_s(service))
+        newest_first = sorted(seen.values(), reverse=True)
+        before = newest_first[1] if len(newest_first) > 1 else -math.inf
+        return max(until, before + lifetime_s)
 
     def is_mixed(self, service: str) -> bool:
         """Return whether streams of two versions may be resumed now."""
--- a/tests/serving_builders.py
+++ b/tests/serving_builders.py
@@ -256,9 +256,10 @@
         self.has_hubs = has_hubs
         self.is_hub = is_hub
 
-    def share_origins(self, record: bytes) -> None:
+    def share_origins(self, record: bytes) -> bool:
         """Record what is sent."""
         self.shared.append(record)
+        return True
 
     def leads_reading(self) -> bool:
         """Return whether this daemon writes to the log."""
--- a/tests/test_origins/test_finder.py
+++ b/tests/test_origins/test_finder.py
@@ -119,6 +119,32 @@
 
         self.run_clocked(scenario)
 
+    def test_a_log_that_answers_too_late_counts_as_not_read(self) -> None:
+        async def scenario() -> None:
+            self.log.faults.is_silent = True
+            daemon = builders.create_daemon(self.log, "v1", "v1.1")
+            started_at = trio.current_time()
+            unknown = finder.UnknownVersion(is_log_read=False)
+            self.assertEqual(unknown, await self._find(daemon))
+            self.assertEqual(_TIMEOUT_S, trio.current_time() - started_at)
+
+        self.run_clocked(scenario)
+
+    def test_during_an_outage_a_daemon_that_has_read_calls_no_more(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            daemon = builders.create_daemon(self.log, "v1")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(daemon.log.run)
+                await trio.sleep(1.0)
+                self.log.faults.is_down = True
+                await trio.sleep(10.0)
+                nursery.cancel_scope.cancel()
+            self.assertEqual(1, self.log.calls)
+
+        self.run_clocked(scenario)
+
     def test_a_lone_version_needs_no_call(self) -> None:
         async def scenario() -> None:
             daemon = builders.create_daemon(self.log, "v1")
