--- a/bench/platform_mutations.py
+++ b/bench/platform_mutations.py
@@ -12,6 +12,9 @@
 _LEASE = "tests.test_duties.test_lease"
 _SILENT_CONNECTIONS = "tests.test_forwarding.test_silent_connections"
 _SILENT_STORE = "tests.test_platform.test_silent_store"
+_STREAM_VERSIONS = "tests.test_forwarding.test_stream_versions"
+_ORIGINS = "tests.test_origins.test_finder"
+_CRASHING_PART = "tests.test_promises.test_crashing_part"
 
 PLATFORM_MUTATIONS = (
     Mutation(
@@ -45,14 +48,14 @@
     ),
     Mutation(
         "delivered events are dropped",
-        f"{DAEMON}/forwarding/attempt.py",
+        f"{DAEMON}/forwarding/stream_relay.py",
         "                if event.id <= last:\n                    continue\n",
         "",
         f"{_FORWARDER}_streams.StreamTest",
     ),
     Mutation(
         "gaps between events break off",
-        f"{DAEMON}/forwarding/attempt.py",
+        f"{DAEMON}/forwarding/stream_relay.py",
         "if event.id > last + 1:",
         "if False:",
         f"{_FORWARDER}_streams.StreamTest",
@@ -279,7 +282,7 @@
     Mutation(
         "an answer takes strikes back",
         f"{DAEMON}/forwarding/quarantine_filter.py",
-        "if current.latest_crash_seen:",
+        "if current.crashes_seen.get(digest):",
         "if False:",
         "tests.test_forwarding.test_quarantine_filter",
     ),
@@ -332,4 +335,60 @@
         "current.attempts > 0",
         f"{_FORWARDER}.AtMostOnceTest",
     ),
+    Mutation(
+        "a stream goes on at its version",
+        f"{DAEMON}/engines/placer.py",
+        "[one for one in usable if one.software == software]",
+        "usable",
+        _STREAM_VERSIONS,
+    ),
+    Mutation(
+        "an unknown version is not guessed",
+        f"{DAEMON}/origins/finder.py",
+        "        return UnknownVersion(is_log_read)",
+        "        return AnyVersion()",
+        _STREAM_VERSIONS,
+    ),
+    Mutation(
+        "other daemons are told where streams begin",
+        f"{DAEMON}/origins/log.py",
+        "        if self._history.is_mixed(origin.service):",
+        "        if False:",
+        _ORIGINS,
+    ),
+    Mutation(
+        "origins are written to the log",
+        f"{DAEMON}/origins/log.py",
+        "        return unwritten if is_mixed else []",
+        "        return []",
+        _ORIGINS,
+    ),
+    Mutation(
+        "a version that left counts for a while",
+        f"{DAEMON}/origins/log.py",
+        "            self._history.note_mixed(service,",
+        "            _ = (service,",
+        _ORIGINS,
+    ),
+    Mutation(
+        "parts of prompts are blamed",
+        f"{DAEMON}/forwarding/quarantine_filter.py",
+        "(digest, *self._list_blamed_parts(current))",
+        "(digest,)",
+        _CRASHING_PART,
+    ),
+    Mutation(
+        "begun answers clear parts",
+        f"{DAEMON}/forwarding/quarantine_filter.py",
+        "            self._quarantine.note_answer(part)",
+        "            pass",
+        "tests.test_forwarding.test_quarantine_filter",
+    ),
+    Mutation(
+        "wider crashes account for others",
+        f"{DAEMON}/quarantine/verdicts.py",
+        "if one >= crashed",
+        "if one == crashed",
+        "tests.test_quarantine.test_verdicts",
+    ),
 )
--- a/bench/platform_soak.py
+++ b/bench/platform_soak.py
@@ -11,7 +11,7 @@
 from absl import app, flags
 
 from bench import figures
-from martenquay_platform_standins import history, soak
+from martenquay_platform_standins import crashing_parts, history, soak
 from martenquay_platform_standins.history import CallKind
 
 _FIRST_SEED = flags.DEFINE_integer("first_seed", 1, "The first seed.")
@@ -26,6 +26,15 @@
 _RESTORES = flags.DEFINE_integer(
     "restores", 0, "Restores of the store from an older copy for each seed."
 )
+_KILLS = flags.DEFINE_integer(
+    "kills", 0, "Processes that are killed for each seed."
+)
+_VERSIONS = flags.DEFINE_integer(
+    "versions", 1, "Versions of the runners' software side by side."
+)
+_CRASHING_PART_CALLERS = flags.DEFINE_integer(
+    "lethal_parts", 0, "Callers of a part of prompts that crashes runners."
+)
 _RUNNERS = flags.DEFINE_integer("runners", 3, "Runners of each service.")
 
 # Long enough for several sends after the 3 s in which daemons learn of the
@@ -38,6 +47,9 @@
     del argv
     rows = []
     broken = 0
+    has_crashing_callers = bool(
+        _CRASHING_CALLERS.value or _CRASHING_PART_CALLERS.value
+    )
     for seed in range(_FIRST_SEED.value, _FIRST_SEED.value + _SEEDS.value):
         plan = soak.SoakPlan(
             seed,
@@ -48,7 +60,10 @@
             crashing_callers=_CRASHING_CALLERS.value,
             reports=_REPORTS.value,
             restores=_RESTORES.value,
-            calm_s=_CALM_S if _CRASHING_CALLERS.value else 0.0,
+            kills=_KILLS.value,
+            versions=_VERSIONS.value,
+            crashing_part_callers=_CRASHING_PART_CALLERS.value,
+            calm_s=_CALM_S if has_crashing_callers else 0.0,
         )
         report = trio.run(soak.run_soak, plan)
         for breach in report.breaches:
@@ -56,7 +71,8 @@
         broken += len(report.breaches)
         rows.append(_describe(seed, report))
     kinds = [str(kind) for kind in CallKind]
-    heads = ["seed", "faults", *kinds, "crashes", "runs", "duties", "breaches"]
+    heads = ["seed", "faults", *kinds, "resumed", "crashes", "by part"]
+    heads += ["runs", "duties", "breaches"]
     figures.print_table(heads, rows)
     return 1 if broken else 0
 
@@ -69,11 +85,15 @@
         for call in seen.calls.values()
         if call.status == 200 and call.is_complete
     )
+    resumed = [call for call in seen.calls.values() if call.resumed_id]
+    gone_on = sum(call.status == 200 for call in resumed)
     return [
         str(seed),
         str(len(seen.disturbances)),
         *(f"{good[kind]}/{asked[kind]}" for kind in CallKind),
+        f"{gone_on}/{len(resumed)}",
         str(sum(r.path == history.CRASHING_PATH for r in seen.runs)),
+        str(len(crashing_parts.list_crashing_runs(seen))),
         str(len(seen.runs)),
         str(len(seen.duties)),
         str(len(report.breaches)),
