--- a/bench/platform_mutations.py
+++ b/bench/platform_mutations.py
@@ -109,8 +109,8 @@
     Mutation(
         "calls that were given up are reset",
         f"{CORE}/util/http.py",
-        "[*_SOCKET_OPTIONS, _RESET_ON_CLOSE] if resets else _SOCKET_OPTIONS",
-        "_SOCKET_OPTIONS",
+        "        options.append(_RESET_ON_CLOSE)",
+        "        pass",
         "tests.test_core.test_http",
     ),
     Mutation(
