--- a/tests/test_platform/test_soak_crashing_parts.py
+++ b/tests/test_platform/test_soak_crashing_parts.py
@@ -11,11 +11,32 @@
 _CRASHING_PART = soak.SoakPlan(
     71, faults=2, crashing_part_callers=3, calm_s=24.0, daemons=5, runners=6
 )
+# Once saw a run without a request id, of which nothing more was kept.
+_PARTS_AND_VERSIONS = soak.SoakPlan(
+    539,
+    faults=4,
+    series=2,
+    reports=2,
+    kills=6,
+    crashing_part_callers=1,
+    versions=2,
+    calm_s=10.0,
+    daemons=5,
+    runners=6,
+)
 
 
 class CrashingPartTest(testtools.TestCase):
     def test_a_crashing_part_ends_few_runners(self) -> None:
-        report = trio.run(self._run, _CRASHING_PART)
+        self._check(_CRASHING_PART)
+
+    def test_a_crashing_part_beside_two_versions_ends_few_runners(
+        self,
+    ) -> None:
+        self._check(_PARTS_AND_VERSIONS)
+
+    def _check(self, plan: soak.SoakPlan) -> None:
+        report = trio.run(self._run, plan)
         self.assertEqual([], report.breaches)
         runs = crashing_parts.list_crashing_runs(report.history)
         # With fewer, the part would never be quarantined.
--- a/tests/test_platform/test_soak_judge.py
+++ b/tests/test_platform/test_soak_judge.py
@@ -283,7 +283,10 @@
 
     def test_a_run_without_a_request(self) -> None:
         self.seen.runs.append(_build_run("call-9", CallKind.BOOK))
-        self._expect("call-9 ran and nobody asked for it")
+        self._expect(
+            "call-9 ran and nobody asked for it: /book/1 at runner-1 for"
+            " 'florists'"
+        )
 
     def test_a_run_for_another_team_or_with_another_path(self) -> None:
         self.seen.runs[0] = _build_run(
