--- a/tests/test_platform/test_soak_crashing_parts.py
+++ b/tests/test_platform/test_soak_crashing_parts.py
@@ -7,7 +7,7 @@
 
 from martenquay_platform_standins import crashing_parts, soak
 
-_LIMIT_S = 180.0
+_LIMIT_S = 120.0
 _CRASHING_PART = soak.SoakPlan(
     71, faults=2, crashing_part_callers=3, calm_s=24.0, daemons=5, runners=6
 )
