--- a/review/harness.py
+++ b/review/harness.py
@@ -129,13 +129,17 @@
 
     async def append(self, topic: str, key: str, content: Any) -> None:
         """Append a keyed record to the store, as the operator does."""
+        await self.append_bytes(topic, key, json.dumps(content).encode())
+
+    async def append_bytes(self, topic: str, key: str, value: bytes) -> None:
+        """Append a keyed record of any content to the store."""
         assert self._client is not None
-        payload = wire.join_keyed(key, json.dumps(content).encode())
         written = await wire.create_log(self._client, self.store).append(
-            topic, [payload]
+            topic, [wire.join_keyed(key, value)]
         )
         if written.is_error():
             raise RuntimeError(f"the store took no record: {written.error}")
+        self.record.write("append", topic=topic, key=key, size=len(value))
 
     async def set_faults(self, **faults: Any) -> None:
         """Set faults of the store."""
