--- a/review/harness.py
+++ b/review/harness.py
@@ -106,6 +106,7 @@
         on_event: Called with each event of a stand-in.
         store: Address of the store.
         daemons: All daemons that were added.
+        runners: Addresses of the runners by id.
     """
 
     def __init__(
@@ -115,6 +116,7 @@
         self.on_event: Callable[[dict[str, Any]], None] = lambda _: None
         self.store = ""
         self.daemons: list[Daemon] = []
+        self.runners: dict[str, str] = {}
         self._nursery = nursery
         self._folder = folder
         self._client: http.HttpClient | None = None
@@ -197,6 +199,7 @@
             f"http://{address}/control",
             body=json.dumps({"address": address}).encode(),
         )
+        self.runners[runner_id] = address
         return address
 
     async def add_daemon(self, zone: str, number: int) -> Daemon:
