--- a/review/3/case.py
+++ b/review/3/case.py
@@ -31,7 +31,8 @@
 # The holder acts up to 2.0 s after it sent its last renewal.
 _EARLIEST_S, _LATEST_S = 1.6, 1.95
 _TAKEN, _RENEWED, _RELEASED = range(3)
-_BROKEN, _HELD, _NOT_RUN = 1, 0, 2
+# An uncaught error ends Python with 1, so a broken rule has its own status.
+_BROKEN, _HELD, _NOT_RUN = 10, 0, 2
 
 
 @dataclasses.dataclass(frozen=True)
--- a/review/harness.py
+++ b/review/harness.py
@@ -36,6 +36,7 @@
 HOST = "ficu95.example"
 LEASE_TOPIC = "martenquay-lease"
 _PORTS = 4
+_VARIABLES = ("PATH", "HOME")
 _RECEIVE_BYTES = 65_536
 # Those of serrana-quay.
 BOUNDS = {
@@ -226,7 +227,7 @@
         daemon.settings.write_text(json.dumps(content), encoding="utf-8")
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         command = deploy["roles"]["martenquayd"]["run"].split()
-        env = {name: os.environ[name] for name in ("PATH", "HOME")}
+        env = {name: os.environ.get(name, "") for name in _VARIABLES}
         env["PYTHONPATH"] = str(ROOT / "target/deps")
         env["MARTENQUAY_BOOT"] = str(daemon.settings)
         daemon.process = await self._open(command, env)
@@ -313,7 +314,7 @@
                 for name in ("core", "daemon", "standins")
             ),
         ]
-        env = {name: os.environ[name] for name in ("PATH", "HOME")}
+        env = {name: os.environ.get(name, "") for name in _VARIABLES}
         env["PYTHONPATH"] = os.pathsep.join(map(str, paths))
         command = ["python3", "-m", "martenquay_platform_standins", *arguments]
         process = await self._open(command, env)
--- a/review/recovery.py
+++ b/review/recovery.py
@@ -29,7 +29,8 @@
 _RECOVERY_S = 12.0
 _MEASURED_S = 8.0
 _LEAST = 0.25
-_BROKEN, _HELD, _NOT_RUN = 1, 0, 2
+# An uncaught error ends Python with 1, so a broken rule has its own status.
+_BROKEN, _HELD, _NOT_RUN = 10, 0, 2
 
 
 class Requesters:
