Keep a former lease holder from returning within a lease

Cause: a candidate waited for the last holder's lease to expire and for the life of its own earlier process, but a released lease was free at once, also for a daemon whose own lease had ended less than a lease ago.

Now a daemon that has been succeeded waits until its own last lease ended a lease's length and the margin ago. One that nobody succeeded does not: the topic still has its fence. "Lease acquired" says how long ago the own one was.

--- a/packages/daemon/src/martenquay_daemon/duties/lease.py
+++ b/packages/daemon/src/martenquay_daemon/duties/lease.py
@@ -6,6 +6,11 @@
 that acquired the lease, so it grows with each holder. The holder counts the
 lease from before it sent the record; other daemons count it from when they
 read the record, or from the remaining time that the holder gossips.
+
+The platform needs holders to be told apart by time as well: within a lease's
+length, its calls may not come from one holder, another and the first again. So
+a daemon that another one has succeeded also waits until its own last calls are
+older than that, however the lease became free.
 """
 
 from __future__ import annotations
@@ -87,6 +92,9 @@
         self._valid_until = -math.inf
         # Offset of the topic's end when `_valid_until` was last extended.
         self._valid_end_offset = 0
+        # Fence and end of the last lease that was held here.
+        self._former_fence = 0
+        self._former_until = -math.inf
         self._gossiped_by = ""
         self._gossiped_free_at = -math.inf
         self._started_at = trio.current_time()
@@ -233,6 +241,7 @@
             f"Lease acquired with fence {self.fence}.",
             fence=self.fence,
             told_by=gossiped_by,
+            since_own_s=self._find_since_own_s(),
         )
 
     def _extend_validity(self) -> None:
@@ -253,6 +262,8 @@
         _LOG.write(
             f"Lease with fence {self.fence} ended: {reason}.", fence=self.fence
         )
+        self._former_fence = self.fence
+        self._former_until = self._valid_until
         self.fence = 0
         self._valid_until = -math.inf
 
@@ -264,12 +275,21 @@
             return -math.inf
         # An earlier process of this instance may have held the lease.
         own_free_at = self._started_at + wait_s
+        if topic.fence != self._former_fence:
+            # Another daemon has acted after this one's last calls.
+            own_free_at = max(own_free_at, self._former_until + wait_s)
         if topic.is_end_gossiped:
             return max(own_free_at, self._gossiped_free_at)
         if topic.last is not None and topic.last.kind is _Kind.RELEASED:
             return own_free_at
         return max(own_free_at, topic.changed_at + wait_s)
 
+    def _find_since_own_s(self) -> float | None:
+        """Return the time since the last lease held here; None if none was."""
+        if not self._former_fence:
+            return None
+        return round(trio.current_time() - self._former_until, 3)
+
     def _find_rank(self) -> int:
         """Return this daemon's rank among the candidates for the lease."""
         if not self._view.is_candidate:
--- a/tests/test_duties/test_lease.py
+++ b/tests/test_duties/test_lease.py
@@ -263,6 +263,90 @@
 
         self.run_clocked(scenario)
 
+    def test_a_former_holder_does_not_return_within_a_lease(self) -> None:
+        # Guards against holders that act in the order A, B, A when B releases
+        # a lease that it has just taken over from A.
+        async def scenario() -> None:
+            store = log.MemoryLog()
+            connection = _DisconnectableLog(store)
+            first = self._create_on(connection, "entry-1")
+            second, _ = self._create(store, "entry-2")
+            async with _hold_lease(first) as nursery:
+                nursery.start_soon(second.run)
+                await trio.sleep(5.0)
+                acted_at = await self._lose_lease(connection, first, second)
+                await second.release()
+                first.apply_status("entry-2.aa", None, is_leaving=True)
+                await self._wait_until_held(first)
+                waited_s = trio.current_time() - acted_at
+                self.assertGreaterEqual(waited_s, _LENGTH_S)
+
+        self.run_clocked(scenario)
+
+    def test_a_former_holder_does_not_return_after_several_others(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            store = log.MemoryLog()
+            connection = _DisconnectableLog(store)
+            first = self._create_on(connection, "entry-1")
+            others = [self._create(store, f"entry-{n}")[0] for n in (2, 3)]
+            async with _hold_lease(first) as nursery:
+                nursery.start_soon(others[0].run)
+                await trio.sleep(5.0)
+                acted_at = await self._lose_lease(connection, first, others[0])
+                # The third one's process is old enough to take the lease.
+                await others[0].release()
+                nursery.start_soon(others[1].run)
+                await self._wait_until_held(others[1])
+                await others[1].release()
+                await self._wait_until_held(first)
+                waited_s = trio.current_time() - acted_at
+                self.assertGreaterEqual(waited_s, _LENGTH_S)
+
+        self.run_clocked(scenario)
+
+    def test_a_former_holder_that_nobody_succeeded_waits_no_longer(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            store = log.MemoryLog()
+            connection = _DisconnectableLog(store)
+            first = self._create_on(connection, "entry-1")
+            async with _hold_lease(first):
+                await trio.sleep(5.0)
+                connection.is_disconnected = True
+                while first.is_held():
+                    await trio.sleep(0.01)
+                ended_at = trio.current_time()
+                connection.is_disconnected = False
+                await self._wait_until_held(first)
+                # The margin of both sides and the poll of a candidate.
+                gap_s = trio.current_time() - ended_at
+                self.assertLess(gap_s, _LENGTH_S / 3 + 0.5)
+
+        self.run_clocked(scenario)
+
+    async def _lose_lease(
+        self,
+        connection: _DisconnectableLog,
+        first: lease.Lease,
+        second: lease.Lease,
+    ) -> float:
+        """Cut the holder off the log until the other one has succeeded it.
+
+        Returns:
+            When the first one held the lease last, in trio's time.
+        """
+        connection.is_disconnected = True
+        held_at = trio.current_time()
+        while not second.is_held():
+            if first.is_held():
+                held_at = trio.current_time()
+            await trio.sleep(0.01)
+        connection.is_disconnected = False
+        return held_at
+
     def test_a_restarted_daemon_waits_for_its_old_lease_to_expire(self) -> None:
         async def scenario() -> None:
             store = log.MemoryLog()
