Wait for a lease holder whose records the log has dropped

Two daemons held the lease for up to 2.5 s, and fences fell.

Cause: a daemon that was cut off is told that the records it wants are gone and reads on at the first one kept, but still took the last record that it had read as the topic's last. One that had never read the topic took a log restored from before the first lease for one that never had a holder.

Skipped records and a new era now count as a renewal by somebody unknown, as unreadable records do.

--- a/packages/daemon/src/martenquay_daemon/duties/lease_topic.py
+++ b/packages/daemon/src/martenquay_daemon/duties/lease_topic.py
@@ -91,6 +91,7 @@
     def end(self, end: int) -> None:
         if positions.find_era(end) != positions.find_era(self._end):
             self.era_since = trio.current_time()
+            self._forget_last()
         self._end = end
 
     def find_sent_at(self, number: int) -> float:
@@ -157,16 +158,24 @@
 
     def _skip_lost(self, start: int) -> None:
         """Continue where the log begins, as records before it are lost."""
-        if positions.find_era(start) > positions.find_era(self.end):
-            # A holder may go on until its last record, lost here, expires.
-            self.last = None
-            self.changed_at = trio.current_time()
-            _LOG.write(
-                "The lease's topic was restored from an older copy.",
-                end=self.end,
-                start=start,
-            )
+        is_restored = positions.find_era(start) > positions.find_era(self.end)
+        _LOG.write(
+            "The lease's topic was restored from an older copy."
+            if is_restored
+            else "Records of the lease's topic were dropped before being read.",
+            end=self.end,
+            start=start,
+        )
         self.end = start
+        self._forget_last()
+
+    def _forget_last(self) -> None:
+        """Count a lease of unknown state as just renewed.
+
+        A holder may go on until a record that cannot be read here expires.
+        """
+        self.last = None
+        self.changed_at = trio.current_time()
 
     def _apply_payload(self, payload: bytes, offset: int) -> None:
         try:
@@ -200,8 +209,7 @@
         # Without skipping it, no daemon could ever acquire the lease. It may be
         # a holder's record, so its effect is unknown.
         self.end = offset + 1
-        self.last = None
-        self.changed_at = trio.current_time()
+        self._forget_last()
 
     def _apply_record(self, record: LeaseRecord, offset: int) -> None:
         is_taken = record.kind is RecordKind.TAKEN
--- a/tests/lease_days.py
+++ b/tests/lease_days.py
@@ -49,6 +49,7 @@
     "stop": 10,
     "log cut": 8,
     "isolate": 6,
+    "compact": 4,
     "peer cut": 2,
     "kill": 2,
     "restore": 1,
@@ -66,9 +67,10 @@
     Attributes:
         kind: One of "log cut" (an instance loses the log), "peer cut" (it loses
             the other daemons), "isolate" (both), "stop" (planned) and "kill",
-            after both of which the process is restarted; "restore" (of the log
-            from an older copy), "garble" (an unreadable record is appended),
-            "store down", "lose answers" and "delay appends".
+            after both of which the process is restarted; "compact" (the log
+            drops its records), "restore" (from an older copy), "garble" (an
+            unreadable record is appended), "store down", "lose answers" and
+            "delay appends".
         gap_s: Time from the trouble before to its begin.
         after_change: The gap counts from the next change of the holder.
         for_s: How long it lasts; for a stop or a kill, until the restart.
@@ -362,6 +364,8 @@
                 await self._cut(instance, trouble)
             case "stop" | "kill":
                 await self._restart(instance, trouble)
+            case "compact":
+                self._store.forget(_TOPIC)
             case "restore":
                 self._store.restore(self._older)
                 self._older = self._store.take_copy()
--- a/tests/test_duties/test_lease.py
+++ b/tests/test_duties/test_lease.py
@@ -414,6 +414,48 @@
 
         self.run_clocked(scenario)
 
+    def test_a_holder_whose_records_were_dropped_is_waited_for(self) -> None:
+        # Guards against a second holder after the log dropped the records of
+        # the first one before a daemon that was cut off could read them.
+        async def scenario() -> None:
+            store = log.MemoryLog()
+            connection = _DisconnectableLog(store)
+            first = self._create_on(connection, "entry-1")
+            second, _ = self._create(store, "entry-2")
+            async with _hold_lease(first) as nursery:
+                nursery.start_soon(second.run)
+                await trio.sleep(5.0)
+                await self._lose_lease(connection, first, second)
+                store.forget("lease")
+                await self._check_one_holds(first, second)
+
+        self.run_clocked(scenario)
+
+    def test_a_daemon_new_to_a_restored_log_waits_for_its_holder(self) -> None:
+        async def scenario() -> None:
+            store = log.MemoryLog()
+            older = store.take_copy()
+            first, _ = self._create(store, "entry-1")
+            connection = _DisconnectableLog(store)
+            connection.is_disconnected = True
+            second = self._create_on(connection, "entry-2")
+            async with _hold_lease(first) as nursery:
+                nursery.start_soon(second.run)
+                await trio.sleep(5.0)
+                store.restore(older)
+                connection.is_disconnected = False
+                await self._check_one_holds(first, second)
+
+        self.run_clocked(scenario)
+
+    async def _check_one_holds(
+        self, first: lease.Lease, second: lease.Lease
+    ) -> None:
+        for _ in range(200):
+            self.assertFalse(first.is_held() and second.is_held())
+            await trio.sleep(0.05)
+        self.assertTrue(first.is_held() or second.is_held())
+
     def test_no_fence_is_given_twice_after_the_log_is_restored(self) -> None:
         async def scenario() -> None:
             store = log.MemoryLog()
