Pause before a candidate repeats a refused lease append

Found when the drawn check of the lease did not end; no caller has seen it.

Cause: a candidate that knows the topic's end by gossip appends without reading. If the log refuses at once, append and read were repeated as fast as the log answers until the outage ended.

Evidence: 1,250 calls in 5 s on the mock clock at 4 ms an answer. Ruled out: the holder's renewals and failed reads, which pause.

A candidate that did not get the lease now waits 0.2 s.

Before: test_a_refused_append_is_not_repeated_at_once red (1,250 calls, 50 allowed). After: green; the lease's 24 tests and the drawn ones pass.

--- a/packages/daemon/src/martenquay_daemon/duties/lease.py
+++ b/packages/daemon/src/martenquay_daemon/duties/lease.py
@@ -243,6 +243,9 @@
         await trio.sleep(self._find_rank() * _ACQUIRE_STAGGER_S)
         if self._gossiped_free_at <= trio.current_time():
             await self._try_acquire()
+            if not self.fence:
+                # The log may refuse calls as fast as they come.
+                await trio.sleep(_RETRY_DELAY_S)
 
     async def _try_acquire(self) -> None:
         gossiped_by = self._gossiped_by
--- a/packages/standins/src/martenquay_standins/ports/log.py
+++ b/packages/standins/src/martenquay_standins/ports/log.py
@@ -28,6 +28,7 @@
         late_appends: Number of appends to report as unknown and to apply only
             when `MemoryLog.apply_late_appends` is called.
         append_s: Delay before an append is applied.
+        answer_s: Delay of each call.
     """
 
     is_down: bool = False
@@ -35,6 +36,7 @@
     lost_answers: int = 0
     late_appends: int = 0
     append_s: float = 0.0
+    answer_s: float = 0.0
 
 
 @dataclasses.dataclass
@@ -232,7 +234,7 @@
 
     async def _check_faults(self) -> outcome.PlatformFailure | None:
         self.calls += 1
-        await trio.lowlevel.checkpoint()
+        await trio.sleep(self.faults.answer_s)
         if self.faults.is_silent:
             await trio.sleep(1.0)
             return outcome.PlatformFailure(outcome.Effect.UNKNOWN, "silent")
--- a/tests/test_duties/test_lease.py
+++ b/tests/test_duties/test_lease.py
@@ -401,6 +401,31 @@
 
         self.run_clocked(scenario)
 
+    def test_a_refused_append_is_not_repeated_at_once(self) -> None:
+        # Guards against a candidate that calls a store which refuses all calls
+        # as fast as it answers.
+        async def scenario() -> None:
+            store = log.MemoryLog()
+            connection = _DisconnectableLog(store)
+            first = self._create_on(connection, "entry-1")
+            second, _ = self._create(store, "entry-2")
+            async with _hold_lease(first) as nursery:
+                nursery.start_soon(second.run)
+                nursery.start_soon(_gossip_status, first, second)
+                await trio.sleep(5.0)
+                connection.is_disconnected = True
+                store.faults.is_down = True
+                store.faults.answer_s = 0.004
+                while first.is_held():
+                    await trio.sleep(0.05)
+                await trio.sleep(2.0)
+                calls = store.calls
+                await trio.sleep(5.0)
+                # An append and a read each retry interval.
+                self.assertLessEqual(store.calls - calls, 2 * 5.0 / 0.2)
+
+        self.run_clocked(scenario)
+
     def test_a_restarted_daemon_waits_for_its_old_lease_to_expire(self) -> None:
         async def scenario() -> None:
             store = log.MemoryLog()
