--- a/packages/standins/src/martenquay_standins/ports/cloud.py
+++ b/packages/standins/src/martenquay_standins/ports/cloud.py
@@ -38,12 +38,16 @@
         received: All calls, in order.
         is_lossy: Calls are recorded and fail with an unknown effect.
         has_reclaimable: Reclaimable runners are available.
+        answer_s: Delay of each call, in seconds.
+        under_way: Number of calls that have not been answered.
     """
 
     def __init__(self) -> None:
         self.received: list[ReceivedCall] = []
         self.is_lossy = False
         self.has_reclaimable = True
+        self.answer_s = 0.0
+        self.under_way = 0
 
     def set_address(self, address: str) -> None:
         """Do nothing: there is one address only."""
@@ -83,7 +87,11 @@
     async def _record_call(
         self, call: ReceivedCall, status: int
     ) -> Result[int, outcome.PlatformFailure]:
-        await trio.lowlevel.checkpoint()
+        self.under_way += 1
+        try:
+            await trio.sleep(self.answer_s)
+        finally:
+            self.under_way -= 1
         self.received.append(call)
         if self.is_lossy:
             return Error(
--- a/tests/test_daemon/test_gateway.py
+++ b/tests/test_daemon/test_gateway.py
@@ -9,6 +9,7 @@
 import trio
 
 from martenquay_core.settings import gateway as settings_module
+from martenquay_daemon.duties import lease_topic
 from martenquay_daemon.engines import loads
 from martenquay_standins.ports import runner as scripted
 from tests import gateway_fleet
@@ -151,6 +152,23 @@
 
         self._run(scenario, 3)
 
+    def test_a_stopping_daemon_hands_over_after_its_duties_calls(self) -> None:
+        async def scenario(platform, daemons, runner) -> None:
+            platform.cloud.answer_s = 0.5
+            platform.put_catalog(3)
+            while not platform.cloud.under_way:
+                await trio.sleep(0.02)
+            deadline = trio.current_time() + _TIMEOUT_S
+            await daemons[0].parts.begin_stop(lambda: deadline)
+            self.assertEqual(0, platform.cloud.under_way)
+            last = msgspec.msgpack.decode(
+                platform.log.list_payloads("lease")[-1],
+                type=lease_topic.LeaseRecord,
+            )
+            self.assertIs(lease_topic.RecordKind.RELEASED, last.kind)
+
+        self._run(scenario)
+
     def test_a_stopping_daemon_is_not_ready_and_still_answers(self) -> None:
         async def scenario(platform, daemons, runner) -> None:
             daemon = daemons[0]
--- a/tests/test_duties/test_lease.py
+++ b/tests/test_duties/test_lease.py
@@ -118,8 +118,9 @@
         )
 
     async def _wait_until_held(self, one: lease.Lease) -> None:
-        while not one.is_held():
-            await trio.sleep(0.05)
+        with trio.fail_after(60.0):
+            while not one.is_held():
+                await trio.sleep(0.05)
 
     def test_the_first_daemon_takes_a_lease_that_was_never_held(self) -> None:
         async def scenario() -> None:
@@ -340,6 +341,28 @@
 
         self.run_clocked(scenario)
 
+    def test_others_take_a_released_lease_beside_a_former_holder(self) -> None:
+        async def scenario() -> None:
+            store = log.MemoryLog()
+            connections = [_DisconnectableLog(store) for _ in range(2)]
+            first = self._create_on(connections[0], "entry-1")
+            second, _ = self._create(store, "entry-2")
+            connections[1].is_disconnected = True
+            third = self._create_on(connections[1], "entry-3")
+            async with _hold_lease(first) as nursery:
+                nursery.start_soon(second.run)
+                nursery.start_soon(third.run)
+                await trio.sleep(5.0)
+                await self._lose_lease(connections[0], first, second)
+                connections[1].is_disconnected = False
+                await second.release()
+                released_at = trio.current_time()
+                await self._wait_until_held(third)
+                waited_s = trio.current_time() - released_at
+                self.assertLess(waited_s, _LENGTH_S / 2)
+
+        self.run_clocked(scenario)
+
     def test_a_former_holder_that_nobody_succeeded_waits_no_longer(
         self,
     ) -> None:
