Mutate the lease's waits, and name where two mutations are now

Two older mutations named text that has moved since ("the lease is taken under a condition", "a late renewal counts from its sending"); they apply again.

--- a/bench/platform_mutations.py
+++ b/bench/platform_mutations.py
@@ -137,11 +137,55 @@
     ),
     Mutation(
         "the lease is taken under a condition",
-        f"{DAEMON}/duties/lease.py",
-        "expected_end=self._topic.end,",
+        f"{DAEMON}/duties/lease_topic.py",
+        "expected_end=self.end,",
         "expected_end=None,",
         _LEASE,
     ),
+    Mutation(
+        "a former holder's own lease delays its next",
+        f"{DAEMON}/duties/lease.py",
+        "if topic.fence != self._former_fence:",
+        "if False:",
+        _LEASE,
+    ),
+    Mutation(
+        "dropped records of the lease count as a renewal",
+        f"{DAEMON}/duties/lease_topic.py",
+        "        self.end = start\n        self._forget_last()\n",
+        "        self.end = start\n",
+        _LEASE,
+    ),
+    Mutation(
+        "a new era of the lease's topic counts as a renewal",
+        f"{DAEMON}/duties/lease_topic.py",
+        "            self.era_since = trio.current_time()\n"
+        "            self._forget_last()\n",
+        "            self.era_since = trio.current_time()\n",
+        _LEASE,
+    ),
+    Mutation(
+        "the lease is released after the calls under way",
+        f"{DAEMON}/duties/lease.py",
+        "        if self._calls_under_way:\n"
+        "            await self._last_call_ended.wait()\n",
+        "",
+        _LEASE,
+    ),
+    Mutation(
+        "the lease knows of the duties' calls",
+        f"{DAEMON}/duties/parts.py",
+        "    cloud = duty_calls.LeasedCloud(cloud, sources.lease)\n",
+        "",
+        "tests.test_daemon.test_gateway",
+    ),
+    Mutation(
+        "refused appends of the lease are repeated after a pause",
+        f"{DAEMON}/duties/lease.py",
+        "                await trio.sleep(_RETRY_DELAY_S)\n\n",
+        "                pass\n\n",
+        _LEASE,
+    ),
     Mutation(
         "the lease ends by the holder's clock",
         f"{DAEMON}/duties/lease.py",
@@ -152,7 +196,7 @@
     Mutation(
         "a late renewal counts from its sending",
         f"{DAEMON}/duties/lease.py",
-        "sent_at = self._sent_at.get(last.number, -math.inf)",
+        "sent_at = self._topic.find_sent_at(last.number)",
         "sent_at = trio.current_time()",
         _LEASE,
     ),
