--- a/tests/allowance_days.py
+++ b/tests/allowance_days.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import heapq
+import math
 import random
 
 import trio
@@ -12,7 +13,14 @@
 
 from tests import allowance_fleet
 
-__all__ = ["Day", "Played", "draw_day", "find_most_spent", "play_day"]
+__all__ = [
+    "Day",
+    "Played",
+    "draw_day",
+    "draw_replacements",
+    "find_most_spent",
+    "play_day",
+]
 
 _STEP_S = 0.05
 _MESSAGE_INTERVAL_S = 0.25
@@ -96,6 +104,42 @@
     )
 
 
+def draw_replacements(seed: int) -> Day:
+    """Return a scenario in which instances are replaced for good.
+
+    Each one that goes is followed by a new one some seconds later, in a drawn
+    order and with drawn pauses; some scenarios end with a kill of all.
+    """
+    rng = random.Random(seed)
+    names = [f"entry-{n}" for n in range(rng.randint(2, 6))]
+    running = list(names)
+    troubles = []
+    at_s = _WARM_UP_S
+    for number in range(rng.randint(1, len(names))):
+        new = f"entry-{len(names) + number}"
+        old = running.pop(rng.randrange(len(running)))
+        troubles.append(Trouble("kill", at_s, math.inf, frozenset({old})))
+        joins_at_s = at_s + rng.uniform(0.5, 3.0)
+        troubles.append(
+            Trouble("join", joins_at_s, joins_at_s, frozenset({new}))
+        )
+        running.append(new)
+        at_s = joins_at_s + rng.uniform(0.2, 3.0)
+    if rng.random() < 0.5:
+        troubles.append(Trouble("kill", at_s, at_s + 1.0, frozenset(running)))
+        at_s += 1.0
+    joined = [f"entry-{len(names) + n}" for n in range(len(names))]
+    return Day(
+        seed,
+        tuple(names),
+        tuple(troubles),
+        demand=0.55,
+        greedy_s=0.0,
+        length_s=at_s + 20.0,
+        shares=dict.fromkeys(names + joined, 1.0),
+    )
+
+
 def _draw_trouble(
     rng: random.Random, names: tuple[str, ...], joining: tuple[str, ...]
 ) -> Trouble:
