--- a/packages/daemon/src/martenquay_daemon/duties/lease.py
+++ b/packages/daemon/src/martenquay_daemon/duties/lease.py
@@ -190,7 +190,10 @@
                 self._last_call_ended = trio.Event()
 
     async def release(self) -> None:
-        """Release the lease before a planned stop."""
+        """Release the lease before a planned stop.
+
+        Waits for the duties' calls under way, which their time-out bounds.
+        """
         self._is_stopping = True
         if not self.is_held():
             return
--- a/tests/lease_days.py
+++ b/tests/lease_days.py
@@ -38,6 +38,7 @@
 # Time that a process runs on after a stop signal.
 _DRAIN_S = 2.6
 _WARM_UP_S = 2.0
+# Longer than a restarted process waits for a lease.
 _SETTLE_S = 8.0
 _MAX_CHANGE_S = 5.0
 _UNREADABLE = b"\xc1"
@@ -72,10 +73,10 @@
             drops its records), "restore" (from an older copy), "garble" (an
             unreadable record is appended), "store down", "lose answers", "delay
             appends" and "slow calls" (of an instance's duties).
-        gap_s: Time from the trouble before to its begin.
+        gap_s: Time from when the trouble before began.
         after_change: The gap counts from the next change of the holder.
         for_s: How long it lasts; for a stop or a kill, until the restart.
-        on_holder: It affects the daemon that acted last.
+        on_holder: It affects the lease's holder, if there is one.
         instance: Number of the affected instance otherwise.
     """
 
