Give each test run a loopback address of its own

Several entries of KNOWN-RED.txt suspect requests of another test run on a port that was freed and taken again: all listeners of tests, stand-ins and soaks were at 127.0.0.1 with ports of the ephemeral range. Each run now has an address of its own in 127.64.0.0/10, which its programs inherit, so that two runs cannot meet.

--- a/packages/standins/src/martenquay_standins/chaos/programs.py
+++ b/packages/standins/src/martenquay_standins/chaos/programs.py
@@ -14,6 +14,8 @@
 
 import trio
 
+from martenquay_standins import loopback
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
@@ -127,6 +129,6 @@
         [sys.executable, *arguments],
         stdout=subprocess.PIPE,
         stderr=subprocess.PIPE,
-        env=dict(env),
+        env={**env, loopback.VARIABLE: loopback.HOST},
     )
     return Program(name, process)
--- a/packages/standins/src/martenquay_standins/chaos/proxy.py
+++ b/packages/standins/src/martenquay_standins/chaos/proxy.py
@@ -9,6 +9,8 @@
 
 import trio
 
+from martenquay_standins import loopback
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -72,7 +74,7 @@
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Accept and forward connections until cancelled."""
-        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        listeners = await trio.open_tcp_listeners(0, host=loopback.HOST)
         host, port = listeners[0].socket.getsockname()[:2]
         self.address = f"{host}:{port}"
         task_status.started()
--- a/packages/standins/src/martenquay_standins/host.py
+++ b/packages/standins/src/martenquay_standins/host.py
@@ -8,6 +8,7 @@
 import trio
 
 from martenquay_core.util import server
+from martenquay_standins import loopback
 
 if TYPE_CHECKING:
     from martenquay_standins import web
@@ -35,7 +36,9 @@
 
 
 async def start_stand_in(
-    nursery: trio.Nursery, app: web.StandIn, address: str = "127.0.0.1:0"
+    nursery: trio.Nursery,
+    app: web.StandIn,
+    address: str = loopback.create_address(),
 ) -> RunningStandIn:
     """Start a fake server and return it once it listens."""
     scope = trio.CancelScope()
--- a/packages/standins/src/martenquay_standins/main.py
+++ b/packages/standins/src/martenquay_standins/main.py
@@ -8,11 +8,21 @@
 import trio
 from absl import app, flags
 
-from martenquay_standins import engine, host, instances, log, service, web
+from martenquay_standins import (
+    engine,
+    host,
+    instances,
+    log,
+    loopback,
+    service,
+    web,
+)
 
 __all__ = ["start"]
 
-_ADDRESS = flags.DEFINE_string("address", "127.0.0.1:0", "Where to listen.")
+_ADDRESS = flags.DEFINE_string(
+    "address", loopback.create_address(), "Where to listen."
+)
 _SLOTS = flags.DEFINE_integer("slots", 8, "An engine's slots.")
 _TOKEN_S = flags.DEFINE_float("token_s", 0.002, "Seconds between two tokens.")
 _PREFILL = flags.DEFINE_float(
--- a/packages/standins/src/martenquay_standins/network.py
+++ b/packages/standins/src/martenquay_standins/network.py
@@ -4,6 +4,8 @@
 
 import trio
 
+from martenquay_standins import loopback
+
 __all__ = ["PLATFORM", "Network"]
 
 PLATFORM = "platform"
@@ -36,7 +38,7 @@
         known = self._forwarders.get((source, address))
         if known is not None:
             return known
-        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        listeners = await trio.open_tcp_listeners(0, host=loopback.HOST)
         host, port = listeners[0].socket.getsockname()[:2]
         pair = frozenset((source, target))
 
--- a/packages/standins/src/martenquay_standins/ports/reporting_runner.py
+++ b/packages/standins/src/martenquay_standins/ports/reporting_runner.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from martenquay_standins import windows
+from martenquay_standins import loopback, windows
 
 __all__ = ["Arrival", "ReportingRunner"]
 
@@ -48,7 +48,7 @@
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve until cancelled."""
-        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        listeners = await trio.open_tcp_listeners(0, host=loopback.HOST)
         host, port = listeners[0].socket.getsockname()[:2]
         self.address = f"{host}:{port}"
         task_status.started()
--- a/packages/standins/src/martenquay_standins/ports/runner.py
+++ b/packages/standins/src/martenquay_standins/ports/runner.py
@@ -8,6 +8,8 @@
 
 import trio
 
+from martenquay_standins import loopback
+
 __all__ = ["Script", "ScriptedRunner"]
 
 _RECEIVE_BYTES = 65_536
@@ -91,7 +93,7 @@
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve until cancelled."""
-        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        listeners = await trio.open_tcp_listeners(0, host=loopback.HOST)
         host, port = listeners[0].socket.getsockname()[:2]
         self.address = f"{host}:{port}"
         task_status.started()
--- a/packages/standins/src/martenquay_standins/world.py
+++ b/packages/standins/src/martenquay_standins/world.py
@@ -18,6 +18,7 @@
     engine,
     host,
     log,
+    loopback,
     network,
     partners,
     running,
@@ -200,9 +201,9 @@
             "zone": zone,
             "instance": instance,
             "listen": {
-                "callers": "127.0.0.1:0",
-                "operators": "127.0.0.1:0",
-                "peers": "127.0.0.1:0",
+                "callers": loopback.create_address(),
+                "operators": loopback.create_address(),
+                "peers": loopback.create_address(),
             },
             "platform": {
                 "log": f"http://{self._log_address}",
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -8,6 +8,7 @@
 from martenquay_core.config import fold, objects, records
 from martenquay_core.peers import messages
 from martenquay_core.platform import instances
+from martenquay_standins import loopback
 
 __all__ = [
     "Partners",
@@ -101,9 +102,9 @@
         "zone": "serra-a",
         "instance": "entry-1",
         "listen": {
-            "callers": "127.0.0.1:0",
-            "operators": "127.0.0.1:0",
-            "peers": "127.0.0.1:0",
+            "callers": loopback.create_address(),
+            "operators": loopback.create_address(),
+            "peers": loopback.create_address(),
         },
         "platform": {
             "log": "http://127.0.0.1:9000",
--- a/tests/leaving.py
+++ b/tests/leaving.py
@@ -12,6 +12,7 @@
 import trio
 
 from martenquay_daemon.forwarding import runner_connection as connections
+from martenquay_standins import loopback
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator
@@ -120,7 +121,7 @@
 def listen_with_full_backlog() -> Iterator[tuple[socket.socket, str]]:
     """Yield a listener with a full backlog: connecting to it hangs."""
     with socket.socket() as listener, socket.socket() as filler:
-        listener.bind(("127.0.0.1", 0))
+        listener.bind((loopback.HOST, 0))
         listener.listen(0)
         filler.connect(listener.getsockname())
         listener.setblocking(False)
@@ -134,7 +135,7 @@
         listener.setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
         )
-        listener.bind(("127.0.0.1", 0))
+        listener.bind((loopback.HOST, 0))
         listener.listen()
         listener.setblocking(False)
         yield listener, _format_address(listener)
--- a/tests/moving_engine.py
+++ b/tests/moving_engine.py
@@ -11,6 +11,8 @@
 import h11
 import trio
 
+from martenquay_standins import loopback
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -190,7 +192,7 @@
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve until cancelled or ended."""
-        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        listeners = await trio.open_tcp_listeners(0, host=loopback.HOST)
         host, port = listeners[0].socket.getsockname()[:2]
         self.address = f"{host}:{port}"
         self._grid.engines[self.address] = self
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -9,6 +9,7 @@
 import trio
 
 from martenquay_daemon.relay import dialer, paths, peers, server
+from martenquay_standins import loopback
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
@@ -68,7 +69,7 @@
         number = len(self.relays)
         relay_paths = paths.RunnerPaths()
         relay = server.RelayServer(
-            "127.0.0.1", 0, relay_paths, is_runner, lambda _: None
+            loopback.HOST, 0, relay_paths, is_runner, lambda _: None
         )
         address = await nursery.start(relay.run)
         self.relays.append(relay)
--- a/tests/serving_builders.py
+++ b/tests/serving_builders.py
@@ -20,6 +20,7 @@
     send_shares,
 )
 from martenquay_daemon.fleet import messages
+from martenquay_standins import loopback
 
 __all__ = [
     "TOPICS",
@@ -204,10 +205,10 @@
         "instance": "entry-1",
         "zone": "a",
         "listen": {
-            "callers": "127.0.0.1:0",
-            "readiness": "127.0.0.1:0",
+            "callers": loopback.create_address(),
+            "readiness": loopback.create_address(),
             "readiness_path": "/ready",
-            "ip": "127.0.0.1",
+            "ip": loopback.HOST,
             "peer_port": 0,
         },
         "platform": {
--- a/tests/serving_scene.py
+++ b/tests/serving_scene.py
@@ -52,6 +52,7 @@
 from martenquay_daemon.quarantine import manager
 from martenquay_daemon.rollouts import registry, tallies, versions
 from martenquay_platform import codec
+from martenquay_standins import loopback
 from martenquay_standins.ports import log
 from martenquay_standins.ports import runner as scripted
 from tests import allowance_fleet
@@ -268,7 +269,7 @@
             wait_until_read=trio.lowlevel.checkpoint,
         )
         self.listener = listener.CallerListener(
-            "127.0.0.1:0",
+            loopback.create_address(),
             self.store,
             header_codec,
             forwarder.Forwarder(self.parts),
--- a/tests/test_core/test_http.py
+++ b/tests/test_core/test_http.py
@@ -8,6 +8,7 @@
 from expression import Ok
 
 from martenquay_core.util import http
+from martenquay_standins import loopback
 
 _HANG_S = 30.0
 
@@ -53,7 +54,7 @@
                 resets_seen.append(True)
 
         async def run() -> None:
-            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            listeners = await trio.open_tcp_listeners(0, host=loopback.HOST)
             port = listeners[0].socket.getsockname()[1]
             with trio.fail_after(_HANG_S):
                 async with trio.open_nursery() as nursery:
@@ -61,7 +62,7 @@
                     async with http.open_client(**options) as client:
                         answer = await client.call(
                             "POST",
-                            f"http://127.0.0.1:{port}/",
+                            f"http://{loopback.create_address(port)}/",
                             body=b"order",
                             timeout_s=0.05,
                         )
--- a/tests/test_core/test_silent_peers.py
+++ b/tests/test_core/test_silent_peers.py
@@ -9,6 +9,7 @@
 import zmq
 
 from martenquay_core.peers import sockets
+from martenquay_standins import loopback
 from martenquay_standins.chaos import proxy
 
 # Less than ZeroMQ's own timeouts of 30 s, which would also end the silence.
@@ -23,7 +24,7 @@
         async def run() -> None:
             context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
             try:
-                router = sockets.bind_router(context, "127.0.0.1:0")
+                router = sockets.bind_router(context, loopback.create_address())
                 faulty = proxy.FaultyProxy(router.address)
                 async with trio.open_nursery() as nursery:
                     await nursery.start(faulty.run)
--- a/tests/test_core/test_sockets.py
+++ b/tests/test_core/test_sockets.py
@@ -9,6 +9,7 @@
 import zmq
 
 from martenquay_core.peers import sockets
+from martenquay_standins import loopback
 
 _HANG_S = 30.0
 
@@ -40,8 +41,8 @@
             # A bound socket that does not listen reserves the port and refuses
             # connections.
             reserved = socket.socket()
-            reserved.bind(("127.0.0.1", 0))
-            address = f"127.0.0.1:{reserved.getsockname()[1]}"
+            reserved.bind((loopback.HOST, 0))
+            address = loopback.create_address(reserved.getsockname()[1])
             dealer = sockets.connect_dealer(context, address)
             self.assertTrue(dealer.send([b"kept"]))
             reserved.close()
--- a/tests/test_fleet/test_links.py
+++ b/tests/test_fleet/test_links.py
@@ -27,6 +27,7 @@
     topology,
     view,
 )
+from martenquay_standins import loopback
 from martenquay_standins.ports import log
 from tests import serving_builders as builders
 
@@ -74,7 +75,7 @@
             self.store, self.directory, self.follower, self.contact
         )
         own_address = topology.PeerAddress(
-            "127.0.0.1:0", zone, _MAX_MBPS - number
+            loopback.create_address(), zone, _MAX_MBPS - number
         )
         self.own_address = own_address
         self.links = links.FleetLinks(
--- a/tests/test_forwarding/test_listener.py
+++ b/tests/test_forwarding/test_listener.py
@@ -11,6 +11,7 @@
 
 from martenquay_daemon.forwarding import forwarder, listener
 from martenquay_platform import codec
+from martenquay_standins import loopback
 from martenquay_standins.ports import runner as scripted
 from tests import serving_builders as builders
 from tests import serving_scene
@@ -55,7 +56,7 @@
 
     async def _serve(self, scene: serving_scene.Scene, scenario) -> None:
         caller_listener = listener.CallerListener(
-            "127.0.0.1:0",
+            loopback.create_address(),
             scene.store,
             codec.create_codec(),
             forwarder.Forwarder(scene.parts),
--- a/tests/test_forwarding/test_silent_connections.py
+++ b/tests/test_forwarding/test_silent_connections.py
@@ -11,6 +11,7 @@
 from martenquay_core.serving import catalog
 from martenquay_daemon.forwarding import retry_window
 from martenquay_daemon.forwarding import runner_connection as connections
+from martenquay_standins import loopback
 from martenquay_standins.chaos import proxy
 from martenquay_standins.ports import runner as scripted
 from martenquay_standins.ports.runner import Script
@@ -76,10 +77,10 @@
         await stream.send_all(_STREAM + _event(1))
         await trio.sleep_forever()
 
-    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    listeners = await trio.open_tcp_listeners(0, host=loopback.HOST)
     port = listeners[0].socket.getsockname()[1]
     nursery.start_soon(trio.serve_listeners, serve, listeners)
-    fault_proxy = proxy.FaultyProxy(f"127.0.0.1:{port}")
+    fault_proxy = proxy.FaultyProxy(loopback.create_address(port))
     await nursery.start(fault_proxy.run)
     scene.add_runner(fault_proxy.address)
     return fault_proxy
--- a/tests/test_platform/test_silent_store.py
+++ b/tests/test_platform/test_silent_store.py
@@ -16,7 +16,7 @@
 from martenquay_daemon.fleet import view
 from martenquay_platform import cloud, log
 from martenquay_platform_standins import store
-from martenquay_standins import host
+from martenquay_standins import host, loopback
 from martenquay_standins.chaos import proxy
 
 if TYPE_CHECKING:
@@ -52,7 +52,7 @@
         async with trio.open_nursery() as nursery:
             platform = store.StoreStandIn(lambda *_, **__: None)
             running = await host.start_stand_in(
-                nursery, platform, "127.0.0.1:0"
+                nursery, platform, loopback.create_address()
             )
             front = proxy.FaultyProxy(running.address)
             await nursery.start(front.run)
--- a/tests/test_platform/test_store_restore.py
+++ b/tests/test_platform/test_store_restore.py
@@ -13,7 +13,7 @@
 from martenquay_daemon.discovery import contact, keyed_follower
 from martenquay_platform import log
 from martenquay_platform_standins import store
-from martenquay_standins import host
+from martenquay_standins import host, loopback
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -75,7 +75,7 @@
         async with trio.open_nursery() as nursery:
             platform = store.StoreStandIn(lambda *_, **__: None)
             running = await host.start_stand_in(
-                nursery, platform, "127.0.0.1:0"
+                nursery, platform, loopback.create_address()
             )
             async with http.open_client(resets=True) as client:
                 scene = _Scene(
--- a/tests/test_relay/test_dialer.py
+++ b/tests/test_relay/test_dialer.py
@@ -10,6 +10,7 @@
 
 from martenquay_daemon.forwarding import runner_connection as connections
 from martenquay_daemon.quarantine import evidence
+from martenquay_standins import loopback
 from martenquay_standins.ports import runner as scripted
 from martenquay_standins.ports.runner import Script
 from tests import relay_builders, runner_cut
@@ -172,10 +173,10 @@
         async def scenario(scene, runner, cut) -> None:
             cut.instances = {_SELF}
             with socket.socket() as suspended:
-                suspended.bind(("127.0.0.1", 0))
+                suspended.bind((loopback.HOST, 0))
                 suspended.listen()
                 port = suspended.getsockname()[1]
-                silent = f"127.0.0.1:{port}"
+                silent = loopback.create_address(port)
                 scene.peers.add("entry-silent", silent, 1e6)
                 self.assertEqual(silent, scene.peers.choose(1)[0])
                 relay = await self._find_relay(scene, runner)
--- a/tests/test_relay/test_server.py
+++ b/tests/test_relay/test_server.py
@@ -10,6 +10,7 @@
 
 from martenquay_daemon.forwarding import runner_connection as connections
 from martenquay_daemon.relay import tunnel
+from martenquay_standins import loopback
 from martenquay_standins.ports import runner as scripted
 from martenquay_standins.ports.runner import Script
 from tests import relay_builders
@@ -171,10 +172,10 @@
     def test_a_probe_through_a_suspended_relay_ends(self) -> None:
         async def scenario(scene, runner) -> None:
             with socket.socket() as suspended:
-                suspended.bind(("127.0.0.1", 0))
+                suspended.bind((loopback.HOST, 0))
                 suspended.listen()
                 port = suspended.getsockname()[1]
-                scene.addresses[0] = f"127.0.0.1:{port}"
+                scene.addresses[0] = loopback.create_address(port)
                 with self.assertRaises(tunnel.RelayUnreachableError):
                     async with self._open(scene, runner.address):
                         pass
--- a/tests/test_standins/test_proxy.py
+++ b/tests/test_standins/test_proxy.py
@@ -5,6 +5,7 @@
 import testtools
 import trio
 
+from martenquay_standins import loopback
 from martenquay_standins.chaos import proxy
 
 _TIMEOUT_S = 30.0
@@ -18,9 +19,9 @@
                 await stream.send_all(data)
 
         async def run() -> None:
-            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            listeners = await trio.open_tcp_listeners(0, host=loopback.HOST)
             port = listeners[0].socket.getsockname()[1]
-            faulty_proxy = proxy.FaultyProxy(f"127.0.0.1:{port}")
+            faulty_proxy = proxy.FaultyProxy(loopback.create_address(port))
             with trio.fail_after(_TIMEOUT_S):
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(trio.serve_listeners, echo, listeners)
