Let no entry without a start time replace the runner at its address

Where one of two entries lacks a start time, the one that came last was taken for the newer process. A runner's own entry has a start time, so one that has it now holds the address against one that lacks it. Ruled out: that heartbeats bring a replaced runner back, which an older test forbids for a runner that has ended.

--- a/packages/daemon/src/martenquay_daemon/discovery/runner_directory.py
+++ b/packages/daemon/src/martenquay_daemon/discovery/runner_directory.py
@@ -207,12 +207,16 @@
         self.on_restart(runner.id)
 
     def _resolve_address_conflict(self, runner: runners.Runner) -> None:
-        """Keep the later one of two runners with the same address."""
+        """Keep one of two runners with the same address.
+
+        The one whose process started later; of entries without start times, the
+        one that came last.
+        """
         for other in self._runners.values():
             if other.address != runner.address or other.id == runner.id:
                 continue
             older, newer = other, runner
-            if _has_started_later(other, runner):
+            if _is_newer(other, runner):
                 older, newer = runner, other
             if older.id not in self._replaced_ids:
                 _LOG.write(
@@ -277,8 +281,12 @@
         self.on_loss()
 
 
-def _has_started_later(one: runners.Runner, other: runners.Runner) -> bool:
-    """Return whether both start times are known and the first is later."""
+def _is_newer(one: runners.Runner, other: runners.Runner) -> bool:
+    """Return whether start times show that the first has the address now.
+
+    A runner's own entry has a start time; one without it may be of another
+    writer, and then names no runner to use.
+    """
     if one.born_ms is None or other.born_ms is None:
-        return False
+        return one.born_ms is not None
     return one.born_ms > other.born_ms
--- a/tests/test_discovery/test_runner_directory.py
+++ b/tests/test_discovery/test_runner_directory.py
@@ -235,6 +235,21 @@
 
         self.run_clocked(scenario)
 
+    # Only another writer's entry lacks the start time of its process.
+    def test_an_entry_without_start_time_replaces_no_runner_that_has_one(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            self._build()
+            self._put(id="r-1", born_ms=1000)
+            self._put(id="r-9", service="other")
+            self.assertEqual(["r-1"], self._list_usable())
+            self._put(id="r-2", address="127.0.0.1:2", service="other")
+            self._put(id="r-3", address="127.0.0.1:2", born_ms=1000)
+            self.assertEqual(["r-1", "r-3"], self._list_usable())
+
+        self.run_clocked(scenario)
+
     def test_heartbeats_of_a_replaced_runner_do_not_bring_it_back(self) -> None:
         async def scenario() -> None:
             self._build()
