Judge the end of a soak's program once its last line is read

The end is now judged once the program's lines are read to their end; a runner that ends without announcing it still is a breach.

Also, the breach of a daemon that did not stop in time names the processor time that it had used, which tells one that got none from one that hangs.

--- a/packages/standins/src/martenquay_standins/chaos/programs.py
+++ b/packages/standins/src/martenquay_standins/chaos/programs.py
@@ -41,6 +41,9 @@
         signals: The signals sent to it, with seconds since its start.
         lines: Its last log lines, with seconds since its start.
         address: Where it listens; empty while unknown.
+        cpu_time_s: Processor time that it had used when it was killed; None
+            if it was not.
+        has_read_lines: Set once its lines are read to the end.
     """
 
     def __init__(self, name: str, process: trio.Process) -> None:
@@ -49,6 +52,8 @@
         self.errors = b""
         self.address = ""
         self.is_expected_to_end = False
+        self.cpu_time_s: float | None = None
+        self.has_read_lines = trio.Event()
         self.signals: list[str] = []
         self.lines: collections.deque[str] = collections.deque(
             maxlen=_STDOUT_TAIL_LINES
@@ -90,6 +95,8 @@
     def kill(self) -> None:
         """Send SIGKILL, marking the end as expected."""
         self.is_expected_to_end = True
+        if self.process.poll() is None:
+            self.cpu_time_s = self._read_cpu_time_s()
         self.send(signal.SIGKILL)
 
     async def read_lines(
@@ -102,6 +109,7 @@
             *lines, partial_line = (partial_line + data).split(b"\n")
             for line in lines:
                 handle_line(json.loads(line))
+        self.has_read_lines.set()
 
     def _read_cpu_time_s(self) -> float:
         """Return the user and system CPU time of the process."""
