Listen on all addresses before callers are served; wait for a taken one

A process ended by itself (exit status 1) when one of its addresses was held by another socket for a moment: the callers' listener and the links' router at once, the readiness server after "Started; callers are served", so that what callers had begun by then ended with it. A taken port of the relay cost the relay for the process's life.

Cause: each part bound its own address when it was started, after the callers' listener had begun to accept, and any OSError or ZMQError ended the process. All four set SO_REUSEADDR already (libzmq, hypercorn and trio do so themselves), so it was not the cause; it does not help beside a listening socket or an outgoing connection from that port.

Now the daemon listens on readiness, links and callers in this order, callers last, so that no caller's connection waits in the queue of a process that then ends. The relay delays nobody: the daemon serves without it, tries each second and announces it once it listens.

--- a/packages/core/src/martenquay_core/peers/sockets.py
+++ b/packages/core/src/martenquay_core/peers/sockets.py
@@ -89,13 +89,22 @@
 def bind_router(
     context: zmq.Context[zmq.Socket[bytes]], address: str
 ) -> PeerSocket:
-    """Return a bound ROUTER socket that receives from any number of peers."""
+    """Return a bound ROUTER socket that receives from any number of peers.
+
+    Raises:
+        OSError: The address cannot be listened on.
+    """
     raw_socket = context.socket(zmq.ROUTER)
     raw_socket.setsockopt(zmq.RCVHWM, _QUEUE_MESSAGES)
     raw_socket.setsockopt(zmq.SNDHWM, _QUEUE_MESSAGES)
     _set_timeouts(raw_socket, _LISTENER_HEARTBEAT_INTERVAL_MS)
     host, port = address.rsplit(":", 1)
-    raw_socket.bind(f"tcp://{host}:{'*' if port == '0' else port}")
+    try:
+        raw_socket.bind(f"tcp://{host}:{'*' if port == '0' else port}")
+    except zmq.ZMQError as error:
+        raw_socket.close(_LINGER_MS)
+        # pyzmq's own text repeats the address.
+        raise OSError(error.errno, zmq.strerror(error.errno)) from error
     endpoint = raw_socket.getsockopt(zmq.LAST_ENDPOINT).decode().rstrip("\x00")
     return PeerSocket(raw_socket, endpoint.removeprefix("tcp://"))
 
--- a/packages/core/src/martenquay_core/util/server.py
+++ b/packages/core/src/martenquay_core/util/server.py
@@ -10,6 +10,7 @@
 import trio
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Awaitable, Callable
 
 __all__ = ["ServerOptions", "serve_app"]
@@ -21,13 +22,15 @@
 
     Attributes:
         address: Host and port; port 0 lets the system choose.
+        listening_socket: Socket that listens already; replaces `address`.
         graceful_s: Seconds for requests in progress after the stop.
         max_header_bytes: Maximum size of a request's headers.
     """
 
-    address: str
+    address: str = ""
     graceful_s: float = 1.0
     max_header_bytes: int = 32_768
+    listening_socket: socket.socket | None = None
 
 
 async def serve_app(
@@ -47,6 +50,8 @@
     """
     config = hypercorn.config.Config()
     config.bind = [options.address]
+    if options.listening_socket is not None:
+        config.bind = [f"fd://{options.listening_socket.detach()}"]
     config.graceful_timeout = options.graceful_s
     config.shutdown_timeout = options.graceful_s
     config.h11_max_incomplete_size = options.max_header_bytes
--- a/packages/daemon/src/martenquay_daemon/fleet/links.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/links.py
@@ -151,6 +151,7 @@
         self._digest_sent_at = -math.inf
         self._state_requested_at = -math.inf
         self._context = zmq.Context()
+        self._router: sockets.PeerSocket | None = None
         self._known: dict[str, topology.PeerAddress] = {}
         # Addresses that ZeroMQ rejects. Other daemons may keep listing them.
         self._invalid: set[str] = set()
@@ -165,11 +166,23 @@
         self._zone.find_members_end = self._find_zone_end
         self._zone.create_runner_reports = self._create_runner_reports
 
+    def listen(self) -> None:
+        """Listen for the messages of other daemons, which `run` processes.
+
+        Raises:
+            OSError: The address cannot be listened on.
+        """
+        self._router = sockets.bind_router(
+            self._context, self._own_address.address
+        )
+
     async def run(
         self, *, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Listen and serve the links until cancelled."""
-        router = sockets.bind_router(self._context, self._own_address.address)
+        if self._router is None:
+            self.listen()
+        router, self._router = self._router, None
         self.address = self._announced or router.address
         self._zone.set_address(self.address)
         try:
--- a/packages/daemon/src/martenquay_daemon/forwarding/listener.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/listener.py
@@ -9,7 +9,7 @@
 import trio
 
 from martenquay_core import logs
-from martenquay_core.util import keepalive
+from martenquay_core.util import keepalive, listening
 from martenquay_daemon.forwarding import caller_connection
 
 if TYPE_CHECKING:
@@ -55,6 +55,7 @@
         self._store = store
         self._codec = codec
         self._handler = handler
+        self._raw_socket: socket.socket | None = None
         self._connections: set[caller_connection.CallerConnection] = set()
         self._accept_scope = trio.CancelScope()
         self._is_draining = False
@@ -86,6 +87,16 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
+    def listen(self) -> None:
+        """Listen; connections wait until `run` accepts them.
+
+        Raises:
+            OSError: The address cannot be listened on.
+        """
+        self._raw_socket = listening.open_socket(
+            self._address, _BACKLOG, keepalive.list_options(_KEEPALIVE)
+        )
+
     async def run(
         self, *, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -94,14 +105,10 @@
         Args:
             task_status: Receives the address once the socket listens.
         """
-        host, _, port = self._address.rpartition(":")
-        raw_socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        if self._raw_socket is None:
+            self.listen()
+        raw_socket, self._raw_socket = self._raw_socket, None
         listening_socket = trio.socket.from_stdlib_socket(raw_socket)
-        listening_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        # Accepted sockets inherit these options.
-        keepalive.enable_keepalive(listening_socket, _KEEPALIVE)
-        await listening_socket.bind((host, int(port)))
-        listening_socket.listen(_BACKLOG)
         bound_host, bound_port = listening_socket.getsockname()
         task_status.started(f"{bound_host}:{bound_port}")
         async with trio.open_nursery() as nursery:
--- a/packages/daemon/src/martenquay_daemon/gateway.py
+++ b/packages/daemon/src/martenquay_daemon/gateway.py
@@ -14,6 +14,7 @@
     gateway_parts,
     readiness,
     settings_watch,
+    start,
     supervision,
 )
 
@@ -22,7 +23,9 @@
     from martenquay_core.util import held_signals
     from martenquay_daemon import gateway_ports
 
-__all__ = ["run_gateway"]
+__all__ = ["EXIT_ADDRESS", "run_gateway"]
+
+EXIT_ADDRESS = 8
 
 _LOG = logs.create_log("gateway")
 # The load balancer probes each second and sends new connections until the
@@ -47,12 +50,15 @@
         ports: Adapters to the platform.
         settings_path: File that is watched for changed settings.
         held: Signals that arrived before they could be handled.
+
+    Returns:
+        0, or `EXIT_ADDRESS` if an address cannot be listened on.
     """
     writer = logs.start_bounded_logging(
         settings.instance, sys.stdout.fileno(), _LOG
     )
     try:
-        await _serve(settings, ports, settings_path, held)
+        return await _serve(settings, ports, settings_path, held)
     except Exception as error:
         # The traceback goes to standard error; without this line the log of a
         # crash ends like that of a process killed from outside.
@@ -60,7 +66,6 @@
         raise
     finally:
         writer.close(_LOG_FLUSH_S)
-    return 0
 
 
 async def _serve(
@@ -68,50 +73,60 @@
     ports: gateway_ports.GatewayPorts,
     settings_path: str,
     held: held_signals.HeldSignals,
-) -> None:
+) -> int:
     parts = gateway_parts.create_parts(settings, ports)
     watch = settings_watch.SettingsWatch(
         settings_path, settings, parts.apply_settings
     )
     handler = signals.SignalHandler(held, watch.reload)
+    readiness_server = _create_readiness(settings, parts)
+    exit_status = 0
     async with trio.open_nursery() as nursery:
         # The handler runs until the last request has ended: an unhandled
         # signal would end the process and the requests in progress.
         await nursery.start(handler.run)
-        if handler.stop.is_set():
-            _LOG.write("Stopped before callers were served.")
-        else:
-            await _start_serving(settings, parts, nursery)
-            nursery.start_soon(supervision.keep_running, "settings", watch.run)
-            handler.stage = signals.Stage.SERVING
-            await handler.stop.wait()
-            handler.stage = signals.Stage.STOPPING
-            await _stop(watch, parts, handler.stopped_at)
+        outcome = await start.listen_on_all(
+            settings, parts, readiness_server, handler.stop
+        )
+        match outcome:
+            case start.Stopped():
+                _LOG.write("Stopped before callers were served.")
+            case start.Failed(message=message):
+                _LOG.write(f"Ended at the start: {message}.")
+                print(message, file=sys.stderr)
+                exit_status = EXIT_ADDRESS
+            case start.Listening():
+                await _start_serving(settings, parts, readiness_server, nursery)
+                nursery.start_soon(
+                    supervision.keep_running, "settings", watch.run
+                )
+                handler.stage = signals.Stage.SERVING
+                await handler.stop.wait()
+                handler.stage = signals.Stage.STOPPING
+                await _stop(watch, parts, handler.stopped_at)
         nursery.cancel_scope.cancel()
+    return exit_status
 
 
 async def _start_serving(
     settings: gateway.GatewaySettings,
     parts: gateway_parts.GatewayParts,
+    readiness_server: readiness.ReadinessServer,
     nursery: trio.Nursery,
 ) -> None:
     address = await nursery.start(parts.listener.run)
-    nursery.start_soon(_serve_readiness, settings, parts)
+    nursery.start_soon(readiness_server.run)
     await nursery.start(parts.run)
     _LOG.write(f"Started; callers are served at {address}.", zone=settings.zone)
 
 
-async def _serve_readiness(
+def _create_readiness(
     settings: gateway.GatewaySettings, parts: gateway_parts.GatewayParts
-) -> None:
-    # Imported here, since hypercorn's import (80 ms) would delay the listener.
-    from martenquay_core.util import server  # noqa: PLC0415
-
+) -> readiness.ReadinessServer:
     app = readiness.ReadinessApp(
         settings.listen, parts.is_ready, parts.metrics.render
     )
-    options = server.ServerOptions(settings.listen.readiness)
-    await server.serve_app(app, options)
+    return readiness.ReadinessServer(app, settings.listen.readiness)
 
 
 async def _stop(
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -105,6 +105,7 @@
         member: Id of this process among the daemons.
         links: Links to other daemons.
         listener: Serves callers.
+        relay: Relays other daemons' connections to runners.
         quarantine: Known crash records.
         metrics: Prometheus metrics.
     """
@@ -157,7 +158,7 @@
 
     def count_busy(self) -> int:
         """Return how many requests of callers or other daemons it serves."""
-        return self.listener.count_busy() + self._relay.count_tunnels()
+        return self.listener.count_busy() + self.relay.count_tunnels()
 
     def find_retry_bounds(self) -> retry_window.RetryBounds:
         """Return the current bounds on retries."""
@@ -173,7 +174,7 @@
         self._is_stopping = True
         self._stop_window.begin(find_deadline)
         self._state_gossip.is_leaving = True
-        self._relay.is_closing = True
+        self.relay.is_closing = True
         self.listener.begin_closing()
         await self._lease.release()
         self.links.send_now()
@@ -184,16 +185,25 @@
         """Run all parts but the listener and the readiness check."""
         async with trio.open_nursery() as nursery:
             address = await nursery.start(self.links.run)
-            relay = await nursery.start(self._relay.run)
+            await nursery.start(self.relay.run)
             for name, task in self._list_tasks().items():
                 nursery.start_soon(supervision.keep_running, name, task)
             nursery.start_soon(
                 supervision.keep_running,
                 "announcement",
-                lambda: self._announcer.announce(address, relay),
+                lambda: self._announce(address),
             )
             task_status.started(address)
 
+    async def _announce(self, address: str) -> None:
+        """Announce this daemon; announce it again once its relay listens."""
+        if not self.relay.address:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._announcer.announce, address)
+                await self.relay.listening.wait()
+                nursery.cancel_scope.cancel()
+        await self._announcer.announce(address, self.relay.address)
+
     def _list_tasks(self) -> dict[str, Callable[[], Awaitable[None]]]:
         return {
             "catalog": self._catalog_follower.run,
@@ -282,7 +292,7 @@
             self._relay_peers,
             self.metrics.count_dialed_relay,
         )
-        self._relay = server.RelayServer(
+        self.relay = server.RelayServer(
             listen.ip,
             listen.relay_port,
             self._runner_paths,
--- a/packages/daemon/src/martenquay_daemon/readiness.py
+++ b/packages/daemon/src/martenquay_daemon/readiness.py
@@ -4,15 +4,17 @@
 
 from typing import TYPE_CHECKING
 
-from martenquay_core.util import serving
+from martenquay_core.util import listening, serving
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Callable
 
     from martenquay_core.settings import gateway
 
-__all__ = ["ReadinessApp"]
+__all__ = ["ReadinessApp", "ReadinessServer"]
 
+_BACKLOG = 100
 _READY = 200
 _NOT_READY = 503
 _NOT_FOUND = 404
@@ -50,3 +52,32 @@
         if path == self._listen.metrics_path:
             return _READY, self._render_metrics()
         return _NOT_FOUND, b""
+
+
+class ReadinessServer:
+    """Serves the readiness check and the metrics at their address."""
+
+    def __init__(self, app: ReadinessApp, address: str) -> None:
+        self._app = app
+        self._address = address
+        self._raw_socket: socket.socket | None = None
+
+    def listen(self) -> None:
+        """Listen; connections wait until `run` accepts them.
+
+        Raises:
+            OSError: The address cannot be listened on.
+        """
+        self._raw_socket = listening.open_socket(self._address, _BACKLOG)
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        # Imported here, since hypercorn's import (80 ms) would delay the
+        # listener.
+        from martenquay_core.util import server  # noqa: PLC0415
+
+        if self._raw_socket is None:
+            self.listen()
+        raw_socket, self._raw_socket = self._raw_socket, None
+        options = server.ServerOptions(listening_socket=raw_socket)
+        await server.serve_app(self._app, options)
--- a/packages/daemon/src/martenquay_daemon/relay/server.py
+++ b/packages/daemon/src/martenquay_daemon/relay/server.py
@@ -12,7 +12,7 @@
 import trio
 
 from martenquay_core import logs
-from martenquay_core.util import keepalive
+from martenquay_core.util import keepalive, listening
 from martenquay_daemon.forwarding import runner_connection as connections
 
 if TYPE_CHECKING:
@@ -24,6 +24,9 @@
 
 _LOG = logs.create_log("relay")
 _RECEIVE_BYTES = 65_536
+_BACKLOG = 128
+# Between attempts to listen on an address that is taken.
+_LISTEN_RETRY_S = 1.0
 _HEAD_TIMEOUT_S = 1.0
 _CONNECT_TIMEOUT_S = 0.1
 # Each tunnel takes two descriptors, of which callers need most.
@@ -40,6 +43,8 @@
 
     Attributes:
         is_closing: Refuse new tunnels; open ones go on.
+        address: Address that it listens on; empty until then.
+        listening: Set once it listens.
     """
 
     def __init__(
@@ -60,35 +65,65 @@
             count_outcome: Called with the outcome of each request.
         """
         self.is_closing = False
+        self.address = ""
+        self.listening = trio.Event()
         self._ip = ip
         self._port = port
         self._paths = runner_paths
         self._is_runner = is_runner
         self._count_outcome = count_outcome
         self._tunnels = 0
+        self._raw_socket: socket.socket | None = None
+        self._is_refused = False
 
     def count_tunnels(self) -> int:
         """Return the number of open tunnels."""
         return self._tunnels
 
+    def listen(self) -> bool:
+        """Listen for tunnels, which `run` serves; False if that fails."""
+        endpoint = listening.Endpoint(
+            "listen.relay_port", f"{self._ip}:{self._port}"
+        )
+        try:
+            opened = listening.open_socket(endpoint.address, _BACKLOG)
+        except OSError as error:
+            if not self._is_refused:
+                self._is_refused = True
+                _LOG.write(
+                    "Cannot listen for tunnels yet; trying again: "
+                    f"{endpoint.describe(error)}."
+                )
+            return False
+        host, port = opened.getsockname()
+        self.address = f"{host}:{port}"
+        if self._is_refused:
+            self._is_refused = False
+            _LOG.write(f"Listening for tunnels at {self.address}.")
+        self._raw_socket = opened
+        self.listening.set()
+        return True
+
     async def run(
         self, *, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        """Serve until cancelled.
+        """Serve until cancelled; the daemon serves without a relay until then.
 
         Args:
-            task_status: Receives the address once the socket listens, or an
-                empty text if it cannot: the daemon serves without a relay.
+            task_status: Receives the address, or an empty text if it does not
+                listen yet.
         """
-        try:
-            listeners = await trio.open_tcp_listeners(self._port, host=self._ip)
-        except OSError as error:
-            _LOG.write(f"Cannot listen for tunnels: {error}.", port=self._port)
-            task_status.started("")
-            return
-        host, port = listeners[0].socket.getsockname()
-        task_status.started(f"{host}:{port}")
-        await trio.serve_listeners(self._serve, listeners)
+        is_listening = self._raw_socket is not None or self.listen()
+        task_status.started(self.address)
+        while not is_listening:
+            await trio.sleep(_LISTEN_RETRY_S)
+            is_listening = self.listen()
+        raw_socket, self._raw_socket = self._raw_socket, None
+        listener = trio.SocketListener(
+            trio.socket.from_stdlib_socket(raw_socket)
+        )
+        async with listener:
+            await trio.serve_listeners(self._serve, [listener])
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         sock = stream.socket
--- a/tests/test_platform/process_scene.py
+++ b/tests/test_platform/process_scene.py
@@ -22,12 +22,13 @@
 
 if TYPE_CHECKING:
     import signal
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
 __all__ = ["ProcessScene", "open_process_scene"]
 
 _PROGRAM = pathlib.Path(__file__).parents[2] / "platform" / "martenquayd.py"
 _POLL_INTERVAL_S = 0.005
+_GRACE_S = 8.0
 _HOST = "desk.example"
 _CONFIG = {
     "Version": 1,
@@ -81,9 +82,18 @@
             last event, later streams never end.
         resume: Lets the runner end its first stream.
         texts: The texts of the daemon's log lines.
+        settings: The daemon's settings file.
+        platform: The platform's store.
     """
 
-    def __init__(self, folder: pathlib.Path, log_address: str) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        platform: store.StoreStandIn,
+        log_address: str,
+        listen: dict[str, Any],
+        grace_s: float,
+    ) -> None:
         self.resume = trio.Event()
         first_script = scripted.Script(_ANSWER_PIECES, resume=self.resume)
         head = _ANSWER_PIECES[0].replace(_FIRST_ATTEMPT_ID, _SECOND_ATTEMPT_ID)
@@ -96,16 +106,19 @@
         self._folder = folder
         self._import_pipe: pathlib.Path | None = None
         self._log_read = trio.Event()
-        self._settings = folder / "settings.jsonc"
+        self.platform = platform
+        self.settings = folder / "settings.jsonc"
+        self._listen = listen
+        self._grace_s = grace_s
         self._retry_slack = 52
         self._log_address = log_address
-        self._write_settings()
+        self.write_settings()
 
     async def start(
         self, nursery: trio.Nursery, *, blocks_imports: bool
     ) -> None:
         """Start the daemon's process."""
-        env = {**os.environ, "MARTENQUAY_BOOT": str(self._settings)}
+        env = {**os.environ, "MARTENQUAY_BOOT": str(self.settings)}
         if blocks_imports:
             inherited = env.get("PYTHONPATH", "")
             env["PYTHONPATH"] = (
@@ -125,7 +138,20 @@
     def change_settings(self) -> None:
         """Replace the settings file by one with another retry slack."""
         self._retry_slack += 1
-        self._write_settings()
+        self.write_settings()
+
+    def create_settings(self) -> str:
+        """Return the content of a valid settings file."""
+        content = builders.build_gateway_settings()
+        content["platform"] = {"log": self._log_address}
+        content["listen"] |= self._listen
+        content["bounds"]["retry_slack"] = self._retry_slack
+        content["bounds"]["grace_s"] = self._grace_s
+        return json.dumps(content)
+
+    def write_settings(self) -> None:
+        """Write a valid settings file."""
+        self.settings.write_text(self.create_settings())
 
     async def wait_text(self, prefix: str) -> str:
         """Wait for a log text with this prefix; fail if the daemon ends."""
@@ -233,30 +259,40 @@
         (folder / _BLOCKING_MODULE_NAME).write_text(source)
         return folder
 
-    def _write_settings(self) -> None:
-        content = builders.build_gateway_settings()
-        content["platform"] = {"log": self._log_address}
-        content["bounds"]["retry_slack"] = self._retry_slack
-        self._settings.write_text(json.dumps(content))
-
 
 @contextlib.asynccontextmanager
 async def open_process_scene(
-    *, blocks_imports: bool = False
+    *,
+    blocks_imports: bool = False,
+    listen: dict[str, Any] | None = None,
+    grace_s: float = _GRACE_S,
+    prepare: Callable[[ProcessScene], None] | None = None,
 ) -> AsyncIterator[ProcessScene]:
     """Start a platform, a runner and a daemon; stop them on exit.
 
     Args:
         blocks_imports: Blocks the daemon in its imports until
             `send_signals_while_importing` is called.
+        listen: Settings of the addresses that the daemon listens on, which
+            replace those of `builders.build_gateway_settings`.
+        grace_s: The daemon's grace time in seconds.
+        prepare: Called before the daemon is started.
     """
     async with trio.open_nursery() as nursery:
         platform = store.StoreStandIn(lambda *_, **__: None)
         running_store = await host.start_stand_in(nursery, platform)
         with tempfile.TemporaryDirectory() as folder:
-            scene = ProcessScene(pathlib.Path(folder), running_store.address)
+            scene = ProcessScene(
+                pathlib.Path(folder),
+                platform,
+                running_store.address,
+                listen or {},
+                grace_s,
+            )
             await nursery.start(scene.runner.run)
             await _write_records(platform, scene.runner.address)
+            if prepare is not None:
+                prepare(scene)
             try:
                 await scene.start(nursery, blocks_imports=blocks_imports)
                 yield scene
