Wait at the start for a settings file that is being written

A process ended with status 7 when its settings file was missing, empty or half-written at the moment of its start, as it is while an operator or the platform writes it anew. A running process keeps its settings then and reads the file again; the start read it once.

SIGTERM ends the wait with status 0, SIGHUP does not end it. After the wait, the error and status 7 are as before.

In the same place: a number of more than 4,300 digits or values nested too deeply ended the start with a traceback and status 1; they are a syntax error of the settings now (7, 6002). `listen.ip` had to be an IP address by its documentation but was not checked, so that a host name ended the process with a fault while it listened; it is checked with the settings.

--- a/packages/core/src/martenquay_core/settings/gateway.py
+++ b/packages/core/src/martenquay_core/settings/gateway.py
@@ -19,6 +19,7 @@
 _OCTET = r"(25[0-5]|2[0-4]\d|1?\d?\d)"
 _PORT = r"(6553[0-5]|655[0-2]\d|65[0-4]\d\d|6[0-4]\d{3}|[1-5]?\d{1,4})"
 _ADDRESS = rf"^({_OCTET}\.){{3}}{_OCTET}:{_PORT}$"
+Ip = Annotated[str, msgspec.Meta(pattern=rf"^({_OCTET}\.){{3}}{_OCTET}$")]
 Address = Annotated[str, msgspec.Meta(pattern=_ADDRESS)]
 Text = Annotated[str, msgspec.Meta(min_length=1)]
 Path = Annotated[str, msgspec.Meta(pattern=r"^/")]
@@ -57,7 +58,7 @@
     readiness: Address
     readiness_path: Path
     metrics_path: Path = "/metrics"
-    ip: Text
+    ip: Ip
     peer_port: Port
     peer_announce: Address | None = None
     relay_port: Port = 0
--- a/packages/core/src/martenquay_core/settings/reader.py
+++ b/packages/core/src/martenquay_core/settings/reader.py
@@ -57,6 +57,10 @@
         code = results.ResultCode.SETTINGS_SYNTAX
         message = f"{error.msg}, column {error.colno}"
         return Error([SettingsProblem(code, path, error.lineno, "", message)])
+    except (ValueError, RecursionError) as error:
+        # A number with too many digits, or values nested too deeply.
+        code = results.ResultCode.SETTINGS_SYNTAX
+        return Error([SettingsProblem(code, path, 0, "", str(error))])
     if issubclass(model, msgspec.Struct):
         return structs.check_struct(content, model).map_error(
             lambda problems: [
--- a/packages/core/src/martenquay_core/util/held_signals.py
+++ b/packages/core/src/martenquay_core/util/held_signals.py
@@ -54,6 +54,10 @@
             for number, at in zip(numbers, received_at, strict=True)
         ]
 
+    def has_stop(self) -> bool:
+        """Return whether a queued signal asks the process to stop."""
+        return any(number != signal.SIGHUP for number in self._numbers)
+
     def hold(self, number: int, frame: FrameType | None) -> None:
         """Queue a signal; a handler for `signal.signal`."""
         del frame
--- a/packages/daemon/src/martenquay_daemon/main.py
+++ b/packages/daemon/src/martenquay_daemon/main.py
@@ -12,7 +12,7 @@
 from martenquay_core import logs
 from martenquay_core.settings import models, reader
 from martenquay_core.util import boot_clock, signals
-from martenquay_daemon import daemon
+from martenquay_daemon import daemon, settings_start
 
 if TYPE_CHECKING:
     from martenquay_core.util import held_signals
@@ -33,7 +33,12 @@
 
 
 def _run(held: held_signals.HeldSignals) -> int:
-    settings = reader.read_settings(_SETTINGS.value, models.DaemonSettings)
+    settings = settings_start.read_when_written(
+        _SETTINGS.value, models.DaemonSettings, held
+    )
+    if settings is None:
+        signals.ignore_signals()
+        return 0
     if settings.is_error():
         for problem in settings.error:
             print(reader.describe_problem(problem), file=sys.stderr)
