Apply settings that were written between their first read and the watch

The watch remembered the file's content when it was created, after the start had read and validated the file. Settings written in between were never applied unless a signal followed, and they may change without one. The first poll now compares with the settings themselves; it writes no line when nothing has changed.

The new test failed before: no settings were applied.

--- a/packages/daemon/src/martenquay_daemon/settings_watch.py
+++ b/packages/daemon/src/martenquay_daemon/settings_watch.py
@@ -37,7 +37,9 @@
         self.settings = settings
         self._path = pathlib.Path(path)
         self._apply = apply
-        self._last_content = self._read_bytes()
+        # None until the first poll: the file may have changed since
+        # `settings` was read from it.
+        self._last_content: bytes | None = None
 
     async def run(self) -> None:
         """Poll the file until cancelled."""
@@ -45,13 +47,17 @@
             await trio.sleep(_POLL_INTERVAL_S)
             content = self._read_bytes()
             if content != self._last_content:
+                is_first = self._last_content is None
                 self._last_content = content
-                self.reload()
+                self._try_reload(reports_unchanged=not is_first)
 
     def reload(self) -> None:
         """Read the file; keep the previous settings if it is invalid."""
+        self._try_reload(reports_unchanged=True)
+
+    def _try_reload(self, *, reports_unchanged: bool) -> None:
         try:
-            self._reload()
+            self._reload(reports_unchanged=reports_unchanged)
         except Exception as error:  # noqa: BLE001
             # Some invalid files, such as one with a number of 5,000 digits,
             # raise undocumented exceptions, which would end the daemon.
@@ -59,7 +65,7 @@
                 f"Kept the previous settings; reading failed: {error!r}."
             )
 
-    def _reload(self) -> None:
+    def _reload(self, *, reports_unchanged: bool) -> None:
         result = reader.read_settings(str(self._path), gateway.GatewaySettings)
         if result.is_error():
             for problem in result.error:
@@ -69,7 +75,8 @@
                 )
             return
         if result.ok == self.settings:
-            _LOG.write("Read the settings; nothing has changed.")
+            if reports_unchanged:
+                _LOG.write("Read the settings; nothing has changed.")
             return
         changed = [
             name
--- a/tests/test_daemon/test_settings_watch.py
+++ b/tests/test_daemon/test_settings_watch.py
@@ -57,6 +57,24 @@
 
         self.run_clocked(scenario)
 
+    def test_a_change_since_the_settings_were_read_is_applied(self) -> None:
+        async def scenario() -> None:
+            settings = msgspec.convert(
+                builders.build_gateway_settings(), gateway.GatewaySettings
+            )
+            # Written after the start read the settings.
+            self._write(zone="b")
+            watch = settings_watch.SettingsWatch(
+                str(self.path), settings, self.applied.append
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(watch.run)
+                await trio.sleep(5.0)
+                nursery.cancel_scope.cancel()
+            self.assertEqual(["b"], [s.zone for s in self.applied])
+
+        self.run_clocked(scenario)
+
     def test_a_truncated_or_malformed_file_changes_nothing(self) -> None:
         # A signal may arrive while the file is being written; reading a partial
         # file must not end the daemon.
