Hold signals once the interpreter has started, before other imports

A signal in the first moments of a process ended it by the signal's default action (status -15 or -1); a SIGHUP there is a process that ended by itself. Before signals were held, the interpreter imported site with its .pth files, pathlib (re, fnmatch, urllib), typing, and signal (enum, collections, functools).

--- a/packages/core/src/martenquay_core/util/boot_time.py
+++ b/packages/core/src/martenquay_core/util/boot_time.py
@@ -1,11 +1,9 @@
 """Read CLOCK_BOOTTIME, which includes the time an instance was suspended.
 
-`held_signals` imports this module at process start, so it must import nothing
-outside the standard library.
+`held_signals` imports this module at process start, so it imports only what is
+built into the interpreter.
 """
 
-from __future__ import annotations
-
 import time
 
 __all__ = ["read_boot_time"]
--- a/packages/core/src/martenquay_core/util/held_signals.py
+++ b/packages/core/src/martenquay_core/util/held_signals.py
@@ -1,33 +1,31 @@
 """Queue signals from process start until a handler can act on them.
 
-This module must import nothing outside the standard library: a signal that
-arrives during a slow import would end the process.
+A signal that arrives before the interpreter has run `hold_signals` ends the
+process, so this module imports only what is built into the interpreter.
 """
 
-from __future__ import annotations
-
-import signal
-from typing import TYPE_CHECKING
+# The interpreter's part of `signal`, whose import (of enum, collections and
+# functools) takes as long as the start of the interpreter.
+import _signal
 
 from martenquay_core.util import boot_time
 
-if TYPE_CHECKING:
-    from types import FrameType
-
 __all__ = ["HANDLED", "HeldSignal", "HeldSignals", "hold_signals"]
 
-HANDLED = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
+HANDLED = (_signal.SIGHUP, _signal.SIGINT, _signal.SIGTERM)
 
 
 class HeldSignal:
     """A signal that was received before it could be handled.
 
     Attributes:
-        number: Signal number.
+        number: Signal number, as a `signal.Signals`.
         age_s: Seconds since it was received.
     """
 
     def __init__(self, number: int, age_s: float) -> None:
+        import signal  # noqa: PLC0415
+
         self.number = signal.Signals(number)
         self.age_s = age_s
 
@@ -56,9 +54,9 @@
 
     def has_stop(self) -> bool:
         """Return whether a queued signal asks the process to stop."""
-        return any(number != signal.SIGHUP for number in self._numbers)
+        return any(number != _signal.SIGHUP for number in self._numbers)
 
-    def hold(self, number: int, frame: FrameType | None) -> None:
+    def hold(self, number: int, frame: object) -> None:
         """Queue a signal; a handler for `signal.signal`."""
         del frame
         self._received_at.append(boot_time.read_boot_time())
@@ -73,5 +71,5 @@
     """
     held = HeldSignals()
     for number in HANDLED:
-        signal.signal(number, held.hold)
+        _signal.signal(number, held.hold)
     return held
