End the start with a status and an error when too few files may be open

With 8 to 19 descriptors a start ended in several ways: status 1 with a traceback of trio, hypercorn or pyzmq, -6 when libzmq aborts the process, or 8 for the address that it could not listen on. With 20 it runs, without any connection. Now a limit below 64 is reported by its value before anything is opened, with status 8. Below 8, the interpreter's imports fail with their own traceback and status 1.

--- a/packages/daemon/src/martenquay_daemon/gateway.py
+++ b/packages/daemon/src/martenquay_daemon/gateway.py
@@ -23,9 +23,9 @@
     from martenquay_core.util import held_signals
     from martenquay_daemon import gateway_ports
 
-__all__ = ["EXIT_ADDRESS", "run_gateway"]
+__all__ = ["EXIT_START", "run_gateway"]
 
-EXIT_ADDRESS = 8
+EXIT_START = 8
 
 _LOG = logs.create_log("gateway")
 # The load balancer probes each second and sends new connections until the
@@ -52,7 +52,7 @@
         held: Signals that arrived before they could be handled.
 
     Returns:
-        0, or `EXIT_ADDRESS` if an address cannot be listened on.
+        0, or `EXIT_START` if an address cannot be listened on.
     """
     writer = logs.start_bounded_logging(
         settings.instance, sys.stdout.fileno(), _LOG
@@ -94,7 +94,7 @@
             case start.Failed(message=message):
                 _LOG.write(f"Ended at the start: {message}.")
                 print(message, file=sys.stderr)
-                exit_status = EXIT_ADDRESS
+                exit_status = EXIT_START
             case start.Listening():
                 await _start_serving(settings, parts, readiness_server, nursery)
                 nursery.start_soon(
--- a/packages/daemon/src/martenquay_daemon/start.py
+++ b/packages/daemon/src/martenquay_daemon/start.py
@@ -1,8 +1,9 @@
-"""Listen on all of a daemon's addresses before callers are served."""
+"""Get what a daemon needs before callers are served."""
 
 from __future__ import annotations
 
 import dataclasses
+import resource
 from typing import TYPE_CHECKING
 
 import trio
@@ -15,7 +16,18 @@
     from martenquay_core.settings import gateway
     from martenquay_daemon import gateway_parts, readiness
 
-__all__ = ["Failed", "Listening", "Outcome", "Stopped", "listen_on_all"]
+__all__ = [
+    "Failed",
+    "Listening",
+    "Outcome",
+    "Stopped",
+    "check_descriptors",
+    "listen_on_all",
+]
+
+# Without connections a daemon has 20 open. With fewer, libraries fail in many
+# ways; libzmq aborts the process.
+_MIN_DESCRIPTORS = 64
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,6 +54,17 @@
 Outcome = Listening | Stopped | Failed
 
 
+def check_descriptors() -> str | None:
+    """Return an error if the process may open too few descriptors."""
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if allowed == resource.RLIM_INFINITY or allowed >= _MIN_DESCRIPTORS:
+        return None
+    return (
+        f"The limit of open files (RLIMIT_NOFILE) is {allowed}; "
+        f"at least {_MIN_DESCRIPTORS} are needed"
+    )
+
+
 async def listen_on_all(
     settings: gateway.GatewaySettings,
     parts: gateway_parts.GatewayParts,
