Keep the exit status of a start that fails when signals arrive at its end

A start that ended with an error, such as 7 for invalid settings, ended with -1 or -15 if a signal arrived while the interpreter finalized: it removes the handlers then, and signals were ignored only after a stop. What had ended the process could not be told from its status.

--- a/packages/daemon/src/martenquay_daemon/main.py
+++ b/packages/daemon/src/martenquay_daemon/main.py
@@ -29,7 +29,15 @@
 
 def start(held: held_signals.HeldSignals) -> None:
     """Run the daemon until it is stopped."""
-    app.run(lambda _: _run(held))
+    app.run(lambda _: _run_and_end(held))
+
+
+def _run_and_end(held: held_signals.HeldSignals) -> int:
+    try:
+        return _run(held)
+    finally:
+        # Also after an error, whose status a signal would change.
+        signals.ignore_signals()
 
 
 def _run(held: held_signals.HeldSignals) -> int:
@@ -37,18 +45,13 @@
         _SETTINGS.value, models.DaemonSettings, held
     )
     if settings is None:
-        signals.ignore_signals()
         return 0
     if settings.is_error():
         for problem in settings.error:
             print(reader.describe_problem(problem), file=sys.stderr)
         return _EXIT_INVALID_SETTINGS
     logs.start_logging(settings.ok.instance)
-    status = trio.run(
-        _serve, settings.ok, held, clock=boot_clock.create_clock()
-    )
-    signals.ignore_signals()
-    return status
+    return trio.run(_serve, settings.ok, held, clock=boot_clock.create_clock())
 
 
 async def _serve(
--- a/tests/test_platform/process_scene.py
+++ b/tests/test_platform/process_scene.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import signal
 import tempfile
 from typing import TYPE_CHECKING, Any
 
@@ -21,7 +22,6 @@
 from tests import serving_scene
 
 if TYPE_CHECKING:
-    import signal
     from collections.abc import AsyncIterator, Callable
 
 __all__ = ["ProcessScene", "open_process_scene"]
@@ -135,6 +135,15 @@
         for number in numbers:
             self.program.send(number)
 
+    async def wait_until_signals_are_held(self) -> None:
+        """Wait until SIGTERM has a handler; earlier, it ends the process."""
+        assert self.program is not None, "the process is not started"
+        path = pathlib.Path(f"/proc/{self.program.process.pid}/status")
+        bit = signal.SIGTERM - 1
+        while not _read_handled(path) >> bit & 1:
+            self._check_running()
+            await trio.sleep(_POLL_INTERVAL_S)
+
     def change_settings(self) -> None:
         """Replace the settings file by one with another retry slack."""
         self._retry_slack += 1
@@ -323,6 +332,14 @@
         await platform.log.append(topic, [payload])
 
 
+def _read_handled(path: pathlib.Path) -> int:
+    """Return the bit mask of the signals that a process handles."""
+    lines = path.read_text().splitlines()
+    fields = dict(line.split(":", 1) for line in lines)
+    # A process that has ended has none.
+    return int(fields.get("SigCgt", "0"), 16)
+
+
 def _open_pipe(path: pathlib.Path) -> int | None:
     """Open a pipe for writing; None if no process reads it yet."""
     try:
--- a/tests/test_platform/test_start_settings.py
+++ b/tests/test_platform/test_start_settings.py
@@ -21,6 +21,7 @@
 _HANG_S = 60.0
 _EXIT_SETTINGS = 7
 _POLL_INTERVAL_S = 0.01
+_SIGNAL_INTERVAL_S = 0.002
 # Between the parts of a file that is written in parts.
 _WRITE_PAUSE_S = 0.3
 
@@ -118,6 +119,20 @@
         first = self._check_error(prepare, "listen.callers:")
         self.assertNotIn("reading again", first)
 
+    def test_signals_do_not_change_the_status_of_an_error(self) -> None:
+        def prepare(scene: process_scene.ProcessScene) -> None:
+            scene.settings.write_text("{}")
+
+        async def scenario(scene: process_scene.ProcessScene) -> None:
+            await scene.wait_until_signals_are_held()
+            while scene.program.process.poll() is None:
+                scene.send_signals(signal.SIGHUP)
+                await trio.sleep(_SIGNAL_INTERVAL_S)
+            status = await scene.wait_exit()
+            self.assertEqual(_EXIT_SETTINGS, status, scene.describe())
+
+        self._run_scenario(prepare, scenario)
+
     def test_an_ip_that_is_no_address_ends_the_start_at_once(self) -> None:
         def prepare(scene: process_scene.ProcessScene) -> None:
             content = json.loads(scene.create_settings())
