--- a/tests/test_platform/test_start_addresses.py
+++ b/tests/test_platform/test_start_addresses.py
@@ -22,7 +22,7 @@
 
 # Ends a scenario that hangs; nothing is asserted about time.
 _HANG_S = 60.0
-_EXIT_ADDRESS = 8
+_EXIT_START = 8
 _SHORT_GRACE_S = 0.5
 _POLL_INTERVAL_S = 0.01
 _MEMBERS_TOPIC = "keyed.martenquay-members"
@@ -113,7 +113,7 @@
     def _check_address_error(self, endpoint: str) -> None:
         async def scenario(scene: process_scene.ProcessScene) -> None:
             status = await scene.wait_exit()
-            self.assertEqual(_EXIT_ADDRESS, status, scene.describe())
+            self.assertEqual(_EXIT_START, status, scene.describe())
             message = f"Cannot listen on {self._describe_taken(endpoint)}"
             self.assertIn(f"Ended at the start: {message}.", scene.texts)
             errors = scene.program.errors.decode().splitlines()
@@ -136,7 +136,7 @@
     ) -> None:
         async def scenario(scene: process_scene.ProcessScene) -> None:
             status = await scene.wait_exit()
-            self.assertEqual(_EXIT_ADDRESS, status, scene.describe())
+            self.assertEqual(_EXIT_START, status, scene.describe())
             self.assertIn(
                 "192.0.2.1:7600 (setting listen.callers): "
                 "Cannot assign requested address",
