Write a line when a process has read its settings and starts

Between the start of the interpreter and "Started" a process wrote no line, so that one which was killed meanwhile could not be told from one that never ran. "Starting." names the member id. The assertion on it is in the tests of an address that stays taken.

--- a/packages/daemon/src/martenquay_daemon/gateway.py
+++ b/packages/daemon/src/martenquay_daemon/gateway.py
@@ -79,6 +79,7 @@
         settings_path, settings, parts.apply_settings
     )
     handler = signals.SignalHandler(held, watch.reload)
+    _LOG.write("Starting.", member=parts.member)
     readiness_server = _create_readiness(settings, parts)
     exit_status = 0
     async with trio.open_nursery() as nursery:
--- a/tests/test_platform/test_start_addresses.py
+++ b/tests/test_platform/test_start_addresses.py
@@ -115,6 +115,7 @@
             status = await scene.wait_exit()
             self.assertEqual(_EXIT_START, status, scene.describe())
             message = f"Cannot listen on {self._describe_taken(endpoint)}"
+            self.assertEqual("Starting.", scene.texts[0])
             self.assertIn(f"Ended at the start: {message}.", scene.texts)
             errors = scene.program.errors.decode().splitlines()
             self.assertEqual([message], errors)
