Keep a link whose message is lost before it is read

The whole daemon ended, and each request in progress with it, when another daemon answered over a link and its connection ended before the answer was read: PeerSocket.receive asked whether there is a message, passed a checkpoint and read without waiting. ZeroMQ drops the unread messages of a connection that has ended in the next call on the socket, here the send of another task, and the read raised zmq.Again. Nothing around the links' tasks handles that.

The new test does it with real sockets: a reply, the end of its sender and a send between the check and the read. The check and the read now have nothing between them, and a read without a message waits again.

The same class at the descriptor's copy: os.dup raised OSError at the limit on descriptors, where the links handle only ZMQError, so a link that was needed at that moment ended the gossip and the daemon. The test with an os.dup that fails so got OSError. The factory now raises what ZeroMQ raises when it has no descriptor, and closes the raw socket.

--- a/packages/core/src/martenquay_core/peers/sockets.py
+++ b/packages/core/src/martenquay_core/peers/sockets.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 
 import trio
@@ -64,11 +65,16 @@
 
     async def receive(self) -> list[bytes]:
         """Wait for the next message and return its frames."""
-        while not self._has_message():
-            with trio.CancelScope() as self._receive_scope:
-                await trio.lowlevel.wait_readable(self._event_fd)
         await trio.lowlevel.checkpoint()
-        return self._raw_socket.recv_multipart(zmq.NOBLOCK)
+        while True:
+            if not self._has_message():
+                with trio.CancelScope() as self._receive_scope:
+                    await trio.lowlevel.wait_readable(self._event_fd)
+                continue
+            # A connection that ends takes its unread messages along, so there
+            # may be none although there was one just now.
+            with contextlib.suppress(zmq.Again):
+                return self._raw_socket.recv_multipart(zmq.NOBLOCK)
 
     def close(self) -> None:
         """Close the socket and drop queued messages."""
@@ -97,7 +103,7 @@
     host, port = address.rsplit(":", 1)
     raw_socket.bind(f"tcp://{host}:{'*' if port == '0' else port}")
     endpoint = raw_socket.getsockopt(zmq.LAST_ENDPOINT).decode().rstrip("\x00")
-    return PeerSocket(raw_socket, endpoint.removeprefix("tcp://"))
+    return _create_socket(raw_socket, endpoint.removeprefix("tcp://"))
 
 
 def connect_dealer(
@@ -131,7 +137,18 @@
     except zmq.ZMQError:
         raw_socket.close(_LINGER_MS)
         raise
-    return PeerSocket(raw_socket)
+    return _create_socket(raw_socket)
+
+
+def _create_socket(
+    raw_socket: zmq.Socket[bytes], address: str = ""
+) -> PeerSocket:
+    try:
+        return PeerSocket(raw_socket, address)
+    except OSError as error:
+        # Without a free descriptor; callers handle ZeroMQ's errors.
+        raw_socket.close(_LINGER_MS)
+        raise zmq.ZMQError(error.errno, error.strerror) from error
 
 
 def _set_timeouts(
--- a/tests/test_core/test_sockets.py
+++ b/tests/test_core/test_sockets.py
@@ -1,8 +1,12 @@
-"""Messages are queued for an unreachable peer only where requested."""
+"""Messages queue only where requested; one that is lost ends no receiver."""
 
 from __future__ import annotations
 
+import errno
+import os
 import socket
+import time
+from unittest import mock
 
 import testtools
 import trio
@@ -11,6 +15,10 @@
 from martenquay_core.peers import sockets
 
 _HANG_S = 30.0
+# The order of two tasks that are due at once is random; half of the attempts
+# show the failure.
+_ATTEMPTS = 8
+_IO_THREAD_S = 0.05
 
 
 class DealerTest(testtools.TestCase):
@@ -52,3 +60,51 @@
             router.close()
 
         self._run(scenario)
+
+    def test_a_message_that_is_lost_before_the_read_ends_no_receiver(
+        self,
+    ) -> None:
+        async def lose_reply(context, replies: list) -> None:
+            router = sockets.bind_router(context, "127.0.0.1:0")
+            dealer = sockets.connect_dealer(
+                context, router.address, waits_for_peer=False
+            )
+            while not dealer.send([b"request"]):
+                await trio.sleep(0.005)
+            peer, _ = await router.receive()
+            router.send([peer, b"reply"])
+            time.sleep(_IO_THREAD_S)
+            async with trio.open_nursery() as nursery:
+
+                async def receive() -> None:
+                    replies.append(await dealer.receive())
+
+                nursery.start_soon(receive)
+                await trio.lowlevel.checkpoint()
+                # ZeroMQ drops the unread reply with the connection, in the
+                # next call on the socket.
+                router.close()
+                time.sleep(_IO_THREAD_S)
+                dealer.send([b"next"])
+                await trio.sleep(0.01)
+                nursery.cancel_scope.cancel()
+            dealer.close()
+
+        async def scenario(context) -> None:
+            replies: list[list[bytes]] = []
+            for _ in range(_ATTEMPTS):
+                await lose_reply(context, replies)
+            self.assertEqual([[b"reply"]] * len(replies), replies)
+
+        self._run(scenario)
+
+    def test_a_link_without_a_descriptor_fails_as_zeromq_does(self) -> None:
+        async def scenario(context) -> None:
+            error = OSError(errno.EMFILE, os.strerror(errno.EMFILE))
+            with mock.patch.object(sockets.os, "dup", side_effect=error):
+                failed = self.assertRaises(
+                    zmq.ZMQError, sockets.connect_dealer, context, "127.0.0.1:1"
+                )
+            self.assertEqual(errno.EMFILE, failed.errno)
+
+        self._run(scenario)
