Let no number of a caller end the daemon

One request with Token-Counts: 10^30 prompt tokens ended the daemon, and every request in progress on it: its load is gossiped, msgpack has 64 bits, the encoder raised OverflowError in the gossip task, and nothing around the links' tasks handles that.

Any other sum that gets out of bounds costs its own precision and a log line, not the message.

--- a/packages/daemon/src/martenquay_daemon/fleet/messages.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/messages.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import enum
+from typing import Any
 
 import msgspec
 
+from martenquay_core import logs
+
 # msgspec evaluates the annotations when the module is loaded.
 from martenquay_daemon.discovery import runner_entries  # noqa: TC001
 from martenquay_daemon.fleet import (
@@ -547,13 +550,27 @@
     | relay_messages.StreamOrigins
 )
 
+_LOG = logs.create_log("fleet")
+_MAX_INTEGER = 2**63 - 1
 _DECODER = msgspec.msgpack.Decoder(FleetMessage)
 _ENCODER = msgspec.msgpack.Encoder()
 
 
 def encode_message(message: FleetMessage) -> bytes:
-    """Return the msgpack bytes of a message."""
-    return _ENCODER.encode(message)
+    """Return the msgpack bytes of a message.
+
+    An integer of more than 64 bits is replaced by the largest one: a sum that
+    got out of bounds must not keep back the rest of the message.
+    """
+    try:
+        return _ENCODER.encode(message)
+    except OverflowError:
+        _LOG.write(
+            "Limited the integers of a message to 64 bits.",
+            kind=type(message).__name__,
+        )
+        content = msgspec.to_builtins(message, builtin_types=(bytes,))
+        return _ENCODER.encode(_limit_integers(content))
 
 
 def decode_message(raw: bytes) -> FleetMessage:
@@ -563,3 +580,19 @@
         msgspec.MsgspecError: The bytes are no message of a known type.
     """
     return _DECODER.decode(raw)
+
+
+def _limit_integers(content: Any) -> Any:
+    match content:
+        case bool():
+            return content
+        case int():
+            return max(-_MAX_INTEGER, min(content, _MAX_INTEGER))
+        case list() | tuple():
+            return [_limit_integers(item) for item in content]
+        case dict():
+            return {
+                _limit_integers(key): _limit_integers(value)
+                for key, value in content.items()
+            }
+    return content
