Limit a fault in the links to one message, task or link

One exception in the links' tasks ended the daemon and every request in progress. Two come with real messages: a message with one more element than this version knows, whose arrays nest deeper than 1,000, raised RecursionError where only msgspec's errors are handled; an offset of 64 bits in a reply for state made the next digest fail to encode. A reply for state that nobody had asked for removed all runners for good.

Now a fault costs its message, its request, its step of a gossip round or its link, which is made anew; the tasks restart after 0.2 s, well before other daemons take this one for ended, and keep the bound socket. A fault writes a line with the traceback, of a kind that the log limits. Replies are taken only over the link that the request was sent on and for a number that was sent.

keep_running let a task that failed while it was cancelled end the nursery: the group of both is now split, so a stop still ends with 0.

--- a/packages/daemon/src/martenquay_daemon/fleet/links.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/links.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import math
 from typing import TYPE_CHECKING
 
@@ -17,6 +18,7 @@
 
 from martenquay_core import logs
 from martenquay_core.peers import sockets
+from martenquay_daemon import supervision
 from martenquay_daemon.fleet import (
     messages,
     quota_client,
@@ -45,6 +47,8 @@
 # How long a link to another zone's hub is kept after a quota request.
 _HUB_LINK_S = 5.0
 _STATE_REQUEST_INTERVAL_S = 0.2
+# Other daemons take one for ended after 1.2 s without a message.
+_RESTART_DELAY_S = 0.2
 
 
 def _ignore_relayed(message: relay_messages.RelayedRecords) -> None:
@@ -149,6 +153,7 @@
         self._zone = zone_mode.ZoneMode(own, fleet, state, zone_intervals)
         self._own_digest: messages.Digest | None = None
         self._digest_sent_at = -math.inf
+        self._was_mesh = True
         self._state_requested_at = -math.inf
         self._context = zmq.Context()
         self._known: dict[str, topology.PeerAddress] = {}
@@ -175,10 +180,19 @@
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
-                nursery.start_soon(self._run_gossip)
-                nursery.start_soon(self._run_quota_updates)
+                self._was_mesh = self.is_mesh()
+                for name, task in (
+                    ("gossip", self._run_gossip),
+                    ("quota updates", self._run_quota_updates),
+                    (
+                        "messages",
+                        functools.partial(self._receive_requests, router),
+                    ),
+                ):
+                    nursery.start_soon(
+                        supervision.keep_running, name, task, _RESTART_DELAY_S
+                    )
                 task_status.started(self.address)
-                await self._receive_requests(router)
         finally:
             router.close()
             self._context.destroy(linger=0)
@@ -310,10 +324,28 @@
         """
         try:
             message = messages.decode_message(raw)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             _LOG.write(f"Dropped a message that cannot be read: {error}.")
             return
+        kind = type(message).__name__
+        with supervision.contain_faults(
+            f"Dropped a message: {kind} failed", source=source
+        ):
+            self._apply_message(message, reply, source)
+
+    def _apply_message(
+        self,
+        message: messages.FleetMessage,
+        reply: Callable[[messages.FleetMessage], None],
+        source: str,
+    ) -> None:
         match message:
+            case messages.StateReply() | messages.QuotaReply() if not source:
+                # Replies come over the link that the request was sent on.
+                _LOG.write(
+                    "Dropped a reply that nobody asked for.",
+                    kind=type(message).__name__,
+                )
             case messages.DigestMessage(digest=digest):
                 self._handle_digest(digest)
             case messages.ZoneExchange():
@@ -379,7 +411,9 @@
             finally:
                 self._answering -= 1
 
-        self._nursery.start_soon(answer_request)
+        self._nursery.start_soon(
+            supervision.run_contained, "quota request", answer_request
+        )
 
     def _handle_digest(self, digest: messages.Digest) -> None:
         if not self._view.apply_digest(digest):
@@ -444,28 +478,48 @@
 
     async def _run_gossip(self) -> None:
         """Send digests and, as a hub, reports, when they are due."""
-        was_mesh = self.is_mesh()
         while True:
             is_mesh = self.is_mesh()
-            if is_mesh != was_mesh:
-                was_mesh = is_mesh
-                self._change_mode()
             intervals = self._get_intervals()
-            self._view.is_mesh = is_mesh
-            self._view.silent_s = self._find_silence_timeout(intervals)
-            self._view.check_silence()
-            self._update_links()
             is_hurried = self._digest_wake.is_set()
-            if self._is_digest_due(intervals):
-                self._send_digest()
-            if not is_mesh and self._zone.is_report_due(is_hurried=is_hurried):
-                self._send_reports()
-            self._request_state()
+            # A fault in one step costs that step: without digests the others
+            # would take this daemon for ended.
+            for step in (
+                self._apply_mode,
+                self._check_silence,
+                self._update_links,
+                self._send_due_digest,
+                functools.partial(self._send_due_reports, is_hurried),
+                self._request_state,
+            ):
+                with supervision.contain_faults("A step of the gossip failed"):
+                    step()
             await trio.sleep(intervals.check_s)
             if is_mesh:
                 with trio.move_on_at(self._digest_sent_at + intervals.digest_s):
                     await self._digest_wake.wait()
 
+    def _apply_mode(self) -> None:
+        is_mesh = self.is_mesh()
+        if is_mesh != self._was_mesh:
+            self._was_mesh = is_mesh
+            self._change_mode()
+        self._view.is_mesh = is_mesh
+
+    def _check_silence(self) -> None:
+        self._view.silent_s = self._find_silence_timeout(self._get_intervals())
+        self._view.check_silence()
+
+    def _send_due_digest(self) -> None:
+        if self._is_digest_due(self._get_intervals()):
+            self._send_digest()
+
+    def _send_due_reports(self, is_hurried: bool) -> None:
+        if self.is_mesh():
+            return
+        if self._zone.is_report_due(is_hurried=is_hurried):
+            self._send_reports()
+
     def _change_mode(self) -> None:
         _LOG.write(
             "Digests go to all daemons."
@@ -498,10 +552,13 @@
 
     def _send_digest(self) -> None:
         """Create a digest and send it to the hubs or to all daemons."""
-        self._own_digest = self._create_digest()
+        try:
+            self._own_digest = self._create_digest()
+        finally:
+            # Also after a fault: the next digest is due as usual.
+            self._digest_sent_at = trio.current_time()
+            self._digest_wake = trio.Event()
         self._zone.set_own_digest(self._own_digest)
-        self._digest_sent_at = trio.current_time()
-        self._digest_wake = trio.Event()
         if not self.is_mesh():
             self._send_to_hubs(
                 self._zone.create_digest_messages(self._own_digest)
@@ -586,7 +643,14 @@
                 continue
             link = _Link(address, socket)
             self._links[address] = link
-            self._nursery.start_soon(self._receive_replies, link)
+            self._nursery.start_soon(
+                functools.partial(
+                    supervision.run_contained,
+                    "link",
+                    functools.partial(self._receive_replies, link),
+                    address=address,
+                )
+            )
 
     def _select_peers(self) -> set[str]:
         if self.is_mesh():
--- a/packages/daemon/src/martenquay_daemon/fleet/state_copies.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/state_copies.py
@@ -119,20 +119,23 @@
         )
 
     def apply_reply(self, reply: messages.StateReply) -> None:
-        """Apply a peer's reply."""
+        """Apply a peer's reply; drop one that nobody asked for."""
         state = self._state
-        if reply.catalog:
-            state.store.offer_packed(reply.catalog, "a peer")
         requested_at = self._request_times.find(reply.number)
-        if requested_at is not None:
-            # Ages count from the request: counted from the reply's arrival, a
-            # delayed reply would make the state look newer than it is.
-            state.contact.note_regained_elsewhere(
-                requested_at - reply.regained_ms / _MS
+        if requested_at is None:
+            _LOG.write(
+                "Dropped a reply to an unknown or old request for state.",
+                number=reply.number,
             )
-        if not self._apply_runners(reply):
             return
-        if requested_at is not None:
+        if reply.catalog:
+            state.store.offer_packed(reply.catalog, "a peer")
+        # Ages count from the request: counted from the reply's arrival, a
+        # delayed reply would make the state look newer than it is.
+        state.contact.note_regained_elsewhere(
+            requested_at - reply.regained_ms / _MS
+        )
+        if self._apply_runners(reply):
             state.runner_follower.copy_age.confirm(
                 requested_at - reply.runners_age_ms / _MS,
                 copy_age.AgeEvent.COPIED,
--- a/tests/test_daemon/test_supervision.py
+++ b/tests/test_daemon/test_supervision.py
@@ -51,3 +51,36 @@
                 await supervision.keep_running("lease", trio.sleep_forever)
 
         self.run_clocked(scenario)
+
+    def test_a_task_that_fails_while_it_is_cancelled_ends_as_cancelled(
+        self,
+    ) -> None:
+        async def fail_at_end() -> None:
+            try:
+                await trio.sleep_forever()
+            finally:
+                raise ValueError("fault at the end")
+
+        async def run_two() -> None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(fail_at_end)
+                nursery.start_soon(trio.sleep_forever)
+
+        async def scenario() -> None:
+            with trio.move_on_after(1.0) as scope:
+                await supervision.keep_running("usage", run_two)
+            self.assertTrue(scope.cancelled_caught)
+
+        self.run_clocked(scenario)
+        self.assertIn("fault at the end", self.lines[0]["trace"])
+
+    def test_a_contained_fault_has_its_traceback_in_the_log(self) -> None:
+        async def scenario() -> None:
+            await supervision.run_contained(
+                "link", self._fail_twice, address="127.0.0.1:1"
+            )
+
+        self.run_clocked(scenario)
+        self.assertEqual(1, self.starts)
+        self.assertEqual("127.0.0.1:1", self.lines[0]["address"])
+        self.assertIn("_fail_twice", self.lines[0]["trace"])
