Keep the daemon when a listening part fails

One exception at the readiness port, in accepting tunnels or in setting up an accepted caller's connection ended the daemon and every request in progress. Tests with an injected fault: a connection to the readiness server whose read raises ValueError, an accept of tunnels that raises EPERM while a tunnel is open, and ENOBUFS for a caller's connection. Before, each of the three ended what ran it, with that exception; open tunnels were reset.

The readiness server and the accepting of tunnels now start anew after 0.1 s. The sockets stay open meanwhile: each start gets a copy of the descriptor, as hypercorn and trio close theirs, so connections wait in the queue. Tunnels run in a nursery of their own. A caller's connection that cannot be set up costs itself; an accept that fails otherwise than for a connection has a line and a pause. Errors of one connection have their traceback in the log.

--- a/packages/core/src/martenquay_core/peers/sockets.py
+++ b/packages/core/src/martenquay_core/peers/sockets.py
@@ -107,12 +107,13 @@
     host, port = address.rsplit(":", 1)
     try:
         raw_socket.bind(f"tcp://{host}:{'*' if port == '0' else port}")
+        endpoint = raw_socket.getsockopt(zmq.LAST_ENDPOINT).decode()
+        bound = endpoint.rstrip("\x00").removeprefix("tcp://")
+        return _create_socket(raw_socket, bound)
     except zmq.ZMQError as error:
         raw_socket.close(_LINGER_MS)
         # pyzmq's own text repeats the address.
         raise OSError(error.errno, zmq.strerror(error.errno)) from error
-    endpoint = raw_socket.getsockopt(zmq.LAST_ENDPOINT).decode().rstrip("\x00")
-    return _create_socket(raw_socket, endpoint.removeprefix("tcp://"))
 
 
 def connect_dealer(
--- a/packages/daemon/src/martenquay_daemon/forwarding/listener.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/listener.py
@@ -4,6 +4,7 @@
 
 import errno
 import socket
+import traceback
 from typing import TYPE_CHECKING
 
 import trio
@@ -135,6 +136,9 @@
                     "Cannot accept a connection: out of descriptors or buffers."
                 )
                 await trio.sleep(_ACCEPT_RETRY_DELAY_S)
+            elif not isinstance(error, ConnectionError):
+                _LOG.write(f"Cannot accept a connection: {error!r}.")
+                await trio.sleep(_ACCEPT_RETRY_DELAY_S)
             return
         self._start_connection(sock, nursery)
 
@@ -161,10 +165,19 @@
     def _start_connection(
         self, sock: trio.socket.SocketType, nursery: trio.Nursery
     ) -> None:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        connection = caller_connection.CallerConnection(
-            trio.SocketStream(sock), self._codec, self._handler, self
-        )
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            connection = caller_connection.CallerConnection(
+                trio.SocketStream(sock), self._codec, self._handler, self
+            )
+        except Exception as error:  # noqa: BLE001
+            # Otherwise the listener would end, and all other connections.
+            _LOG.write(
+                f"Cannot serve an accepted connection: {error!r}.",
+                trace="".join(traceback.format_exception(error)),
+            )
+            sock.close()
+            return
         # Added before its task runs, or a stop in between would miss it.
         self._connections.add(connection)
         nursery.start_soon(self._serve_connection, connection)
@@ -176,6 +189,9 @@
             await connection.serve()
         except Exception as error:  # noqa: BLE001
             # Otherwise the nursery would end all other connections too.
-            _LOG.write(f"Unexpected error on a caller's connection: {error!r}.")
+            _LOG.write(
+                f"Unexpected error on a caller's connection: {error!r}.",
+                trace="".join(traceback.format_exception(error)),
+            )
         finally:
             self._connections.discard(connection)
--- a/packages/daemon/src/martenquay_daemon/readiness.py
+++ b/packages/daemon/src/martenquay_daemon/readiness.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING
 
 from martenquay_core.util import listening, serving
+from martenquay_daemon import supervision
 
 if TYPE_CHECKING:
     import socket
@@ -18,6 +20,8 @@
 _READY = 200
 _NOT_READY = 503
 _NOT_FOUND = 404
+# The load balancer probes each second.
+_RESTART_DELAY_S = 0.1
 
 
 class ReadinessApp:
@@ -71,13 +75,22 @@
         self._raw_socket = listening.open_socket(self._address, _BACKLOG)
 
     async def run(self) -> None:
-        """Serve until cancelled."""
+        """Serve until cancelled; after a fault anew, on the same socket."""
+        if self._raw_socket is None:
+            self.listen()
+        with self._raw_socket as raw_socket:
+            await supervision.keep_running(
+                "readiness",
+                functools.partial(self._serve, raw_socket),
+                _RESTART_DELAY_S,
+            )
+
+    async def _serve(self, raw_socket: socket.socket) -> None:
         # Imported here, since hypercorn's import (80 ms) would delay the
         # listener.
         from martenquay_core.util import server  # noqa: PLC0415
 
-        if self._raw_socket is None:
-            self.listen()
-        raw_socket, self._raw_socket = self._raw_socket, None
-        options = server.ServerOptions(listening_socket=raw_socket)
+        # hypercorn closes its socket when it ends. Meanwhile connections wait
+        # in the queue of this one.
+        options = server.ServerOptions(listening_socket=raw_socket.dup())
         await server.serve_app(self._app, options)
--- a/packages/daemon/src/martenquay_daemon/relay/server.py
+++ b/packages/daemon/src/martenquay_daemon/relay/server.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import http
 import socket
 import struct
+import traceback
 from typing import TYPE_CHECKING
 
 import h11
@@ -13,6 +15,7 @@
 
 from martenquay_core import logs
 from martenquay_core.util import keepalive, listening
+from martenquay_daemon import supervision
 from martenquay_daemon.forwarding import runner_connection as connections
 
 if TYPE_CHECKING:
@@ -29,6 +32,7 @@
 _LISTEN_RETRY_S = 1.0
 _HEAD_TIMEOUT_S = 1.0
 _CONNECT_TIMEOUT_S = 0.1
+_RESTART_DELAY_S = 0.1
 # Each tunnel takes two descriptors, of which callers need most.
 _MAX_TUNNELS = 500
 # SO_LINGER with a timeout of 0 s: closing resets, also when the process ends,
@@ -119,11 +123,25 @@
             await trio.sleep(_LISTEN_RETRY_S)
             is_listening = self.listen()
         raw_socket, self._raw_socket = self._raw_socket, None
+        with raw_socket:
+            async with trio.open_nursery() as tunnels:
+                await supervision.keep_running(
+                    "relay",
+                    functools.partial(self._accept, raw_socket, tunnels),
+                    _RESTART_DELAY_S,
+                )
+
+    async def _accept(
+        self, raw_socket: socket.socket, tunnels: trio.Nursery
+    ) -> None:
+        """Accept tunnels; a fault ends none that is open."""
         listener = trio.SocketListener(
-            trio.socket.from_stdlib_socket(raw_socket)
+            trio.socket.from_stdlib_socket(raw_socket.dup())
         )
         async with listener:
-            await trio.serve_listeners(self._serve, [listener])
+            await trio.serve_listeners(
+                self._serve, [listener], handler_nursery=tunnels
+            )
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         sock = stream.socket
@@ -137,7 +155,10 @@
             _LOG.write(f"A tunnel broke: {error}.")
         except Exception as error:  # noqa: BLE001
             # Otherwise the nursery would end all other tunnels too.
-            _LOG.write(f"Unexpected error on a tunnel: {error!r}.")
+            _LOG.write(
+                f"Unexpected error on a tunnel: {error!r}.",
+                trace="".join(traceback.format_exception(error)),
+            )
         finally:
             await trio.aclose_forcefully(stream)
 
--- /dev/null
+++ b/tests/test_daemon/test_readiness.py
@@ -0,0 +1,56 @@
+"""A fault in the readiness server costs neither its socket nor the daemon."""
+
+from __future__ import annotations
+
+from unittest import mock
+
+import testtools
+import trio
+from hypercorn.trio import tcp_server
+
+from martenquay_core.settings import gateway
+from martenquay_daemon import readiness
+from tests import serving_builders as builders
+from tests import serving_scene
+
+_HANG_S = 20.0
+_PROBE = b"GET /ready HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+
+
+class ReadinessServerTest(testtools.TestCase):
+    def test_a_connection_that_fails_costs_only_itself(self) -> None:
+        read_data = tcp_server.TCPServer._read_data
+        faults = [ValueError("bytes that nobody expected")]
+
+        async def fail_once(server):
+            if faults:
+                raise faults.pop()
+            await read_data(server)
+
+        async def run() -> None:
+            listen = builders.build_gateway_settings()["listen"]
+            app = readiness.ReadinessApp(
+                gateway.GatewayListen(**listen), lambda: True, lambda: b""
+            )
+            server = readiness.ReadinessServer(app, listen["readiness"])
+            server.listen()
+            host, port = server._raw_socket.getsockname()
+            with trio.fail_after(_HANG_S):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(server.run)
+                    with mock.patch.object(
+                        tcp_server.TCPServer, "_read_data", fail_once
+                    ):
+                        first = await trio.open_tcp_stream(host, port)
+                        while faults:
+                            await trio.sleep(0.01)
+                        # Refused if the socket were closed meanwhile.
+                        second = await trio.open_tcp_stream(host, port)
+                        await second.send_all(_PROBE)
+                        reply = await serving_scene.read_reply(second)
+                    self.assertEqual(200, reply.status)
+                    await first.aclose()
+                    await second.aclose()
+                    nursery.cancel_scope.cancel()
+
+        trio.run(run)
--- a/tests/test_forwarding/test_listener.py
+++ b/tests/test_forwarding/test_listener.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from typing import TYPE_CHECKING
+from unittest import mock
 
 import testtools
 import trio
 import trio.testing
 
-from martenquay_daemon.forwarding import forwarder, listener
+from martenquay_daemon.forwarding import (
+    caller_connection,
+    forwarder,
+    listener,
+)
 from martenquay_platform import codec
 from martenquay_standins.ports import runner as scripted
 from tests import serving_builders as builders
@@ -128,6 +134,36 @@
 
         self._run(scenario)
 
+    def test_a_connection_that_cannot_be_served_costs_only_itself(
+        self,
+    ) -> None:
+        create = caller_connection.CallerConnection
+        faults = [OSError(errno.ENOBUFS, "No buffer space available")]
+
+        def fail_once(*args):
+            if faults:
+                raise faults.pop()
+            return create(*args)
+
+        async def scenario(caller_listener, address, ended) -> None:
+            del caller_listener, ended
+            async with _wrap(_connect(address)) as served:
+                await trio.testing.wait_all_tasks_blocked()
+                with mock.patch.object(
+                    caller_connection, "CallerConnection", fail_once
+                ):
+                    async with _wrap(_connect(address)) as failed:
+                        self.assertEqual(b"", await failed.receive_some(10))
+                    async with _wrap(_connect(address)) as stream:
+                        await stream.send_all(_CALL)
+                        reply = await serving_scene.read_reply(stream)
+                        self.assertEqual(200, reply.status)
+                await served.send_all(_CALL)
+                reply = await serving_scene.read_reply(served)
+                self.assertEqual(200, reply.status)
+
+        self._run(scenario)
+
     def test_the_listener_ends_and_new_connections_are_refused(self) -> None:
         async def scenario(caller_listener, address, ended) -> None:
             idle_socket = _connect(address)
--- a/tests/test_relay/test_server.py
+++ b/tests/test_relay/test_server.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import errno
 import socket
+from unittest import mock
 
 import testtools
 import trio
@@ -112,6 +114,35 @@
 
         self._run(scenario, Script(is_held=True))
 
+    def test_a_failed_accept_ends_no_tunnel_and_the_next_one_opens(
+        self,
+    ) -> None:
+        accept = trio.SocketListener.accept
+        failed = trio.Event()
+
+        async def fail_once(listener):
+            if not failed.is_set():
+                failed.set()
+                raise OSError(errno.EPERM, "Operation not permitted")
+            return await accept(listener)
+
+        async def scenario(scene, runner) -> None:
+            async with self._open(scene, runner.address) as first:
+                await first.send_request(_REQUEST)
+                await first.read_head()
+                with mock.patch.object(
+                    trio.SocketListener, "accept", fail_once
+                ):
+                    # The accept in progress takes this one, the next fails.
+                    async with self._open(scene, runner.address):
+                        await failed.wait()
+                    async with self._open(scene, runner.address):
+                        pass
+                runner.close_held_connections()
+                self.assertEqual(b"ab", await first.read_body())
+
+        self._run(scenario, Script((_UNSIZED, b"ab"), is_held=True))
+
     def test_tunnels_lead_to_known_runners_only(self) -> None:
         async def scenario(scene, runner) -> None:
             await self._assert_refused(scene, runner)
