Pass over records whose values nest deeper than Python recurses

Lease and usage decoded other errors only. The same decoders had no answer to it in members, rollouts, crash details, peers' messages and answers of the log.

decoding.py now decodes all bytes of other programs and has one kind of error, DecodeError, which each reader handles already: it writes its line and applies the rest. A message for links is decoded by it too.

--- a/packages/core/src/martenquay_core/config/records.py
+++ b/packages/core/src/martenquay_core/config/records.py
@@ -10,6 +10,7 @@
 from cryptography.hazmat.primitives.asymmetric import ed25519
 
 from martenquay_core.config import objects
+from martenquay_core.util import decoding
 
 __all__ = [
     "Change",
@@ -98,7 +99,7 @@
     def open(self, raw: bytes) -> SignedPayload | None:
         """Return the payload, or None if it is malformed or forged."""
         try:
-            payload = msgspec.msgpack.decode(raw, type=SignedPayload)
+            payload = decoding.decode_msgpack(raw, SignedPayload)
             self.keys[payload.partner].verify(payload.signature, payload.body)
         except (
             msgspec.MsgspecError,
@@ -145,7 +146,7 @@
     if payload is None:
         return None
     try:
-        change = msgspec.msgpack.decode(payload.body, type=Change)
+        change = decoding.decode_msgpack(payload.body, Change)
     except msgspec.MsgspecError:
         return None
     return change if change.partner == payload.partner else None
--- a/packages/core/src/martenquay_core/config/snapshot.py
+++ b/packages/core/src/martenquay_core/config/snapshot.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from martenquay_core.config import fold, objects, records
+from martenquay_core.util import decoding
 
 __all__ = ["Chunk", "SnapshotBuffer", "encode_snapshot", "restore_partner"]
 
@@ -97,7 +98,7 @@
         if payload is None:
             return
         try:
-            chunk = msgspec.msgpack.decode(payload.body, type=Chunk)
+            chunk = decoding.decode_msgpack(payload.body, Chunk)
         except msgspec.MsgspecError:
             return
         if chunk.partner == payload.partner:
@@ -126,7 +127,7 @@
 
 def restore_partner(partner: str, image: bytes) -> fold.PartnerState:
     """Decode a complete snapshot image."""
-    decoded = msgspec.msgpack.decode(image, type=_Image)
+    decoded = decoding.decode_msgpack(image, _Image)
     return fold.PartnerState(
         partner,
         decoded.applied,
--- a/packages/core/src/martenquay_core/peers/messages.py
+++ b/packages/core/src/martenquay_core/peers/messages.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from martenquay_core.util import decoding
+
 __all__ = [
     "AnswerReply",
     "AppliedReply",
@@ -336,4 +338,4 @@
     Raises:
         msgspec.MsgspecError: The bytes are not a valid message.
     """
-    return _DECODER.decode(raw)
+    return decoding.decode_with(_DECODER.decode, raw)
--- a/packages/core/src/martenquay_core/platform/log.py
+++ b/packages/core/src/martenquay_core/platform/log.py
@@ -10,7 +10,7 @@
 from expression import Error, Ok, Result
 
 from martenquay_core.platform import outcome
-from martenquay_core.util import http
+from martenquay_core.util import decoding, http
 
 __all__ = ["LogClient", "LogPage", "LogRecord", "create_client"]
 
@@ -78,7 +78,7 @@
         )
         match answer:
             case Result(tag="ok", ok=http.Answer(status=200, body=body)):
-                return Ok(msgspec.msgpack.decode(body, type=_Appended).offset)
+                return Ok(decoding.decode_msgpack(body, _Appended).offset)
             case Result(tag="ok", ok=other):
                 return Error(_describe_refusal(other))
             case _:
@@ -102,7 +102,7 @@
         )
         match answer:
             case Result(tag="ok", ok=http.Answer(status=200, body=body)):
-                return Ok(msgspec.msgpack.decode(body, type=LogPage))
+                return Ok(decoding.decode_msgpack(body, LogPage))
             case Result(tag="ok", ok=other):
                 return Error(_describe_refusal(other))
             case _:
--- a/packages/core/src/martenquay_core/runners/engine.py
+++ b/packages/core/src/martenquay_core/runners/engine.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from martenquay_core.runners import orders
-from martenquay_core.util import http
+from martenquay_core.util import decoding, http
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -46,7 +46,7 @@
         """
         try:
             async for line in self._answer.iterate_lines():
-                yield _EVENT_DECODER.decode(line)
+                yield decoding.decode_with(_EVENT_DECODER.decode, line)
         except (
             httpcore.NetworkError,
             httpcore.ProtocolError,
--- a/packages/daemon/src/martenquay_daemon/claims/records.py
+++ b/packages/daemon/src/martenquay_daemon/claims/records.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from martenquay_core.util import decoding
+
 __all__ = ["Claim", "ClaimRecord", "Outcome", "Release", "decode", "encode"]
 
 
@@ -69,6 +71,6 @@
 def decode(raw: bytes) -> ClaimRecord | None:
     """Decode a record; return None if the bytes are not a claim record."""
     try:
-        return _DECODER.decode(raw)
+        return decoding.decode_with(_DECODER.decode, raw)
     except msgspec.MsgspecError:
         return None
--- a/packages/daemon/src/martenquay_daemon/deferrable/records.py
+++ b/packages/daemon/src/martenquay_daemon/deferrable/records.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from martenquay_core.util import decoding
+
 __all__ = [
     "Accepted",
     "Completed",
@@ -73,7 +75,7 @@
 def decode(raw: bytes) -> WorkRecord | None:
     """Decode a record; return None if the bytes are not a work record."""
     try:
-        return _DECODER.decode(raw)
+        return decoding.decode_with(_DECODER.decode, raw)
     except msgspec.MsgspecError:
         return None
 
--- a/packages/daemon/src/martenquay_daemon/duties/capacity_memory.py
+++ b/packages/daemon/src/martenquay_daemon/duties/capacity_memory.py
@@ -15,6 +15,7 @@
 import trio
 
 from martenquay_core import logs
+from martenquay_core.util import decoding
 from martenquay_daemon.duties import heartbeat_clock  # noqa: TC001
 from martenquay_daemon.engines import model
 
@@ -126,11 +127,11 @@
         if record.key != MEMORY_KEY or record.value is None:
             return
         try:
-            version = msgspec.json.decode(record.value, type=_Versioned).version
+            version = decoding.decode_json(record.value, _Versioned).version
             if version != _VERSION:
                 _LOG.write(f"Ignored a capacity record of version {version}.")
                 return
-            self._found = msgspec.json.decode(record.value, type=_MemoryRecord)
+            self._found = decoding.decode_json(record.value, _MemoryRecord)
         except msgspec.MsgspecError as error:
             _LOG.write(f"Ignored an invalid capacity record: {error}.")
 
--- a/packages/daemon/src/martenquay_daemon/duties/lease_topic.py
+++ b/packages/daemon/src/martenquay_daemon/duties/lease_topic.py
@@ -12,6 +12,7 @@
 
 from martenquay_core import logs
 from martenquay_core.serving import positions
+from martenquay_core.util import decoding
 
 if TYPE_CHECKING:
     from martenquay_core.serving import ports
@@ -179,7 +180,7 @@
 
     def _apply_payload(self, payload: bytes, offset: int) -> None:
         try:
-            record = msgspec.msgpack.decode(payload, type=LeaseRecord)
+            record = decoding.decode_msgpack(payload, LeaseRecord)
         except msgspec.MsgspecError as error:
             _LOG.write(
                 f"Skipped lease record {offset}, which cannot be "
--- a/packages/daemon/src/martenquay_daemon/duties/usage_reporter.py
+++ b/packages/daemon/src/martenquay_daemon/duties/usage_reporter.py
@@ -15,6 +15,7 @@
 
 from martenquay_core import logs
 from martenquay_core.serving import ports, positions
+from martenquay_core.util import decoding
 from martenquay_daemon.fleet import view
 
 if TYPE_CHECKING:
@@ -266,7 +267,7 @@
                 continue
             for offset, payload in enumerate(found.records, found.start):
                 try:
-                    report = msgspec.msgpack.decode(payload, type=_Report)
+                    report = decoding.decode_msgpack(payload, _Report)
                 except msgspec.MsgspecError as error:
                     # An unreadable record must be skipped, or no report would
                     # ever be sent.
--- a/packages/daemon/src/martenquay_daemon/fleet/announcements.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/announcements.py
@@ -8,6 +8,7 @@
 import trio
 
 from martenquay_core import logs
+from martenquay_core.util import decoding
 from martenquay_daemon.fleet import topology
 
 if TYPE_CHECKING:
@@ -72,7 +73,7 @@
             self._relays.remove(record.key)
             return
         try:
-            announcement = msgspec.json.decode(record.value, type=_Announcement)
+            announcement = decoding.decode_json(record.value, _Announcement)
         except msgspec.MsgspecError as error:
             _LOG.write(f"Announcement of {record.key} is malformed: {error}.")
             return
--- a/packages/daemon/src/martenquay_daemon/fleet/links.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/links.py
@@ -337,7 +337,7 @@
         """
         try:
             message = messages.decode_message(raw)
-        except (msgspec.MsgspecError, RecursionError) as error:
+        except msgspec.MsgspecError as error:
             _LOG.write(f"Dropped a message that cannot be read: {error}.")
             return
         kind = type(message).__name__
--- a/packages/daemon/src/martenquay_daemon/fleet/messages.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/messages.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from martenquay_core import logs
+from martenquay_core.util import decoding
 
 # msgspec evaluates the annotations when the module is loaded.
 from martenquay_daemon.discovery import runner_entries  # noqa: TC001
@@ -579,7 +580,7 @@
     Raises:
         msgspec.MsgspecError: The bytes are no message of a known type.
     """
-    return _DECODER.decode(raw)
+    return decoding.decode_with(_DECODER.decode, raw)
 
 
 def _limit_integers(content: Any) -> Any:
--- a/packages/daemon/src/martenquay_daemon/origins/records.py
+++ b/packages/daemon/src/martenquay_daemon/origins/records.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from martenquay_core.util import decoding
+
 __all__ = [
     "OriginBatch",
     "StreamOrigin",
@@ -68,7 +70,7 @@
     Raises:
         ValueError: The record is malformed.
     """
-    parts = msgspec.json.decode(record, type=list[_ServicePart])
+    parts = decoding.decode_json(record, list[_ServicePart])
     return OriginBatch(
         {part.service: part.mixed_until_ms for part in parts},
         [
--- a/packages/daemon/src/martenquay_daemon/rollouts/records.py
+++ b/packages/daemon/src/martenquay_daemon/rollouts/records.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from martenquay_core import logs
+from martenquay_core.util import decoding
 from martenquay_daemon.rollouts import registry
 
 if TYPE_CHECKING:
@@ -57,7 +58,7 @@
         if record.value is None or record.key.startswith(_FOREIGN_KEY_PREFIX):
             return
         try:
-            found = msgspec.json.decode(record.value, type=_StepRecord)
+            found = decoding.decode_json(record.value, _StepRecord)
             phase = registry.Phase(found.phase)
         except ValueError as error:
             _LOG.write(
--- a/tests/test_platform/test_records.py
+++ b/tests/test_platform/test_records.py
@@ -56,6 +56,29 @@
     return json.dumps(config).encode()
 
 
+_DEEP = b'{"Labels":' + b"[" * 4000
+
+
+class BoundsTest(testtools.TestCase):
+    def test_a_record_that_nests_deeper_than_python_recurses_is_malformed(
+        self,
+    ) -> None:
+        codec = records.create_codec()
+        for decode in (
+            lambda: codec.decode_catalog(_DEEP),
+            lambda: codec.decode_runner("r-1", _DEEP),
+            lambda: codec.decode_rollout("rollout/model", _DEEP),
+        ):
+            self.assertRaises(ValueError, decode)
+
+    def test_an_integer_beyond_the_daemons_messages_is_malformed(self) -> None:
+        codec = records.create_codec()
+        codec.decode_catalog(b'{"Version":%d}' % 2**53)
+        for value in (2**53 + 1, 10**30, -(10**30)):
+            raw = b'{"Version":%d}' % value
+            self.assertRaises(ValueError, codec.decode_catalog, raw)
+
+
 class CatalogTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
