--- a/tests/test_forwarding/test_caller_connection.py
+++ b/tests/test_forwarding/test_caller_connection.py
@@ -88,6 +88,15 @@
 
         self._run(scenario, body_bytes=1000)
 
+    def test_a_length_of_any_number_of_digits_is_rejected(self) -> None:
+        async def scenario(scene: serving_scene.Scene) -> None:
+            for digits in (19, 400, 5000):
+                length = b"content-length: " + b"9" * digits + b"\r\n\r\n"
+                reply = await scene.ask(_POST + length)
+                self.assertIn(reply.status, {400, 413}, digits)
+
+        self._run(scenario, body_bytes=1000)
+
     def test_a_slow_head_is_rejected(self) -> None:
         async def scenario(scene: serving_scene.Scene) -> None:
             reply = await scene.ask(b"GET /lookup/7 HT")
