Let a failed plan or copy end no other move

An exception in one plan or in freeing one copy ended the mover's nursery: all moves in progress were cancelled, and streams on engines that leave waited a second for the restart. Shown with injected faults in the plan and in freeing a copy; before, both tests failed, with the injected fault and with a stream that was cut. Each plan and each freeing now costs itself, with a line.

--- a/packages/daemon/src/martenquay_daemon/migration/mover.py
+++ b/packages/daemon/src/martenquay_daemon/migration/mover.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import traceback
 from typing import TYPE_CHECKING
 
@@ -9,6 +10,7 @@
 
 from martenquay_core import logs
 from martenquay_core.serving import catalog
+from martenquay_daemon import supervision
 from martenquay_daemon.forwarding import exchange
 from martenquay_daemon.forwarding import runner_connection as connections
 from martenquay_daemon.migration import plan, states, transfer
@@ -129,7 +131,9 @@
                 while True:
                     await self._has_streams.wait()
                     for group in list(self._streams.values()):
-                        self._plan_source(group, nursery)
+                        # A fault in one plan must not end moves in progress.
+                        with supervision.contain_faults("A plan failed"):
+                            self._plan_source(group, nursery)
                     await trio.sleep(_POLL_S)
             finally:
                 self._nursery = None
@@ -247,7 +251,11 @@
         stream.copy = None
         # Without the task the copy expires by itself.
         if self._nursery is not None:
-            self._nursery.start_soon(self._transfer.free, stream.source, copy)
+            self._nursery.start_soon(
+                supervision.run_contained,
+                "freeing a copy",
+                functools.partial(self._transfer.free, stream.source, copy),
+            )
 
 
 async def _is_stopped(stream: streams.WatchedStream) -> bool:
--- a/tests/test_migration/test_failed_moves.py
+++ b/tests/test_migration/test_failed_moves.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from unittest import mock
+
 import trio
 
+from martenquay_daemon.migration import plan, transfer
 from tests import migration_builders as builders
 from tests import migration_case as case
 from tests import migration_scene
@@ -259,3 +262,44 @@
             self.assertEqual([], world.target.requests)
 
         self.play(scenario)
+
+    def test_a_copy_that_cannot_be_freed_ends_no_other_move(self) -> None:
+        error = ValueError("an answer that nobody expected")
+        fail = mock.AsyncMock(side_effect=error)
+
+        async def scenario(world: migration_scene.MigrationScene) -> None:
+            world.source.faults.copy_s = 0.2
+            caller = await world.scene.open_caller()
+            await caller.send_all(migration_scene.build_request())
+            await world.wait_events(3)
+            world.add_targets()
+            world.announce_leave()
+            await world.wait_copy()
+            with mock.patch.object(transfer.Transfer, "free", fail):
+                await caller.aclose()
+                while not fail.await_count:
+                    await trio.sleep(0.01)
+            await world.scene.ask(migration_scene.build_request("call-2"))
+            self.assertIsNotNone(world.scene.mover._nursery)
+
+        self.play(scenario)
+
+
+class PlanFailureTest(case.MigrationTestCase):
+    def test_a_plan_that_fails_is_made_again(self) -> None:
+        make_plan = plan.plan_moves
+        faults = [ValueError("a state that nobody expected")]
+
+        def fail_once(*args):
+            if faults:
+                raise faults.pop()
+            return make_plan(*args)
+
+        async def scenario(world: migration_scene.MigrationScene) -> None:
+            with mock.patch.object(plan, "plan_moves", fail_once):
+                reply = await world.ask_and_leave()
+            self.check_whole(world, reply)
+            self.assertEqual(1, world.count_outcome("moved"))
+            self.assertEqual([], faults)
+
+        self.play(scenario)
