Keep the standalone daemon when a message of a peer fails

A reply of another daemon that cannot be decoded, or a request whose handler raises, ended the standalone daemon: its links run in the process's nursery. Tests with a real socket: a handler that raises, and replies of junk, of deep arrays and of other numbers of frames. Before, both failed, with the handler's ValueError and msgspec's DecodeError. A message now costs itself, a link itself, and the socket is kept when the reading of requests starts anew.

--- a/packages/daemon/src/martenquay_daemon/membership/links.py
+++ b/packages/daemon/src/martenquay_daemon/membership/links.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import itertools
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,7 @@
 from martenquay_core import logs
 from martenquay_core.peers import messages, sockets
 from martenquay_core.util import rendezvous
+from martenquay_daemon import supervision
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -34,6 +36,7 @@
 _MAX_UPDATES = 500
 _MIN_HEARTBEAT_INTERVAL_S = 0.02
 _REQUEST_FRAMES = 3
+_REPLY_FRAMES = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -117,12 +120,16 @@
         try:
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
-                nursery.start_soon(self._run_ticks)
+                nursery.start_soon(
+                    supervision.keep_running, "ticks", self._run_ticks
+                )
                 # No other peers are known until the instance list is read.
                 for address in self._settings.seeds:
                     self._open_link(address)
                 task_status.started(router.address)
-                await self._serve(router, nursery)
+                await supervision.keep_running(
+                    "peers", functools.partial(self._serve, router, nursery)
+                )
         finally:
             router.close()
             self._context.destroy(linger=0)
@@ -166,13 +173,17 @@
                 continue
             if isinstance(message, messages.Heartbeat):
                 # Answered without a task: most messages are heartbeats.
-                reply = self._handle_heartbeat(message)
-                raw = messages.encode_message(reply)
-                router.send([peer, request_id, raw])
+                with supervision.contain_faults("A heartbeat failed"):
+                    reply = self._handle_heartbeat(message)
+                    raw = messages.encode_message(reply)
+                    router.send([peer, request_id, raw])
             else:
-                nursery.start_soon(
+                answer = functools.partial(
                     self._answer_request, router, peer, request_id, message
                 )
+                nursery.start_soon(
+                    supervision.run_contained, "peer request", answer
+                )
 
     async def _answer_request(
         self,
@@ -201,7 +212,11 @@
         assert self._nursery is not None, "links are not running"
         link = _Link(address, sockets.connect_dealer(self._context, address))
         self._links[address] = link
-        self._nursery.start_soon(self._run_link, link)
+        self._nursery.start_soon(
+            supervision.run_contained,
+            "link",
+            functools.partial(self._run_link, link),
+        )
         return link
 
     async def _run_link(self, link: _Link) -> None:
@@ -216,11 +231,19 @@
 
     async def _read_replies(self, link: _Link) -> None:
         while True:
-            request_id, payload = await link.socket.receive()
+            frames = await link.socket.receive()
+            if len(frames) != _REPLY_FRAMES:
+                _LOG.write(f"Dropped a reply of {len(frames)} frames.")
+                continue
+            request_id, payload = frames
             pending_request = link.pending.pop(request_id, None)
             if pending_request is None:
                 continue
-            pending_request.reply = messages.decode_message(payload)
+            try:
+                pending_request.reply = messages.decode_message(payload)
+            except msgspec.MsgspecError as error:
+                _LOG.write(f"Dropped a malformed reply of a peer: {error}.")
+                continue
             pending_request.done.set()
 
     async def _send_heartbeats(self, link: _Link) -> None:
