Reject messages between daemons with numbers that are not finite

A digest with NaN, or a negative count, among a trial's outcomes ended the rollouts' task of the lease's holder with 'math domain error', again after each restart for as long as the digest was the newest of its daemon. Shown with a real message in a daemon that holds the lease; red before, as the two tests of the decoder. NaN or infinity as demand, capacity, limit, duration, units or outcome now make the message unreadable: it is dropped with the line there is. No daemon creates such a value.

--- a/packages/daemon/src/martenquay_daemon/fleet/messages.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/messages.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import enum
-from typing import Any
+import sys
+from typing import Annotated, Any
 
 import msgspec
 
@@ -51,6 +52,11 @@
 ]
 
 
+# NaN and infinities would stay in the sums of all daemons.
+FiniteFloat = Annotated[
+    float, msgspec.Meta(ge=-sys.float_info.max, le=sys.float_info.max)
+]
+Count = Annotated[int, msgspec.Meta(ge=0)]
 # Earlier than any usage window: marks a summary without request counts.
 NO_WINDOW = 0
 
@@ -78,7 +84,7 @@
         heard_ms: Age of the answer, from when it was received.
     """
 
-    limit: float | None
+    limit: FiniteFloat | None
     born_ms: int | None
     sent_ms: int
     heard_ms: int
@@ -126,7 +132,7 @@
 
     service: str
     version: str
-    duration_s: float
+    duration_s: FiniteFloat
     offset: int
 
 
@@ -141,11 +147,11 @@
         log_squares: Sum of the squares of these logarithms.
     """
 
-    answers: int
-    failures: int
-    timed: int
-    log_sum: float
-    log_squares: float
+    answers: Count
+    failures: Count
+    timed: Count
+    log_sum: FiniteFloat
+    log_squares: FiniteFloat
 
 
 class TrialEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -198,7 +204,7 @@
         life_ms: Time until they expire.
     """
 
-    units: float
+    units: FiniteFloat
     life_ms: int
 
 
@@ -229,7 +235,7 @@
 
     receiver: str
     heard: int
-    part: float
+    part: FiniteFloat
     starts_ms: int
     ends_ms: int
 
@@ -275,7 +281,7 @@
     catalog_version: int
     runners_changed: int
     log_age_ms: int
-    capacity: float
+    capacity: FiniteFloat
     is_leaving: bool
     lease: LeaseStatus | None
     window: int
@@ -283,7 +289,7 @@
     members_end: int
     loads: dict[str, LoadEntry]
     begun: dict[int, dict[str, int]]
-    demand: dict[str, float]
+    demand: dict[str, FiniteFloat]
     reading: dict[str, PrefillEntry]
     trials: dict[str, TrialEntry]
     orders: list[RolloutOrderEntry]
@@ -343,7 +349,7 @@
     window: int
     members_end: int
     begun: dict[int, dict[str, int]]
-    demand: dict[str, float]
+    demand: dict[str, FiniteFloat]
     reading: dict[str, PrefillEntry]
     trials: dict[str, TrialEntry]
     backlog: overload.BacklogTable = {}
@@ -417,7 +423,7 @@
 
     address: str
     zone: str
-    capacity: float
+    capacity: FiniteFloat
 
 
 class StateRequest(msgspec.Struct, frozen=True, array_like=True, tag="w"):
@@ -493,7 +499,7 @@
 
     number: int
     team: str
-    units: float
+    units: FiniteFloat
     reserve: int
     is_late: bool
     is_redirected: bool
--- a/tests/test_daemon/test_message_faults.py
+++ b/tests/test_daemon/test_message_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import math
 from unittest import mock
 
 import trio
@@ -19,6 +20,8 @@
 _FAULT = ValueError("a value that nobody expected")
 # Several rounds of gossip, and of quota updates.
 _ROUNDS_S = 0.5
+# Several rounds in which the holder of the lease judges trials.
+_JUDGED_S = 2.0
 
 
 def _build_state_reply(**changes: object) -> messages.StateReply:
@@ -88,6 +91,23 @@
 
         self.run_beside_request(fail)
 
+    def test_odd_numbers_of_a_trial_do_not_stop_the_rollouts(self) -> None:
+        tally = messages.TallyEntry(5, -3, 2, math.nan, math.inf)
+        digest = builders.build_digest(
+            trials={"desk": messages.TrialEntry(5, {"r": (tally, tally)})},
+            orders=[messages.RolloutOrderEntry("desk", "v2", 30.0, 5)],
+        )
+
+        async def fail(scene: fault_scene.FaultScene) -> None:
+            message = messages.DigestMessage(digest)
+            await scene.send(messages.encode_message(message))
+            await trio.sleep(_JUDGED_S)
+
+        scene = self.run_beside_request(fail)
+        self.assertEqual(
+            [], [line["text"] for line in scene.lines if "trace" in line]
+        )
+
     def test_a_quota_request_that_fails_costs_that_request(self) -> None:
         request = messages.QuotaRequest(1, "acme", 1.0, 0, False, False)
 
--- a/tests/test_fleet/test_messages.py
+++ b/tests/test_fleet/test_messages.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import math
+
+import msgspec
 import testtools
 
 from martenquay_daemon.fleet import messages
@@ -32,3 +35,37 @@
         reply = messages.StateReply(b"\x00\xff", 10**30, [], ["r"], [], 0, 0, 1)
         raw = messages.encode_message(reply)
         self.assertEqual(b"\x00\xff", messages.decode_message(raw).catalog)
+
+    def test_a_message_with_a_number_that_is_not_finite_is_rejected(
+        self,
+    ) -> None:
+        for number in (math.nan, math.inf, -math.inf):
+            limit = messages.LimitEntry(number, 1, 0, 0)
+            order = messages.RolloutOrderEntry("desk", "v2", number, 5)
+            tally = messages.TallyEntry(5, 1, 2, number, 1.0)
+            trial = messages.TrialEntry(5, {"lookup": (tally, tally)})
+            reports = messages.RunnerReports({"runner-1": limit}, {})
+            for changes in (
+                {"demand": {"desk": number}},
+                {"capacity": number},
+                {"orders": [order]},
+                {"trials": {"desk": trial}},
+                {"runner_reports": reports},
+            ):
+                digest = builders.build_digest(**changes)
+                self._check_rejected(messages.DigestMessage(digest))
+            lots = {"acme": [messages.LotEntry(number, 1000)]}
+            transfer = messages.TransferEntry(1, lots)
+            self._check_rejected(
+                messages.QuotaUpdate("m", "a", 1, {}, {"m": transfer})
+            )
+
+    def test_a_negative_count_of_a_trial_is_rejected(self) -> None:
+        tally = messages.TallyEntry(5, -3, 2, 0.0, 1.0)
+        trial = messages.TrialEntry(5, {"lookup": (tally, tally)})
+        digest = builders.build_digest(trials={"desk": trial})
+        self._check_rejected(messages.DigestMessage(digest))
+
+    def _check_rejected(self, message: messages.FleetMessage) -> None:
+        raw = messages.encode_message(message)
+        self.assertRaises(msgspec.MsgspecError, messages.decode_message, raw)
