--- a/packages/daemon/src/martenquay_daemon/fleet/messages.py
+++ b/packages/daemon/src/martenquay_daemon/fleet/messages.py
@@ -3,9 +3,14 @@
 from __future__ import annotations
 
 import enum
+import sys
+from typing import Annotated, Any
 
 import msgspec
 
+from martenquay_core import logs
+from martenquay_core.util import decoding
+
 # msgspec evaluates the annotations when the module is loaded.
 from martenquay_daemon.discovery import runner_entries  # noqa: TC001
 from martenquay_daemon.fleet import (
@@ -47,6 +52,11 @@
 ]
 
 
+# NaN and infinities would stay in the sums of all daemons.
+FiniteFloat = Annotated[
+    float, msgspec.Meta(ge=-sys.float_info.max, le=sys.float_info.max)
+]
+Count = Annotated[int, msgspec.Meta(ge=0)]
 # Earlier than any usage window: marks a summary without request counts.
 NO_WINDOW = 0
 
@@ -74,7 +84,7 @@
         heard_ms: Age of the answer, from when it was received.
     """
 
-    limit: float | None
+    limit: FiniteFloat | None
     born_ms: int | None
     sent_ms: int
     heard_ms: int
@@ -122,7 +132,7 @@
 
     service: str
     version: str
-    duration_s: float
+    duration_s: FiniteFloat
     offset: int
 
 
@@ -137,11 +147,11 @@
         log_squares: Sum of the squares of these logarithms.
     """
 
-    answers: int
-    failures: int
-    timed: int
-    log_sum: float
-    log_squares: float
+    answers: Count
+    failures: Count
+    timed: Count
+    log_sum: FiniteFloat
+    log_squares: FiniteFloat
 
 
 class TrialEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -194,7 +204,7 @@
         life_ms: Time until they expire.
     """
 
-    units: float
+    units: FiniteFloat
     life_ms: int
 
 
@@ -225,7 +235,7 @@
 
     receiver: str
     heard: int
-    part: float
+    part: FiniteFloat
     starts_ms: int
     ends_ms: int
 
@@ -271,7 +281,7 @@
     catalog_version: int
     runners_changed: int
     log_age_ms: int
-    capacity: float
+    capacity: FiniteFloat
     is_leaving: bool
     lease: LeaseStatus | None
     window: int
@@ -279,7 +289,7 @@
     members_end: int
     loads: dict[str, LoadEntry]
     begun: dict[int, dict[str, int]]
-    demand: dict[str, float]
+    demand: dict[str, FiniteFloat]
     reading: dict[str, PrefillEntry]
     trials: dict[str, TrialEntry]
     orders: list[RolloutOrderEntry]
@@ -339,7 +349,7 @@
     window: int
     members_end: int
     begun: dict[int, dict[str, int]]
-    demand: dict[str, float]
+    demand: dict[str, FiniteFloat]
     reading: dict[str, PrefillEntry]
     trials: dict[str, TrialEntry]
     backlog: overload.BacklogTable = {}
@@ -413,7 +423,7 @@
 
     address: str
     zone: str
-    capacity: float
+    capacity: FiniteFloat
 
 
 class StateRequest(msgspec.Struct, frozen=True, array_like=True, tag="w"):
@@ -489,7 +499,7 @@
 
     number: int
     team: str
-    units: float
+    units: FiniteFloat
     reserve: int
     is_late: bool
     is_redirected: bool
@@ -547,13 +557,27 @@
     | relay_messages.StreamOrigins
 )
 
+_LOG = logs.create_log("fleet")
+_MAX_INTEGER = 2**63 - 1
 _DECODER = msgspec.msgpack.Decoder(FleetMessage)
 _ENCODER = msgspec.msgpack.Encoder()
 
 
 def encode_message(message: FleetMessage) -> bytes:
-    """Return the msgpack bytes of a message."""
-    return _ENCODER.encode(message)
+    """Return the msgpack bytes of a message.
+
+    An integer of more than 64 bits is replaced by the largest one: a sum that
+    got out of bounds must not keep back the rest of the message.
+    """
+    try:
+        return _ENCODER.encode(message)
+    except OverflowError:
+        _LOG.write(
+            "Limited the integers of a message to 64 bits.",
+            kind=type(message).__name__,
+        )
+        content = msgspec.to_builtins(message, builtin_types=(bytes,))
+        return _ENCODER.encode(_limit_integers(content))
 
 
 def decode_message(raw: bytes) -> FleetMessage:
@@ -562,4 +586,20 @@
     Raises:
         msgspec.MsgspecError: The bytes are no message of a known type.
     """
-    return _DECODER.decode(raw)
+    return decoding.decode_with(_DECODER.decode, raw)
+
+
+def _limit_integers(content: Any) -> Any:
+    match content:
+        case bool():
+            return content
+        case int():
+            return max(-_MAX_INTEGER, min(content, _MAX_INTEGER))
+        case list() | tuple():
+            return [_limit_integers(item) for item in content]
+        case dict():
+            return {
+                _limit_integers(key): _limit_integers(value)
+                for key, value in content.items()
+            }
+    return content
