Log which requests a daemon's end cuts off, and how far a stop came

The end of a stop was one line with a number: which requests it had cut, how long their runners had worked and whether the process was killed at its grace time could not be told afterwards.

Each request that the daemon's end cuts off now has a line (at most 100) with its stage, the time that its runner was at work, when in the stop it was taken and why; 'Draining.' is written once a second with the oldest requests, so the log of a killed process tells how far its stop had come, and 'Ended' is the last line of a process that was not killed. The stage 'delivering' tells a caller that reads slowly from a runner that is still at work.

Tests with a real process: a request that outlasts the grace time is named; a process killed in its stop has 'Draining.' and lacks 'Stopped.' and 'Ended'.

--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
@@ -134,6 +134,9 @@
 
     Attributes:
         is_idle: No request is being read or answered.
+        call_id: Id of the current request; empty until its head has been
+            read.
+        received_at: When its first byte arrived, on trio's clock.
     """
 
     def __init__(
@@ -153,9 +156,8 @@
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
         )
         self._has_partial_write = False
-        self._received_at = 0.0
-        # Empty until the head of the current request has been read.
-        self._call_id = ""
+        self.received_at = 0.0
+        self.call_id = ""
         self._idle_scope: trio.CancelScope | None = None
 
     @property
@@ -170,7 +172,7 @@
                 self._http.start_next_cycle()
         except _CallerDisconnectedError:
             disconnects.log_disconnect(
-                self._call_id, disconnects.Stage.READING, self._received_at
+                self.call_id, disconnects.Stage.READING, self.received_at
             )
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # The caller disconnected during a rejection or `100 Continue`;
@@ -245,7 +247,7 @@
         """Serve one request; return whether another may follow."""
         self._limits = self._listener_state.find_limits()
         self.is_idle = True
-        self._call_id = ""
+        self.call_id = ""
         try:
             call = await self._read_call()
         except _RequestRejectedError as rejected:
@@ -266,7 +268,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_for_disconnect, nursery.cancel_scope)
             try:
-                await self._handler.handle(call, self._received_at, writer)
+                await self._handler.handle(call, self.received_at, writer)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 # Sending to the caller failed; the handler raises these for
                 # nothing else.
@@ -324,7 +326,7 @@
         target = head.target.decode("latin-1")
         self._check_size_limits(target, headers)
         call = self._codec.decode_call(method, target, headers)
-        self._call_id = call.id
+        self.call_id = call.id
         body = await self._read_body(headers)
         return dataclasses.replace(call, body=body)
 
@@ -334,7 +336,7 @@
             if not await self._wait_for_first_bytes():
                 return None
         else:
-            self._received_at = trio.current_time()
+            self.received_at = trio.current_time()
         self.is_idle = False
         with trio.move_on_after(self._limits.header_s):
             while True:
@@ -354,14 +356,14 @@
         """Wait for a request to start; False after the idle timeout."""
         buffered, _ = self._http.trailing_data
         if buffered:
-            self._received_at = trio.current_time()
+            self.received_at = trio.current_time()
             return True
         with trio.move_on_after(self._limits.idle_s) as scope:
             self._idle_scope = scope
             if self._listener_state.is_stopped:
                 self._shorten_idle_wait(scope)
             await self._receive()
-            self._received_at = trio.current_time()
+            self.received_at = trio.current_time()
         self._idle_scope = None
         return not scope.cancelled_caught
 
--- a/packages/daemon/src/martenquay_daemon/forwarding/disconnects.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/disconnects.py
@@ -36,6 +36,8 @@
     SENDING = "sending"
     WAITING = "waiting"
     STREAMING = "streaming"
+    # The runner's answer is complete; the caller has not received all of it.
+    DELIVERING = "delivering"
 
 
 def has_disconnected(sock: SocketType) -> bool:
--- a/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
@@ -153,11 +153,19 @@
             await self._forward(current)
         except exchange.CallerDisconnectedError:
             self._request_log.log_disconnect(current)
-        except (trio.BrokenResourceError, trio.Cancelled):
-            # The daemon's stop cancels as well, while callers are connected.
+        except trio.BrokenResourceError:
             if current.writer.has_disconnected:
                 self._request_log.log_disconnect(current)
             raise
+        except trio.Cancelled:
+            # The daemon's end cancels as well, while callers are connected.
+            if current.writer.has_disconnected:
+                self._request_log.log_disconnect(current)
+            else:
+                self._request_log.log_cut_off(
+                    current, self._parts.stop.find_age()
+                )
+            raise
 
     async def _forward(self, current: exchange.Exchange) -> None:
         final = await self._try_runners(current)
@@ -171,6 +179,7 @@
                     current, f"cut off: status {head.status}", 0
                 )
             case exchange.Whole(head=head, body=body):
+                current.stage = disconnects.Stage.DELIVERING
                 await current.writer.start(head.status, head.headers, len(body))
                 await current.writer.write(body)
                 await current.writer.finish()
--- a/packages/daemon/src/martenquay_daemon/forwarding/listener.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/listener.py
@@ -30,6 +30,7 @@
 # find one whose host is gone; it would keep a runner working until the
 # deadline. Three probes, since callers may be on distant, lossy networks.
 _KEEPALIVE = keepalive.KeepAlive(idle_s=3, probes=3)
+_MAX_LISTED = 5
 _RESOURCE_ERRNOS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS})
 
 
@@ -73,6 +74,16 @@
             return len(self._connections) + self._is_draining
         return sum(not connection.is_idle for connection in self._connections)
 
+    def list_requests(self) -> list[str]:
+        """Return the oldest requests in progress, each with its age."""
+        busy = [one for one in self._connections if not one.is_idle]
+        busy.sort(key=lambda one: one.received_at)
+        now = trio.current_time()
+        return [
+            f"{one.call_id or 'unread'} {now - one.received_at:.1f} s"
+            for one in busy[:_MAX_LISTED]
+        ]
+
     def begin_closing(self) -> None:
         """Have each connection close after its next answer."""
         self.is_closing = True
--- a/packages/daemon/src/martenquay_daemon/forwarding/request_log.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/request_log.py
@@ -19,6 +19,18 @@
 _LOG = logs.create_log("forwarding")
 # Callers choose the ids and their number.
 _MAX_LOGGED_PARTS = 8
+# Of its own kind, so that a busy second's other lines do not crowd it out.
+_STOP_LOG = logs.create_log("stops")
+# The line on the stop's end has the number of all.
+_MAX_CUT_OFF_LINES = 100
+_SENT_STAGES = frozenset(
+    {
+        disconnects.Stage.SENDING,
+        disconnects.Stage.WAITING,
+        disconnects.Stage.STREAMING,
+        disconnects.Stage.DELIVERING,
+    }
+)
 
 
 class RequestLog:
@@ -31,6 +43,7 @@
     ) -> None:
         self._store = store
         self._metrics = counts
+        self._cut_off_lines = 0
 
     def log_attempt(
         self,
@@ -86,6 +99,42 @@
             events=current.events_delivered,
         )
 
+    def log_cut_off(
+        self, current: exchange.Exchange, stop_age_s: float | None
+    ) -> None:
+        """Log that the daemon's end cut off a request.
+
+        Args:
+            current: The request.
+            stop_age_s: Seconds since the stop began; None if the daemon ends
+                without one.
+        """
+        self._cut_off_lines += 1
+        if self._cut_off_lines > _MAX_CUT_OFF_LINES:
+            return
+        now = trio.current_time()
+        reason = "the daemon ends without a stop"
+        taken_s = None
+        if stop_age_s is not None:
+            reason = "the stop's grace time is over"
+            taken_s = round(current.received_at - now + stop_age_s, 3)
+        was_sent = current.stage in _SENT_STAGES
+        _STOP_LOG.write(
+            f"Cut off a request: {reason}.",
+            request=current.call.id,
+            route=current.route.name,
+            stage=current.stage.value,
+            attempts=current.attempts,
+            events=current.events_delivered,
+            tokens=current.call.tokens_out,
+            relay=current.relay or None,
+            # Negative for a request that was taken before the stop began.
+            taken_s=taken_s,
+            elapsed_s=round(now - current.received_at, 3),
+            runner_s=round(now - current.sent_at, 3) if was_sent else None,
+            time_left_s=round(current.deadline - now, 3),
+        )
+
     def log_end(
         self, current: exchange.Exchange, outcome: str, status: int
     ) -> None:
--- a/packages/daemon/src/martenquay_daemon/forwarding/stop_window.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/stop_window.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import TYPE_CHECKING
 
 import trio
@@ -46,6 +47,7 @@
     def __init__(self, stream_durations: durations.StreamDurations) -> None:
         self._stream_durations = stream_durations
         self._find_deadline: Callable[[], float] | None = None
+        self._began_at = math.inf
 
     def begin(self, find_deadline: Callable[[], float]) -> None:
         """Start the stop.
@@ -55,6 +57,13 @@
                 clock; operators may change it during the stop.
         """
         self._find_deadline = find_deadline
+        self._began_at = trio.current_time()
+
+    def find_age(self) -> float | None:
+        """Return how long ago the stop began in seconds; None without one."""
+        if self._find_deadline is None:
+            return None
+        return trio.current_time() - self._began_at
 
     def find_overrun(self, request: NewRequest) -> float:
         """Return by how many seconds a request may outlast the stop.
--- a/packages/daemon/src/martenquay_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/stream_relay.py
@@ -113,6 +113,7 @@
         if not current.writer.has_started:
             return exchange.Broken("the stream ended without an event")
         self._note_events(current, is_whole=True)
+        current.stage = disconnects.Stage.DELIVERING
         await current.writer.finish()
         return exchange.Delivered()
 
--- a/packages/daemon/src/martenquay_daemon/gateway.py
+++ b/packages/daemon/src/martenquay_daemon/gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import sys
 import traceback
 from typing import TYPE_CHECKING
@@ -18,6 +19,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from martenquay_core.settings import gateway
     from martenquay_core.util import held_signals
     from martenquay_daemon import gateway_ports
@@ -31,6 +34,8 @@
 # Time to exit between the end of draining and the kill after the grace time.
 _EXIT_MARGIN_S = 0.4
 _DRAIN_POLL_S = 0.02
+# The log of a process killed in a stop then tells how far the stop had come.
+_PROGRESS_INTERVAL_S = 1.0
 _LOG_FLUSH_S = 0.2
 
 
@@ -58,6 +63,9 @@
         # crash ends like that of a process killed from outside.
         _LOG.write(f"Ended by a fault: {error!r}.")
         raise
+    else:
+        # A process that was killed lacks this line.
+        _LOG.write("Ended; all connections are closed.")
     finally:
         writer.close(_LOG_FLUSH_S)
     return 0
@@ -145,14 +153,35 @@
                 f"Failed to announce the stop; draining continues: {error!r}.",
                 trace="".join(trace_lines),
             )
+    _LOG.write(
+        "Announced the stop.",
+        took_s=round(trio.current_time() - started_at, 3),
+    )
     await trio.sleep_until(started_at + _READINESS_NOTICE_S)
     parts.listener.stop_accepting()
-    while parts.count_busy():
-        if trio.current_time() >= find_deadline():
-            break
-        await trio.sleep(_DRAIN_POLL_S)
+    await _drain(parts, find_deadline)
     _LOG.write(
         "Stopped.",
         cut_off=parts.count_busy(),
+        state=parts.describe_busy(),
         took_s=round(trio.current_time() - started_at, 3),
     )
+
+
+async def _drain(
+    parts: gateway_parts.GatewayParts, find_deadline: Callable[[], float]
+) -> None:
+    """Wait until no request is in progress, or for the deadline."""
+    reported_at = -math.inf
+    while parts.count_busy():
+        now = trio.current_time()
+        if now >= find_deadline():
+            return
+        if now >= reported_at + _PROGRESS_INTERVAL_S:
+            reported_at = now
+            _LOG.write(
+                "Draining.",
+                left_s=round(find_deadline() - now, 3),
+                state=parts.describe_busy(),
+            )
+        await trio.sleep(_DRAIN_POLL_S)
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -159,6 +159,14 @@
         """Return how many requests of callers or other daemons it serves."""
         return self.listener.count_busy() + self._relay.count_tunnels()
 
+    def describe_busy(self) -> dict[str, object]:
+        """Return what a stop waits for, as fields of a log line."""
+        return {
+            "busy": self.count_busy(),
+            "tunnels": self._relay.count_tunnels(),
+            "requests": self.listener.list_requests(),
+        }
+
     def find_retry_bounds(self) -> retry_window.RetryBounds:
         """Return the current bounds on retries."""
         return self._retries.bounds
--- a/tests/test_platform/process_scene.py
+++ b/tests/test_platform/process_scene.py
@@ -81,9 +81,12 @@
             last event, later streams never end.
         resume: Lets the runner end its first stream.
         texts: The texts of the daemon's log lines.
+        lines: The daemon's log lines.
     """
 
-    def __init__(self, folder: pathlib.Path, log_address: str) -> None:
+    def __init__(
+        self, folder: pathlib.Path, log_address: str, grace_s: float
+    ) -> None:
         self.resume = trio.Event()
         first_script = scripted.Script(_ANSWER_PIECES, resume=self.resume)
         head = _ANSWER_PIECES[0].replace(_FIRST_ATTEMPT_ID, _SECOND_ATTEMPT_ID)
@@ -92,12 +95,14 @@
         )
         self.runner = scripted.ScriptedRunner([first_script, endless_script])
         self.texts: list[str] = []
+        self.lines: list[dict[str, Any]] = []
         self.program: programs.Program | None = None
         self._folder = folder
         self._import_pipe: pathlib.Path | None = None
         self._log_read = trio.Event()
         self._settings = folder / "settings.jsonc"
         self._retry_slack = 52
+        self._grace_s = grace_s
         self._log_address = log_address
         self._write_settings()
 
@@ -212,6 +217,7 @@
 
     def _add_text(self, line: dict[str, Any]) -> None:
         self.texts.append(line.get("text", ""))
+        self.lines.append(line)
 
     def _check_running(self) -> None:
         assert self.program is not None, "the process is not started"
@@ -237,24 +243,28 @@
         content = builders.build_gateway_settings()
         content["platform"] = {"log": self._log_address}
         content["bounds"]["retry_slack"] = self._retry_slack
+        content["bounds"]["grace_s"] = self._grace_s
         self._settings.write_text(json.dumps(content))
 
 
 @contextlib.asynccontextmanager
 async def open_process_scene(
-    *, blocks_imports: bool = False
+    *, blocks_imports: bool = False, grace_s: float = 8
 ) -> AsyncIterator[ProcessScene]:
     """Start a platform, a runner and a daemon; stop them on exit.
 
     Args:
         blocks_imports: Blocks the daemon in its imports until
             `send_signals_while_importing` is called.
+        grace_s: The daemon's grace time.
     """
     async with trio.open_nursery() as nursery:
         platform = store.StoreStandIn(lambda *_, **__: None)
         running_store = await host.start_stand_in(nursery, platform)
         with tempfile.TemporaryDirectory() as folder:
-            scene = ProcessScene(pathlib.Path(folder), running_store.address)
+            scene = ProcessScene(
+                pathlib.Path(folder), running_store.address, grace_s
+            )
             await nursery.start(scene.runner.run)
             await _write_records(platform, scene.runner.address)
             try:
