Deliver the last answer of a connection whole although more was sent behind it

A caller that reads slowly and sends something behind its request, an upload or a request that crosses the close, lost the rest of an answer that was written whole: the connection was closed with unread bytes of the caller, which resets it and drops what the kernel had not sent yet. And a request that was sent and read before the answer's head was written got none, since that head said 'connection: close'.

After the last complete answer the sending side is ended, and what comes is discarded for up to 1 s before the connection closes; early rejections did so already. Such a connection does not count as busy while a stop waits for its notice, and delays its end by that second at most, within the grace time. An answer says 'close' only if no bytes of a further request have been read; that one is answered too, if it fits into the stop, and says so.

The count of cut off requests leaves out connections that are only closing.

--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
@@ -27,8 +27,9 @@
 # Pipelined bytes that are buffered while a request is being answered; without
 # a limit a caller could fill the daemon's memory.
 _MAX_PIPELINED_BYTES = 65_536
-# After an early rejection unread bytes are discarded for this long: closing
-# with unread bytes sends a reset, and the caller would lose the answer.
+# After the last answer unread bytes are discarded for this long: closing with
+# unread bytes sends a reset, and the caller would lose what it has not received
+# of the answer.
 _LINGER_TIMEOUT_S = 1.0
 # A caller has to accept each chunk of an answer within the timeout. TCP
 # keep-alive doesn't find one that reads a few bytes now and then.
@@ -199,7 +200,7 @@
         headers = list(headers)
         if length is not None:
             headers.append((b"content-length", str(length).encode()))
-        if self._listener_state.is_closing:
+        if self._listener_state.is_closing and not self._has_next_request():
             headers.append((b"connection", b"close"))
         await self.send_event(
             h11.Response(status_code=status, headers=headers, reason=b"")
@@ -258,9 +259,27 @@
         writer = await self._handle_call(call)
         if writer.is_aborted or not writer.has_started:
             return False
-        if self._http.our_state is not h11.DONE:
-            return False
-        return self._http.their_state is h11.DONE
+        if h11.DONE is self._http.our_state is self._http.their_state:
+            return True
+        await self._end_sending()
+        return False
+
+    def _has_next_request(self) -> bool:
+        """Return whether bytes of a further request have been read.
+
+        The caller sent them without knowing that the connection will close.
+        """
+        buffered, _ = self._http.trailing_data
+        return bool(buffered.strip())
+
+    async def _end_sending(self) -> None:
+        """End the sending side and discard what the caller still sends."""
+        # The caller has its answer: a stop's notice need not wait for it.
+        self.is_idle = True
+        with trio.move_on_after(_LINGER_TIMEOUT_S):
+            await self._stream.send_eof()
+            while await self._stream.receive_some(_RECEIVE_BYTES):
+                pass
 
     async def _handle_call(self, call: calls.Call) -> _AnswerWriter:
         """Run the handler, and cancel it if the caller disconnects."""
@@ -458,7 +477,4 @@
         await answers.send_own_answer(
             _AnswerWriter(self), self._codec, "", answer
         )
-        with trio.move_on_after(_LINGER_TIMEOUT_S):
-            await self._stream.send_eof()
-            while await self._stream.receive_some(_RECEIVE_BYTES):
-                pass
+        await self._end_sending()
--- a/packages/daemon/src/martenquay_daemon/forwarding/listener.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/listener.py
@@ -72,6 +72,10 @@
         if self.is_stopped:
             # An idle connection may hold an unread request until it closes.
             return len(self._connections) + self._is_draining
+        return self.count_requests()
+
+    def count_requests(self) -> int:
+        """Return how many connections have a request in progress."""
         return sum(not connection.is_idle for connection in self._connections)
 
     def list_requests(self) -> list[str]:
--- a/packages/daemon/src/martenquay_daemon/gateway.py
+++ b/packages/daemon/src/martenquay_daemon/gateway.py
@@ -162,7 +162,7 @@
     await _drain(parts, find_deadline)
     _LOG.write(
         "Stopped.",
-        cut_off=parts.count_busy(),
+        cut_off=parts.count_unfinished(),
         state=parts.describe_busy(),
         took_s=round(trio.current_time() - started_at, 3),
     )
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -159,10 +159,14 @@
         """Return how many requests of callers or other daemons it serves."""
         return self.listener.count_busy() + self._relay.count_tunnels()
 
+    def count_unfinished(self) -> int:
+        """Return how many requests would be cut off now."""
+        return self.listener.count_requests() + self._relay.count_tunnels()
+
     def describe_busy(self) -> dict[str, object]:
         """Return what a stop waits for, as fields of a log line."""
         return {
-            "busy": self.count_busy(),
+            "connections": self.listener.count_busy(),
             "tunnels": self._relay.count_tunnels(),
             "requests": self.listener.list_requests(),
         }
