Take no stream late in a stop that only an estimate lets fit

A stream that was taken on a kept connection late in a stop was cut at the end of the grace time where its engine had become slower than learnt, or where only a few short streams had been learnt from: three times the learnt mean decided, however little it was learnt from and however the engines did at the moment.

Once the notice of a stop is over, new connections reach other daemons, and a rejection (not run, retry-after 0) costs its caller a new connection only. From then on a request is forwarded only if its own deadline is within the stop, so nothing that was sent 2.6 s or more after SIGTERM is cut. During the notice the estimate also uses the slowest recent pace, the slowest stream in progress, the chosen runner's queue and speed, and does not reach beyond the longest length that was learnt. A repeat of a request that has not run is checked as well.

What began before or within the notice and outlasts the grace time is cut as before: nothing can end it sooner, and the platform's rule excuses it while its runner is at work in the last sixth.

Tests with a real process and a runner whose pace changes: both cases of test_late_streams failed before, the late stream was accepted and cut off at 7.6 s; units for each part of the decision.

--- a/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
@@ -143,7 +143,8 @@
             case answers.OwnAnswer():
                 await self._send_own_answer(call, writer, admitted)
             case exchange.Exchange():
-                await self._forward_until_disconnect(admitted)
+                with self._parts.stop.track(admitted):
+                    await self._forward_until_disconnect(admitted)
 
     async def _forward_until_disconnect(
         self, current: exchange.Exchange
@@ -260,15 +261,15 @@
         hold_s = parts.quarantine.find_quarantine_s(current)
         if hold_s is not None and not current.attempts:
             return own_answers.describe_quarantine(hold_s)
+        placement = self._choose_runner(current) if hold_s is None else None
         # The stop may have begun during the waits for quota and entries.
         refusal = (
             None
-            if current.attempts
-            else self._admission.refuse_if_stop_interrupts(current)
+            if current.may_have_run
+            else self._admission.refuse_if_stop_interrupts(current, placement)
         )
         if refusal is not None:
             return refusal
-        placement = self._choose_runner(current) if hold_s is None else None
         if placement is None:
             return current.fallback_answer or self._describe_no_runner(current)
         return self._refuse_if_late(current, placement) or placement
--- a/packages/daemon/src/martenquay_daemon/forwarding/request_admission.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/request_admission.py
@@ -22,6 +22,7 @@
     from martenquay_core.serving import calls, catalog
     from martenquay_daemon.allowances import gate
     from martenquay_daemon.discovery import catalog_store
+    from martenquay_daemon.engines import placer
     from martenquay_daemon.forwarding import (
         quarantine_filter,
         stream_resumption,
@@ -112,16 +113,19 @@
         )
 
     def refuse_if_stop_interrupts(
-        self, current: exchange.Exchange
+        self,
+        current: exchange.Exchange,
+        placement: placer.Placement | None = None,
     ) -> answers.OwnAnswer | None:
-        """Return the rejection of a request that the stop would cut off."""
-        request = stop_window.NewRequest(
-            current.service,
-            current.route.kind,
-            current.call.tokens_out,
-            current.deadline - trio.current_time(),
+        """Return the rejection of a request that the stop would cut off.
+
+        Args:
+            current: The request, which no runner has executed.
+            placement: The chosen runner; None before one is chosen.
+        """
+        overrun_s = self._stop.find_overrun(
+            stop_window.create_request(current, placement)
         )
-        overrun_s = self._stop.find_overrun(request)
         if overrun_s <= 0:
             return None
         return own_answers.describe_stop(overrun_s)
--- a/packages/daemon/src/martenquay_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/stream_relay.py
@@ -126,7 +126,13 @@
         self._model.note_end(current.service, held_s)
         tokens = current.call.tokens_out
         if tokens and current.first_event_s is not None:
-            self._streams.note(current.service, first_event_s, tokens, held_s)
+            self._streams.note(
+                current.service,
+                first_event_s,
+                tokens,
+                held_s,
+                current.attempt_events,
+            )
 
     def _record_first_event(
         self,
--- a/packages/daemon/src/martenquay_daemon/gateway.py
+++ b/packages/daemon/src/martenquay_daemon/gateway.py
@@ -158,6 +158,7 @@
         took_s=round(trio.current_time() - started_at, 3),
     )
     await trio.sleep_until(started_at + _READINESS_NOTICE_S)
+    parts.end_notice()
     parts.listener.stop_accepting()
     await _drain(parts, find_deadline)
     _LOG.write(
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -175,6 +175,10 @@
         """Return the current bounds on retries."""
         return self._retries.bounds
 
+    def end_notice(self) -> None:
+        """Forward only requests whose deadline is within the stop."""
+        self._stop_window.end_notice()
+
     async def begin_stop(self, find_deadline: Callable[[], float]) -> None:
         """Fail readiness, close connections after answers, release the lease.
 
--- a/tests/serving_builders.py
+++ b/tests/serving_builders.py
@@ -20,6 +20,7 @@
     send_shares,
 )
 from martenquay_daemon.fleet import messages
+from martenquay_daemon.forwarding import exchange
 
 __all__ = [
     "TOPICS",
@@ -28,6 +29,7 @@
     "build_call",
     "build_catalog",
     "build_digest",
+    "build_exchange",
     "build_gateway_settings",
     "build_order",
     "build_route",
@@ -115,6 +117,20 @@
     return calls.Call(**(fields | changes))
 
 
+def build_exchange(**changes: Any) -> exchange.Exchange:
+    """Return the state of a stream of up to 100 tokens."""
+    fields: dict[str, Any] = {
+        "call": build_call(tokens_in=10, tokens_out=100),
+        "route": build_route(kind=catalog.CallKind.STREAM),
+        "team": None,
+        "service": "desk",
+        "received_at": 0.0,
+        "deadline": 15.0,
+        "writer": None,
+    }
+    return exchange.Exchange(**(fields | changes))
+
+
 def build_runner(**changes: Any) -> runners.Runner:
     """Return a runner of the service of `build_service`."""
     fields: dict[str, Any] = {
--- a/tests/test_forwarding/test_stop_window.py
+++ b/tests/test_forwarding/test_stop_window.py
@@ -6,8 +6,8 @@
 
 from martenquay_core.serving import catalog
 from martenquay_daemon.engines import durations
-from martenquay_daemon.forwarding import stop_window
-from tests import clocked, serving_scene
+from martenquay_daemon.forwarding import disconnects, stop_window
+from tests import clocked, serving_builders, serving_scene
 from tests import forwarder_case as case
 
 _GRACE_S = 7.6
@@ -15,6 +15,7 @@
 _TOKENS = 240
 _FIRST_EVENT_S = 0.4
 _GENERATION_S = 3.0
+_STREAM = catalog.CallKind.STREAM
 
 
 class StopWindowTest(clocked.ClockedTestCase):
@@ -72,6 +73,108 @@
             )
             self.assertEqual(is_accepted, overrun_s == 0.0)
 
+    def test_a_few_short_streams_tell_nothing_about_a_long_one(self) -> None:
+        async def scenario() -> None:
+            streams = durations.StreamDurations()
+            for _ in range(6):
+                streams.note("model", 0.05, 10, 0.05, 10)
+            window = stop_window.StopWindow(streams)
+            end = trio.current_time() + _GRACE_S
+            window.begin(lambda: end)
+            long = stop_window.NewRequest("model", _STREAM, 240, 15.0)
+            self.assertGreater(window.find_overrun(long), 0.0)
+            short = stop_window.NewRequest("model", _STREAM, 10, 15.0)
+            self.assertEqual(0.0, window.find_overrun(short))
+
+        self.run_clocked(scenario)
+
+    def test_the_slowest_recent_stream_counts_beside_the_mean(self) -> None:
+        async def scenario() -> None:
+            streams = durations.StreamDurations()
+            for _ in range(40):
+                streams.note("model", 0.1, 100, 1.0, 100)
+            streams.note("model", 0.1, 100, 9.0, 100)
+            window = stop_window.StopWindow(streams)
+            end = trio.current_time() + _GRACE_S
+            window.begin(lambda: end)
+            request = stop_window.NewRequest("model", _STREAM, 100, 15.0)
+            self.assertGreater(window.find_overrun(request), 0.0)
+
+        self.run_clocked(scenario)
+
+    def test_a_stream_in_progress_that_is_slower_than_learnt_counts(
+        self,
+    ) -> None:
+        for interval_s, is_accepted in [(0.01, True), (0.05, False)]:
+            overrun_s = self._find_overrun_beside(interval_s)
+            self.assertEqual(is_accepted, overrun_s == 0.0, overrun_s)
+
+    def _find_overrun_beside(self, interval_s: float) -> float:
+        """Return the overrun beside a stream with an event each interval."""
+        overruns = []
+
+        async def scenario() -> None:
+            streams = durations.StreamDurations()
+            for _ in range(20):
+                streams.note("model", 0.1, 100, 1.0, 100)
+            window = stop_window.StopWindow(streams)
+            beside = serving_builders.build_exchange(
+                service="model",
+                stage=disconnects.Stage.STREAMING,
+                sent_at=trio.current_time(),
+                first_event_s=0.1,
+                attempt_events=20,
+            )
+            with window.track(beside):
+                await trio.sleep(0.1 + 20 * interval_s)
+                end = trio.current_time() + _GRACE_S
+                window.begin(lambda: end)
+                request = stop_window.NewRequest("model", _STREAM, 100, 15.0)
+                overruns.append(window.find_overrun(request))
+
+        self.run_clocked(scenario)
+        return overruns[0]
+
+    def test_a_queue_or_a_slow_engine_of_the_chosen_runner_counts(self) -> None:
+        async def scenario() -> None:
+            streams = durations.StreamDurations()
+            for _ in range(20):
+                streams.note("model", 0.1, 100, 1.0, 100)
+            window = stop_window.StopWindow(streams)
+            end = trio.current_time() + _GRACE_S
+            window.begin(lambda: end)
+            for change, is_accepted in [
+                ({}, True),
+                ({"first_event_s": 6.0}, False),
+                ({"speed": 0.3}, False),
+            ]:
+                request = stop_window.NewRequest(
+                    "model", _STREAM, 100, 15.0, **change
+                )
+                overrun_s = window.find_overrun(request)
+                self.assertEqual(is_accepted, overrun_s == 0.0, change)
+
+        self.run_clocked(scenario)
+
+    def test_after_the_notice_only_a_deadline_within_the_stop_counts(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            streams = durations.StreamDurations()
+            for _ in range(20):
+                streams.note("model", 0.1, 100, 0.1, 100)
+            window = stop_window.StopWindow(streams)
+            end = trio.current_time() + _GRACE_S
+            window.begin(lambda: end)
+            await trio.sleep(2.6)
+            window.end_notice()
+            request = stop_window.NewRequest("model", _STREAM, 10, 15.0)
+            self.assertGreater(window.find_overrun(request), 0.0)
+            request = stop_window.NewRequest("model", _STREAM, 10, 4.0)
+            self.assertEqual(0.0, window.find_overrun(request))
+
+        self.run_clocked(scenario)
+
     def test_without_a_stop_everything_is_accepted(self) -> None:
         window = stop_window.StopWindow(durations.StreamDurations())
         stream = catalog.CallKind.STREAM
--- a/tests/test_platform/process_scene.py
+++ b/tests/test_platform/process_scene.py
@@ -24,6 +24,8 @@
     import signal
     from collections.abc import AsyncIterator
 
+    from tests import paced_runner
+
 __all__ = ["ProcessScene", "open_process_scene"]
 
 _PROGRAM = pathlib.Path(__file__).parents[2] / "platform" / "martenquayd.py"
@@ -77,15 +79,20 @@
 
     Attributes:
         program: The process.
-        runner: The runner; its first stream waits for `resume` before its
-            last event, later streams never end.
+        grace_s: The grace time in the settings; `change_settings` writes it.
+        runner: The runner; unless another is given, its first stream waits for
+            `resume` before its last event, later streams never end.
         resume: Lets the runner end its first stream.
         texts: The texts of the daemon's log lines.
         lines: The daemon's log lines.
     """
 
     def __init__(
-        self, folder: pathlib.Path, log_address: str, grace_s: float
+        self,
+        folder: pathlib.Path,
+        log_address: str,
+        grace_s: float,
+        runner: paced_runner.PacedRunner | None = None,
     ) -> None:
         self.resume = trio.Event()
         first_script = scripted.Script(_ANSWER_PIECES, resume=self.resume)
@@ -93,7 +100,9 @@
         endless_script = scripted.Script(
             (head, _ANSWER_PIECES[1]), is_held=True
         )
-        self.runner = scripted.ScriptedRunner([first_script, endless_script])
+        self.runner = runner or scripted.ScriptedRunner(
+            [first_script, endless_script]
+        )
         self.texts: list[str] = []
         self.lines: list[dict[str, Any]] = []
         self.program: programs.Program | None = None
@@ -102,7 +111,7 @@
         self._log_read = trio.Event()
         self._settings = folder / "settings.jsonc"
         self._retry_slack = 52
-        self._grace_s = grace_s
+        self.grace_s = grace_s
         self._log_address = log_address
         self._write_settings()
 
@@ -121,6 +130,20 @@
         nursery.start_soon(self._read_lines, program)
         nursery.start_soon(program.read_errors)
 
+    async def restart(self, nursery: trio.Nursery) -> None:
+        """Start the daemon's process again after it has exited."""
+        self.texts.clear()
+        self.lines.clear()
+        self._log_read = trio.Event()
+        await self.start(nursery, blocks_imports=False)
+
+    def find_address(self) -> str:
+        """Return where callers are served; empty until they are."""
+        for text in self.texts:
+            if text.startswith(_STARTED_PREFIX):
+                return text.removeprefix(_STARTED_PREFIX).rstrip(".")
+        return ""
+
     def send_signals(self, *numbers: signal.Signals) -> None:
         """Send signals to the process, one after the other."""
         assert self.program is not None, "the process is not started"
@@ -243,13 +266,16 @@
         content = builders.build_gateway_settings()
         content["platform"] = {"log": self._log_address}
         content["bounds"]["retry_slack"] = self._retry_slack
-        content["bounds"]["grace_s"] = self._grace_s
+        content["bounds"]["grace_s"] = self.grace_s
         self._settings.write_text(json.dumps(content))
 
 
 @contextlib.asynccontextmanager
 async def open_process_scene(
-    *, blocks_imports: bool = False, grace_s: float = 8
+    *,
+    blocks_imports: bool = False,
+    grace_s: float = 8,
+    runner: paced_runner.PacedRunner | None = None,
 ) -> AsyncIterator[ProcessScene]:
     """Start a platform, a runner and a daemon; stop them on exit.
 
@@ -257,13 +283,14 @@
         blocks_imports: Blocks the daemon in its imports until
             `send_signals_while_importing` is called.
         grace_s: The daemon's grace time.
+        runner: Serves in place of the scripted runner.
     """
     async with trio.open_nursery() as nursery:
         platform = store.StoreStandIn(lambda *_, **__: None)
         running_store = await host.start_stand_in(nursery, platform)
         with tempfile.TemporaryDirectory() as folder:
             scene = ProcessScene(
-                pathlib.Path(folder), running_store.address, grace_s
+                pathlib.Path(folder), running_store.address, grace_s, runner
             )
             await nursery.start(scene.runner.run)
             await _write_records(platform, scene.runner.address)
@@ -283,7 +310,7 @@
         "Addr": runner,
         "Zone": "a",
         "Version": "v1",
-        "Slots": 4,
+        "Slots": 64,
         "State": "ready",
         "ColdLeftMs": 0,
         "Seq": 1,
