--- a/tests/test_platform/process_scene.py
+++ b/tests/test_platform/process_scene.py
@@ -93,6 +93,7 @@
         log_address: str,
         grace_s: float,
         runner: paced_runner.PacedRunner | None = None,
+        relay: str = "",
     ) -> None:
         self.resume = trio.Event()
         first_script = scripted.Script(_ANSWER_PIECES, resume=self.resume)
@@ -112,6 +113,7 @@
         self._settings = folder / "settings.jsonc"
         self._retry_slack = 52
         self.grace_s = grace_s
+        self._relay = relay
         self._log_address = log_address
         self._write_settings()
 
@@ -265,6 +267,9 @@
     def _write_settings(self) -> None:
         content = builders.build_gateway_settings()
         content["platform"] = {"log": self._log_address}
+        if self._relay:
+            ip, _, port = self._relay.rpartition(":")
+            content["listen"] |= {"ip": ip, "relay_port": int(port)}
         content["bounds"]["retry_slack"] = self._retry_slack
         content["bounds"]["grace_s"] = self.grace_s
         self._settings.write_text(json.dumps(content))
@@ -276,6 +281,7 @@
     blocks_imports: bool = False,
     grace_s: float = 8,
     runner: paced_runner.PacedRunner | None = None,
+    relay: str = "",
 ) -> AsyncIterator[ProcessScene]:
     """Start a platform, a runner and a daemon; stop them on exit.
 
@@ -284,13 +290,18 @@
             `send_signals_while_importing` is called.
         grace_s: The daemon's grace time.
         runner: Serves in place of the scripted runner.
+        relay: Address at which the daemon serves tunnels; empty for any.
     """
     async with trio.open_nursery() as nursery:
         platform = store.StoreStandIn(lambda *_, **__: None)
         running_store = await host.start_stand_in(nursery, platform)
         with tempfile.TemporaryDirectory() as folder:
             scene = ProcessScene(
-                pathlib.Path(folder), running_store.address, grace_s, runner
+                pathlib.Path(folder),
+                running_store.address,
+                grace_s,
+                runner,
+                relay,
             )
             await nursery.start(scene.runner.run)
             await _write_records(platform, scene.runner.address)
