--- a/tests/test_platform/process_scene.py
+++ b/tests/test_platform/process_scene.py
@@ -79,6 +79,8 @@
 
     Attributes:
         program: The process.
+        startup_module: Source that the interpreter runs at its start; empty
+            for none.
         grace_s: The grace time in the settings; `change_settings` writes it.
         runner: The runner; unless another is given, its first stream waits for
             `resume` before its last event, later streams never end.
@@ -113,6 +115,7 @@
         self._settings = folder / "settings.jsonc"
         self._retry_slack = 52
         self.grace_s = grace_s
+        self.startup_module = ""
         self._relay = relay
         self._log_address = log_address
         self._write_settings()
@@ -127,6 +130,11 @@
             env["PYTHONPATH"] = (
                 f"{self._write_blocking_module()}{os.pathsep}{inherited}"
             )
+        if self.startup_module:
+            inherited = env.get("PYTHONPATH", "")
+            env["PYTHONPATH"] = f"{self._folder}{os.pathsep}{inherited}"
+            module = self._folder / "sitecustomize.py"
+            module.write_text(self.startup_module)
         program = await programs.start_program("daemon", [str(_PROGRAM)], env)
         self.program = program
         nursery.start_soon(self._read_lines, program)
@@ -282,6 +290,7 @@
     grace_s: float = 8,
     runner: paced_runner.PacedRunner | None = None,
     relay: str = "",
+    startup_module: str = "",
 ) -> AsyncIterator[ProcessScene]:
     """Start a platform, a runner and a daemon; stop them on exit.
 
@@ -291,6 +300,7 @@
         grace_s: The daemon's grace time.
         runner: Serves in place of the scripted runner.
         relay: Address at which the daemon serves tunnels; empty for any.
+        startup_module: Source that the daemon's interpreter runs at its start.
     """
     async with trio.open_nursery() as nursery:
         platform = store.StoreStandIn(lambda *_, **__: None)
@@ -303,6 +313,7 @@
                 runner,
                 relay,
             )
+            scene.startup_module = startup_module
             await nursery.start(scene.runner.run)
             await _write_records(platform, scene.runner.address)
             try:
