Leave time in a stop for the answer at a request's deadline

A request whose deadline was just before the end of the grace time was taken, and its answer that the time was over, given up to 0.08 s after the deadline, was cut: the caller got a closed connection for it. It needs 0.1 s more now. The test failed before: taken with 0.05 s between its deadline and the stop's end.

--- a/packages/daemon/src/martenquay_daemon/forwarding/stop_window.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/stop_window.py
@@ -25,6 +25,9 @@
 # of 2,467 chats 1% took more than 2.3 times the mean, of 8,514 streams of all
 # lengths 5% more than 2.6 times.
 _MAX_DURATION_FACTOR = 3.0
+# From a request's deadline to the end of the answer that tells of it: a
+# runner's own answer is waited for 0.08 s longer.
+_DEADLINE_ANSWER_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -104,30 +107,27 @@
         """
         if self._find_deadline is None:
             return 0.0
-        max_duration_s = self._estimate_max_duration(request)
-        return max(
-            0.0, trio.current_time() + max_duration_s - self._find_deadline()
-        )
+        left_s = self._find_deadline() - trio.current_time()
+        return max(0.0, self._estimate_max_duration(request) - left_s)
 
     def _estimate_max_duration(self, request: NewRequest) -> float:
         """Return the longest expected duration of a request in seconds."""
         is_stream = request.kind is catalog.CallKind.STREAM
+        budget_s = request.time_left_s + _DEADLINE_ANSWER_S
         if not is_stream or request.max_tokens is None or self._is_notice_over:
-            return request.time_left_s
+            return budget_s
         tokens = request.max_tokens
         mean_s = self._stream_durations.find_mean_s(request.service, tokens)
         slowest_s = self._stream_durations.find_slowest_s(
             request.service, tokens
         )
         if mean_s is None or slowest_s is None:
-            return request.time_left_s
+            return budget_s
         slowdown = self._find_slowdown(request.service) / min(
             1.0, request.speed
         )
         usual_s = max(_MAX_DURATION_FACTOR * mean_s, slowest_s)
-        return min(
-            request.time_left_s, request.first_event_s + slowdown * usual_s
-        )
+        return min(budget_s, request.first_event_s + slowdown * usual_s)
 
     def _find_slowdown(self, service: str) -> float:
         """Return the slowdown of the slowest stream in progress."""
--- a/tests/test_forwarding/test_stop_window.py
+++ b/tests/test_forwarding/test_stop_window.py
@@ -58,6 +58,16 @@
     ) -> None:
         self.assertEqual(0.0, self._find_overrun(3.4, budget_s=4.0))
 
+    def test_the_answer_at_the_deadline_needs_time_before_the_end(
+        self,
+    ) -> None:
+        kind = catalog.CallKind.NON_IDEMPOTENT
+        for budget_s, is_accepted in [(4.05, True), (4.15, False)]:
+            overrun_s = self._find_overrun(
+                3.4, budget_s=budget_s, kind=kind, tokens=None
+            )
+            self.assertEqual(is_accepted, overrun_s == 0.0, budget_s)
+
     def test_without_known_lengths_the_deadline_counts(self) -> None:
         self.assertGreater(self._find_overrun(0.0, samples=1), 0.0)
         self.assertEqual(0.0, self._find_overrun(0.0, samples=1, budget_s=5.0))
