--- a/packages/daemon/src/martenquay_daemon/forwarding/listener.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/listener.py
@@ -31,6 +31,8 @@
 # deadline. Three probes, since callers may be on distant, lossy networks.
 _KEEPALIVE = keepalive.KeepAlive(idle_s=3, probes=3)
 _MAX_LISTED = 5
+# Callers choose the ids.
+_MAX_ID_LENGTH = 64
 _RESOURCE_ERRNOS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS})
 
 
@@ -84,7 +86,8 @@
         busy.sort(key=lambda one: one.received_at)
         now = trio.current_time()
         return [
-            f"{one.call_id or 'unread'} {now - one.received_at:.1f} s"
+            f"{one.call_id[:_MAX_ID_LENGTH] or 'unread'} "
+            f"{now - one.received_at:.1f} s"
             for one in busy[:_MAX_LISTED]
         ]
 
