--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
@@ -27,8 +27,9 @@
 # Pipelined bytes that are buffered while a request is being answered; without
 # a limit a caller could fill the daemon's memory.
 _MAX_PIPELINED_BYTES = 65_536
-# After an early rejection unread bytes are discarded for this long: closing
-# with unread bytes sends a reset, and the caller would lose the answer.
+# After the last answer unread bytes are discarded for this long: closing with
+# unread bytes sends a reset, and the caller would lose what it has not received
+# of the answer.
 _LINGER_TIMEOUT_S = 1.0
 # A caller has to accept each chunk of an answer within the timeout. TCP
 # keep-alive doesn't find one that reads a few bytes now and then.
@@ -134,6 +135,9 @@
 
     Attributes:
         is_idle: No request is being read or answered.
+        call_id: Id of the current request; empty until its head has been
+            read.
+        received_at: When its first byte arrived, on trio's clock.
     """
 
     def __init__(
@@ -153,9 +157,8 @@
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
         )
         self._has_partial_write = False
-        self._received_at = 0.0
-        # Empty until the head of the current request has been read.
-        self._call_id = ""
+        self.received_at = 0.0
+        self.call_id = ""
         self._idle_scope: trio.CancelScope | None = None
 
     @property
@@ -170,7 +173,7 @@
                 self._http.start_next_cycle()
         except _CallerDisconnectedError:
             disconnects.log_disconnect(
-                self._call_id, disconnects.Stage.READING, self._received_at
+                self.call_id, disconnects.Stage.READING, self.received_at
             )
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # The caller disconnected during a rejection or `100 Continue`;
@@ -197,7 +200,7 @@
         headers = list(headers)
         if length is not None:
             headers.append((b"content-length", str(length).encode()))
-        if self._listener_state.is_closing:
+        if self._listener_state.is_closing and not self._has_next_request():
             headers.append((b"connection", b"close"))
         await self.send_event(
             h11.Response(status_code=status, headers=headers, reason=b"")
@@ -245,7 +248,7 @@
         """Serve one request; return whether another may follow."""
         self._limits = self._listener_state.find_limits()
         self.is_idle = True
-        self._call_id = ""
+        self.call_id = ""
         try:
             call = await self._read_call()
         except _RequestRejectedError as rejected:
@@ -256,9 +259,27 @@
         writer = await self._handle_call(call)
         if writer.is_aborted or not writer.has_started:
             return False
-        if self._http.our_state is not h11.DONE:
-            return False
-        return self._http.their_state is h11.DONE
+        if h11.DONE is self._http.our_state is self._http.their_state:
+            return True
+        await self._end_sending()
+        return False
+
+    def _has_next_request(self) -> bool:
+        """Return whether bytes of a further request have been read.
+
+        The caller sent them without knowing that the connection will close.
+        """
+        buffered, _ = self._http.trailing_data
+        return bool(buffered.strip())
+
+    async def _end_sending(self) -> None:
+        """End the sending side and discard what the caller still sends."""
+        # The caller has its answer: a stop's notice need not wait for it.
+        self.is_idle = True
+        with trio.move_on_after(_LINGER_TIMEOUT_S):
+            await self._stream.send_eof()
+            while await self._stream.receive_some(_RECEIVE_BYTES):
+                pass
 
     async def _handle_call(self, call: calls.Call) -> _AnswerWriter:
         """Run the handler, and cancel it if the caller disconnects."""
@@ -266,7 +287,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_for_disconnect, nursery.cancel_scope)
             try:
-                await self._handler.handle(call, self._received_at, writer)
+                await self._handler.handle(call, self.received_at, writer)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 # Sending to the caller failed; the handler raises these for
                 # nothing else.
@@ -324,7 +345,7 @@
         target = head.target.decode("latin-1")
         self._check_size_limits(target, headers)
         call = self._codec.decode_call(method, target, headers)
-        self._call_id = call.id
+        self.call_id = call.id
         body = await self._read_body(headers)
         return dataclasses.replace(call, body=body)
 
@@ -334,7 +355,7 @@
             if not await self._wait_for_first_bytes():
                 return None
         else:
-            self._received_at = trio.current_time()
+            self.received_at = trio.current_time()
         self.is_idle = False
         with trio.move_on_after(self._limits.header_s):
             while True:
@@ -354,14 +375,14 @@
         """Wait for a request to start; False after the idle timeout."""
         buffered, _ = self._http.trailing_data
         if buffered:
-            self._received_at = trio.current_time()
+            self.received_at = trio.current_time()
             return True
         with trio.move_on_after(self._limits.idle_s) as scope:
             self._idle_scope = scope
             if self._listener_state.is_stopped:
                 self._shorten_idle_wait(scope)
             await self._receive()
-            self._received_at = trio.current_time()
+            self.received_at = trio.current_time()
         self._idle_scope = None
         return not scope.cancelled_caught
 
@@ -456,7 +477,4 @@
         await answers.send_own_answer(
             _AnswerWriter(self), self._codec, "", answer
         )
-        with trio.move_on_after(_LINGER_TIMEOUT_S):
-            await self._stream.send_eof()
-            while await self._stream.receive_some(_RECEIVE_BYTES):
-                pass
+        await self._end_sending()
--- a/packages/daemon/src/martenquay_daemon/forwarding/listener.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/listener.py
@@ -31,6 +31,9 @@
 # find one whose host is gone; it would keep a runner working until the
 # deadline. Three probes, since callers may be on distant, lossy networks.
 _KEEPALIVE = keepalive.KeepAlive(idle_s=3, probes=3)
+_MAX_LISTED = 5
+# Callers choose the ids.
+_MAX_ID_LENGTH = 64
 _RESOURCE_ERRNOS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS})
 
 
@@ -73,8 +76,23 @@
         if self.is_stopped:
             # An idle connection may hold an unread request until it closes.
             return len(self._connections) + self._is_draining
+        return self.count_requests()
+
+    def count_requests(self) -> int:
+        """Return how many connections have a request in progress."""
         return sum(not connection.is_idle for connection in self._connections)
 
+    def list_requests(self) -> list[str]:
+        """Return the oldest requests in progress, each with its age."""
+        busy = [one for one in self._connections if not one.is_idle]
+        busy.sort(key=lambda one: one.received_at)
+        now = trio.current_time()
+        return [
+            f"{one.call_id[:_MAX_ID_LENGTH] or 'unread'} "
+            f"{now - one.received_at:.1f} s"
+            for one in busy[:_MAX_LISTED]
+        ]
+
     def begin_closing(self) -> None:
         """Have each connection close after its next answer."""
         self.is_closing = True
--- a/packages/daemon/src/martenquay_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/stream_relay.py
@@ -113,6 +113,7 @@
         if not current.writer.has_started:
             return exchange.Broken("the stream ended without an event")
         self._note_events(current, is_whole=True)
+        current.stage = disconnects.Stage.DELIVERING
         await current.writer.finish()
         return exchange.Delivered()
 
@@ -125,7 +126,13 @@
         self._model.note_end(current.service, held_s)
         tokens = current.call.tokens_out
         if tokens and current.first_event_s is not None:
-            self._streams.note(current.service, first_event_s, tokens, held_s)
+            self._streams.note(
+                current.service,
+                first_event_s,
+                tokens,
+                held_s,
+                current.attempt_events,
+            )
 
     def _record_first_event(
         self,
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -160,10 +160,26 @@
         """Return how many requests of callers or other daemons it serves."""
         return self.listener.count_busy() + self.relay.count_tunnels()
 
+    def count_unfinished(self) -> int:
+        """Return how many requests would be cut off now."""
+        return self.listener.count_requests() + self.relay.count_tunnels()
+
+    def describe_busy(self) -> dict[str, object]:
+        """Return what a stop waits for, as fields of a log line."""
+        return {
+            "connections": self.listener.count_busy(),
+            "tunnels": self.relay.count_tunnels(),
+            "requests": self.listener.list_requests(),
+        }
+
     def find_retry_bounds(self) -> retry_window.RetryBounds:
         """Return the current bounds on retries."""
         return self._retries.bounds
 
+    def end_notice(self) -> None:
+        """Forward only requests whose deadline is within the stop."""
+        self._stop_window.end_notice()
+
     async def begin_stop(self, find_deadline: Callable[[], float]) -> None:
         """Fail readiness, close connections after answers, release the lease.
 
--- a/tests/test_platform/process_scene.py
+++ b/tests/test_platform/process_scene.py
@@ -24,6 +24,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
+    from tests import paced_runner
+
 __all__ = ["ProcessScene", "open_process_scene"]
 
 _PROGRAM = pathlib.Path(__file__).parents[2] / "platform" / "martenquayd.py"
@@ -78,12 +80,16 @@
 
     Attributes:
         program: The process.
-        runner: The runner; its first stream waits for `resume` before its
-            last event, later streams never end.
+        startup_module: Source that the interpreter runs at its start; empty
+            for none.
+        grace_s: The grace time in the settings; `change_settings` writes it.
+        runner: The runner; unless another is given, its first stream waits for
+            `resume` before its last event, later streams never end.
         resume: Lets the runner end its first stream.
         texts: The texts of the daemon's log lines.
         settings: The daemon's settings file.
         platform: The platform's store.
+        lines: The daemon's log lines.
     """
 
     def __init__(
@@ -93,6 +99,7 @@
         log_address: str,
         listen: dict[str, Any],
         grace_s: float,
+        runner: paced_runner.PacedRunner | None,
     ) -> None:
         self.resume = trio.Event()
         first_script = scripted.Script(_ANSWER_PIECES, resume=self.resume)
@@ -100,8 +107,11 @@
         endless_script = scripted.Script(
             (head, _ANSWER_PIECES[1]), is_held=True
         )
-        self.runner = scripted.ScriptedRunner([first_script, endless_script])
+        self.runner = runner or scripted.ScriptedRunner(
+            [first_script, endless_script]
+        )
         self.texts: list[str] = []
+        self.lines: list[dict[str, Any]] = []
         self.program: programs.Program | None = None
         self._folder = folder
         self._import_pipe: pathlib.Path | None = None
@@ -109,8 +119,9 @@
         self.platform = platform
         self.settings = folder / "settings.jsonc"
         self._listen = listen
-        self._grace_s = grace_s
+        self.grace_s = grace_s
         self._retry_slack = 52
+        self.startup_module = ""
         self._log_address = log_address
         self.write_settings()
 
@@ -124,11 +135,30 @@
             env["PYTHONPATH"] = (
                 f"{self._write_blocking_module()}{os.pathsep}{inherited}"
             )
+        if self.startup_module:
+            inherited = env.get("PYTHONPATH", "")
+            env["PYTHONPATH"] = f"{self._folder}{os.pathsep}{inherited}"
+            module = self._folder / "sitecustomize.py"
+            module.write_text(self.startup_module)
         program = await programs.start_program("daemon", [str(_PROGRAM)], env)
         self.program = program
         nursery.start_soon(self._read_lines, program)
         nursery.start_soon(program.read_errors)
 
+    async def restart(self, nursery: trio.Nursery) -> None:
+        """Start the daemon's process again after it has exited."""
+        self.texts.clear()
+        self.lines.clear()
+        self._log_read = trio.Event()
+        await self.start(nursery, blocks_imports=False)
+
+    def find_address(self) -> str:
+        """Return where callers are served; empty until they are."""
+        for text in self.texts:
+            if text.startswith(_STARTED_PREFIX):
+                return text.removeprefix(_STARTED_PREFIX).rstrip(".")
+        return ""
+
     def send_signals(self, *numbers: signal.Signals) -> None:
         """Send signals to the process, one after the other."""
         assert self.program is not None, "the process is not started"
@@ -155,7 +185,7 @@
         content["platform"] = {"log": self._log_address}
         content["listen"] |= self._listen
         content["bounds"]["retry_slack"] = self._retry_slack
-        content["bounds"]["grace_s"] = self._grace_s
+        content["bounds"]["grace_s"] = self.grace_s
         return json.dumps(content)
 
     def write_settings(self) -> None:
@@ -247,6 +277,7 @@
 
     def _add_text(self, line: dict[str, Any]) -> None:
         self.texts.append(line.get("text", ""))
+        self.lines.append(line)
 
     def _check_running(self) -> None:
         assert self.program is not None, "the process is not started"
@@ -276,6 +307,9 @@
     listen: dict[str, Any] | None = None,
     grace_s: float = _GRACE_S,
     prepare: Callable[[ProcessScene], None] | None = None,
+    runner: paced_runner.PacedRunner | None = None,
+    relay: str = "",
+    startup_module: str = "",
 ) -> AsyncIterator[ProcessScene]:
     """Start a platform, a runner and a daemon; stop them on exit.
 
@@ -286,6 +320,9 @@
             replace those of `builders.build_gateway_settings`.
         grace_s: The daemon's grace time in seconds.
         prepare: Called before the daemon is started.
+        runner: Serves in place of the scripted runner.
+        relay: Address at which the daemon serves tunnels; empty for any.
+        startup_module: Source that the daemon's interpreter runs at its start.
     """
     async with trio.open_nursery() as nursery:
         platform = store.StoreStandIn(lambda *_, **__: None)
@@ -295,9 +332,11 @@
                 pathlib.Path(folder),
                 platform,
                 running_store.address,
-                listen or {},
+                _add_relay(listen or {}, relay),
                 grace_s,
+                runner,
             )
+            scene.startup_module = startup_module
             await nursery.start(scene.runner.run)
             await _write_records(platform, scene.runner.address)
             if prepare is not None:
@@ -311,6 +350,14 @@
         nursery.cancel_scope.cancel()
 
 
+def _add_relay(listen: dict[str, Any], relay: str) -> dict[str, Any]:
+    """Return the settings of addresses, with that of the relay if given."""
+    if not relay:
+        return listen
+    ip, _, port = relay.rpartition(":")
+    return {**listen, "ip": ip, "relay_port": int(port)}
+
+
 async def _write_records(platform: store.StoreStandIn, runner: str) -> None:
     """Write the configuration and the runner's entry to the log."""
     entry = {
@@ -318,7 +365,7 @@
         "Addr": runner,
         "Zone": "a",
         "Version": "v1",
-        "Slots": 4,
+        "Slots": 64,
         "State": "ready",
         "ColdLeftMs": 0,
         "Seq": 1,
