Bound an event of a stream, and find its end however it is split

A CRLF was replaced within one read only, so an event's end that was split between two reads was never found and the stream ended as broken. An id of over 4,300 digits raised ValueError, which was answered as a fault of the daemon.

A refused event is a broken answer: the ejector counts it, the line of the attempt names runner and request, and the request goes on elsewhere if it may.

Lines that end in CR alone complete an event at once; a LF behind them belongs to the next event. With other line ends the CR of a blank line waits for its LF. So any division into reads gives the same events.

Ruled out: 256 KB as the bound, since an existing test has events of 1 MB.

--- a/packages/daemon/src/martenquay_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/stream_relay.py
@@ -82,40 +82,71 @@
             is_end: Returns whether a stream that ends is complete, as opposed
                 to stopped by a move.
         """
-        splitter = event_stream.EventSplitter()
-        has_first_event = False
-        async for chunk in connection.iterate_body():
-            events = splitter.feed(chunk)
-            current.attempt_events += len(events)
-            self._note_events(current, is_whole=False)
-            if events and not has_first_event:
-                has_first_event = True
-                connection.has_first_event = True
-                running.note_first_event()
-                took_s = trio.current_time() - current.sent_at
-                self._record_first_event(current, placement, took_s)
-                # A moved run was counted where it sent its first event.
-                if current.kv_source is None or not current.events_delivered:
-                    usage_entry.UsageEntry(self._usage, current.team).count()
-            elif events and current.watch is not None:
-                self._speeds.note_events(
-                    current.watch, len(events), trio.current_time()
+        splitter = event_stream.EventSplitter(
+            is_continued=current.writer.has_started
+        )
+        try:
+            async for chunk in connection.iterate_body():
+                problem = await self._take_events(
+                    current,
+                    placement,
+                    head,
+                    connection,
+                    running,
+                    splitter.feed(chunk),
                 )
-            problem = await self._relay_events(
-                current, placement.runner, head, events
+                if problem:
+                    return exchange.Broken(problem)
+            problem = await self._take_events(
+                current,
+                placement,
+                head,
+                connection,
+                running,
+                splitter.finish(),
             )
-            if problem:
-                return exchange.Broken(problem)
-        if splitter.rest:
+        except event_stream.OversizedEventError as error:
+            return exchange.Broken(str(error))
+        if problem:
+            return exchange.Broken(problem)
+        if splitter.is_inside_event:
             return exchange.Broken("the stream ended in the middle of an event")
         if not await is_end():
             return exchange.Broken("the run was stopped to continue elsewhere")
         if not current.writer.has_started:
             return exchange.Broken("the stream ended without an event")
         self._note_events(current, is_whole=True)
+        # Blank lines behind the last event.
+        await current.writer.write(splitter.rest)
         await current.writer.finish()
         return exchange.Delivered()
 
+    async def _take_events(
+        self,
+        current: exchange.Exchange,
+        placement: placer.Placement,
+        head: calls.AnswerHead,
+        connection: runner_connection.RunnerConnection,
+        running: loads.Running,
+        events: list[event_stream.Event],
+    ) -> str:
+        """Record events and relay them; return a problem, or ""."""
+        current.attempt_events += len(events)
+        self._note_events(current, is_whole=False)
+        if events and not connection.has_first_event:
+            connection.has_first_event = True
+            running.note_first_event()
+            took_s = trio.current_time() - current.sent_at
+            self._record_first_event(current, placement, took_s)
+            # A moved run was counted where it sent its first event.
+            if current.kv_source is None or not current.events_delivered:
+                usage_entry.UsageEntry(self._usage, current.team).count()
+        elif events and current.watch is not None:
+            self._speeds.note_events(
+                current.watch, len(events), trio.current_time()
+            )
+        return await self._relay_events(current, placement.runner, head, events)
+
     def record_slot_time(self, current: exchange.Exchange) -> None:
         """Record how long a complete answer held its slot."""
         # Time before the first event is left out: it includes the wait for a
--- /dev/null
+++ b/tests/step_timer.py
@@ -0,0 +1,45 @@
+"""Measure how long single steps of trio tasks hold the loop."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import trio
+
+if TYPE_CHECKING:
+    from trio.lowlevel import Task
+
+__all__ = ["MAX_STEP_S", "StepTimer"]
+
+# All other requests wait for a step. Runners are tried again elsewhere, and
+# links are kept alive, within some tenths of a second.
+MAX_STEP_S = 0.05
+
+
+class StepTimer(trio.abc.Instrument):
+    """Records the longest step between two checkpoints, in processor time.
+
+    Processor time, as other programs on the machine take none of it.
+
+    Attributes:
+        longest_s: The longest step, in seconds.
+        task_name: The task whose step it was.
+    """
+
+    def __init__(self) -> None:
+        self.longest_s = 0.0
+        self.task_name = ""
+        self._began_at = 0.0
+
+    def before_task_step(self, task: Task) -> None:
+        """Begin to measure; implements `trio.abc.Instrument`."""
+        del task
+        self._began_at = time.thread_time()
+
+    def after_task_step(self, task: Task) -> None:
+        """End to measure; implements `trio.abc.Instrument`."""
+        took_s = time.thread_time() - self._began_at
+        if took_s > self.longest_s:
+            self.longest_s = took_s
+            self.task_name = task.name
--- /dev/null
+++ b/tests/test_forwarding/test_endless_answers.py
@@ -0,0 +1,108 @@
+"""Bytes of runners that come without end cost the daemon little."""
+
+from __future__ import annotations
+
+import testtools
+import trio
+
+from martenquay_core.serving import catalog
+from martenquay_standins.ports import runner as scripted
+from martenquay_standins.ports.runner import Script
+from tests import endless_runner, serving_scene, step_timer
+from tests import forwarder_case as case
+from tests import serving_builders as builders
+from tests.endless_runner import EndlessAnswer
+
+_HANG_S = 30.0
+_HEAD = b"HTTP/1.1 200 OK\r\nattempt-id: call-1\r\nserver-seal: s1\r\n"
+_UNSIZED = _HEAD + b"\r\n"
+_CHUNKED = _HEAD + b"transfer-encoding: chunked\r\n\r\n"
+_EVENT = b"id: %d\r\ndata: token %d\r\n\r\n"
+_BUDGET_MS = 3000
+# What the two kernels' buffers of a loopback connection hold, and what one
+# answer may hold in the daemon.
+_MAX_TAKEN_BYTES = 24_000_000
+
+
+class EndlessAnswerTest(testtools.TestCase):
+    """One runner of two answers for ever; the other one is healthy."""
+
+    kind = catalog.CallKind.IDEMPOTENT
+
+    def _play(
+        self,
+        answer: EndlessAnswer,
+        good: Script,
+        *,
+        max_attempts: int = 2,
+    ) -> tuple[serving_scene.Reply, endless_runner.EndlessRunner, float]:
+        """Ask until the endless runner got a request.
+
+        Returns the reply to this request, the runner, and how long it took.
+        """
+        found: list[
+            tuple[serving_scene.Reply, endless_runner.EndlessRunner, float]
+        ] = []
+        timer = step_timer.StepTimer()
+        route = builders.build_route(
+            kind=self.kind, max_attempts=max_attempts, is_resumable=True
+        )
+        content = builders.build_catalog(routes=(route,))
+
+        async def run() -> None:
+            with trio.fail_after(_HANG_S):
+                async with (
+                    trio.open_nursery() as nursery,
+                    serving_scene.open_scene(content) as scene,
+                ):
+                    endless = endless_runner.EndlessRunner(answer)
+                    healthy = scripted.ScriptedRunner([good])
+                    await nursery.start(endless.run)
+                    await nursery.start(healthy.run)
+                    scene.add_runner(endless.address)
+                    scene.add_runner(healthy.address)
+                    while not endless.requests:
+                        began_at = trio.current_time()
+                        reply = await scene.ask(
+                            case.CALL % (b"GET /lookup/7", _BUDGET_MS)
+                        )
+                        took_s = trio.current_time() - began_at
+                    found.append((reply, endless, took_s))
+                    nursery.cancel_scope.cancel()
+
+        trio.run(run, instruments=[timer])
+        self.assertLess(timer.longest_s, step_timer.MAX_STEP_S, timer.task_name)
+        return found[0]
+
+    def _assert_goes_on_elsewhere(
+        self, answer: EndlessAnswer, good: Script, body: bytes
+    ) -> None:
+        reply, endless, took_s = self._play(answer, good)
+        self.assertEqual(200, reply.status)
+        self.assertTrue(reply.is_whole)
+        self.assertEqual(body, reply.body)
+        self.assertLess(endless.sent_bytes, _MAX_TAKEN_BYTES)
+        self.assertLess(took_s, _BUDGET_MS / 1000)
+
+
+class EndlessStreamTest(EndlessAnswerTest):
+    kind = catalog.CallKind.STREAM
+
+    def _assert_stream_goes_on(self, answer: EndlessAnswer) -> None:
+        events = [_EVENT % (number, number) for number in (1, 2, 3)]
+        chunks = b"".join(b"%x\r\n%s\r\n" % (len(e), e) for e in events)
+        good = Script((_CHUNKED + chunks + b"0\r\n\r\n",))
+        self._assert_goes_on_elsewhere(answer, good, b"".join(events))
+
+    def test_a_body_without_an_events_end(self) -> None:
+        self._assert_stream_goes_on(EndlessAnswer(_UNSIZED, b"x"))
+
+    def test_lines_without_a_blank_line(self) -> None:
+        self._assert_stream_goes_on(EndlessAnswer(_UNSIZED, b"data: x\r\n"))
+
+    def test_blank_lines_alone(self) -> None:
+        self._assert_stream_goes_on(EndlessAnswer(_UNSIZED, b"\r\n"))
+
+    def test_an_event_without_an_end_behind_good_ones(self) -> None:
+        first = _UNSIZED + _EVENT % (1, 1) + b"data: "
+        self._assert_stream_goes_on(EndlessAnswer(first, b"x"))
