Pass on the events before a gap that came with it

Seen while pieces of a body were joined into one; on the new test gets events 3 and 4 alone where 1 to 4 are expected.

The events before the gap are now written, and the next attempt goes on after them. Also, further events that come together with the first one are noted for the engine's speed; before, only those of later reads were.

--- a/packages/daemon/src/martenquay_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/stream_relay.py
@@ -141,9 +141,12 @@
             # A moved run was counted where it sent its first event.
             if current.kv_source is None or not current.events_delivered:
                 usage_entry.UsageEntry(self._usage, current.team).count()
-        elif events and current.watch is not None:
+            later_events = len(events) - 1
+        else:
+            later_events = len(events)
+        if later_events and current.watch is not None:
             self._speeds.note_events(
-                current.watch, len(events), trio.current_time()
+                current.watch, later_events, trio.current_time()
             )
         return await self._relay_events(current, placement.runner, head, events)
 
@@ -192,20 +195,24 @@
     ) -> str:
         """Write the events that the caller lacks; return a problem, or ""."""
         new_events = []
+        problem = ""
         for event in events:
             last = current.last_event_id
             if event.id is not None and last is not None:
                 if event.id <= last:
                     continue
                 if event.id > last + 1:
-                    return (
+                    # The events before it go to the caller, as the next
+                    # runner goes on after them.
+                    problem = (
                         f"event {event.id} follows event {last}; some are lost"
                     )
+                    break
             if event.id is not None:
                 current.last_event_id = event.id
             new_events.append(event.raw)
         if not new_events:
-            return ""
+            return problem
         current.stage = disconnects.Stage.STREAMING
         if current.software is None:
             current.software = runner.software
@@ -216,4 +223,4 @@
             await current.writer.start(head.status, head.headers, None)
         current.events_delivered += len(new_events)
         await current.writer.write(b"".join(new_events))
-        return ""
+        return problem
--- a/tests/test_forwarding/test_forwarder_streams.py
+++ b/tests/test_forwarding/test_forwarder_streams.py
@@ -100,6 +100,18 @@
         self.assertFalse(reply.is_whole)
         self.assertNotIn(b"token 3", reply.body)
 
+    def test_the_events_before_a_gap_in_one_read_are_passed_on(self) -> None:
+        # The next runner is asked to go on after them.
+        gap = Script((_stream(_event(1) + _event(2) + _event(4)),))
+        rest = Script((_stream(_event(3), _event(4)),))
+        reply, sent = self._ask_stream([gap], [rest])
+        if not sent[0]:
+            reply, sent = self._ask_stream([rest], [gap])
+        self.assertEqual([1, 1], [len(requests) for requests in sent])
+        whole = b"".join(_event(number) for number in (1, 2, 3, 4))
+        self.assertEqual(whole, reply.body)
+        self.assertTrue(reply.is_whole)
+
     def test_a_stream_that_cannot_go_on_does_not_look_whole(self) -> None:
         cut = Script((_stream(_event(1), end=_CUT),))
         reply, sent = self._ask_stream([cut], [cut], is_resumable=False)
