Bound what a runner's answer may hold, and how long it holds the loop

A runner whose answer came without end was read until the deadline: plain answers into memory (a body, one with a huge length, a failure that is kept for later, chunks; 200 MB, the limit of the test, were taken of each), and interim answers, chunks with long extensions and trailers as fast as they came. Chunks of one byte were parsed without a checkpoint: single steps of 138 and 176 ms at 64 KB a read, in which no other request is served. A length of thousands of digits raised ValueError in the handler.

Bytes that are no body may be 256 KB beyond the body. Parsing passes a checkpoint each 256 parts, and the parts of one read are joined. What is given up is a broken answer, like one that breaks off: counted by the ejector, told by the line of the attempt, sent elsewhere if it may be repeated, else answered 502.

`stop_reading` relied on a shutdown, after which Linux still receives what is sent: a body without end did not end. It counts the bytes that have arrived.

Ruled out: a limit of the number of interim answers, which the bound on framing includes; eight bytes of framing for each of body, which let chunks of one byte run to the deadline.

--- a/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
@@ -10,8 +10,11 @@
 
 import contextlib
 import dataclasses
+import fcntl
 import socket
 import struct
+import sys
+import termios
 from typing import TYPE_CHECKING
 
 import h11
@@ -29,6 +32,7 @@
     StreamOpener = Callable[[str, float, float], Awaitable["OpenedStream"]]
 
 __all__ = [
+    "MAX_ANSWER_BYTES",
     "BrokenAnswerError",
     "NotConnectedError",
     "OpenedStream",
@@ -38,7 +42,17 @@
     "open_stream",
 ]
 
-_RECEIVE_BYTES = 65_536
+# Body of an answer that is held whole; streams have no bound of this kind. The
+# pages set it for bodies of requests (the default of `MaxBodyBytes`).
+MAX_ANSWER_BYTES = 4_194_304
+_RECEIVE_BYTES = 16_384
+# Bytes that are no body: heads, interim answers, trailers, and what frames
+# chunks. A chunk of one byte has five others, so an answer of 50,000 of them is
+# accepted; a larger one has to have no more framing than body.
+_MAX_FRAMING_BYTES = 262_144
+# Parts of one read that are parsed without a checkpoint: about 5 ms, as each
+# chunk takes some 15 us.
+_PARTS_PER_STEP = 256
 # SO_LINGER with a timeout of 0 s: close() resets the connection. Otherwise the
 # kernel would retransmit an abandoned request after a network partition.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -120,6 +134,13 @@
         self.has_peer_closed = False
         self._stream = opened.stream
         self._http = h11.Connection(h11.CLIENT)
+        self._received_bytes = 0
+        self._body_bytes = 0
+        self._parts = 0
+        # As the head announces; 0 if it does not.
+        self._length = 0
+        # Bytes that may still be read; None before `stop_reading`.
+        self._unread_bytes: int | None = None
 
     async def send_request(self, request: RunnerRequest) -> None:
         """Send the request.
@@ -151,27 +172,44 @@
                 or the bytes are not HTTP.
         """
         while True:
-            event = await self._next_event()
-            match event:
+            match await self._parse_event():
                 case h11.Response(status_code=status, headers=headers):
                     self.has_response_head = True
+                    self._length = _find_length(headers)
                     return status, list(headers)
                 case h11.InformationalResponse():
                     continue
+                case h11.NEED_DATA:
+                    await self._receive()
                 case _:
                     raise BrokenAnswerError("closed without an answer")
 
     async def iterate_body(self) -> AsyncIterator[bytes]:
-        """Yield chunks of the body as they arrive.
+        """Yield pieces of the body as they arrive.
 
         Raises:
-            BrokenAnswerError: The body ended early.
+            BrokenAnswerError: The body ended early, or its framing is larger
+                than it may be.
         """
+        piece = bytearray()
         while True:
-            event = await self._next_event()
+            try:
+                event = await self._parse_event()
+            except BrokenAnswerError:
+                if piece:
+                    yield bytes(piece)
+                raise
             match event:
                 case h11.Data(data=data):
-                    yield bytes(data)
+                    piece += data
+                    self._body_bytes += len(data)
+                    continue
+                case _ if piece:
+                    yield bytes(piece)
+                    piece.clear()
+            match event:
+                case h11.NEED_DATA:
+                    await self._receive()
                 case h11.EndOfMessage():
                     return
                 case _:
@@ -181,43 +219,86 @@
         """Return the whole body.
 
         Raises:
-            BrokenAnswerError: The body ended early.
+            BrokenAnswerError: The body ended early, or has more than
+                `MAX_ANSWER_BYTES`.
         """
-        chunks = [chunk async for chunk in self.iterate_body()]
-        return b"".join(chunks)
+        if self._length > MAX_ANSWER_BYTES:
+            raise _create_oversized_error()
+        body = bytearray()
+        async for piece in self.iterate_body():
+            body += piece
+            if len(body) > MAX_ANSWER_BYTES:
+                raise _create_oversized_error()
+        return bytes(body)
 
     def stop_reading(self) -> None:
         """Make the body end after the bytes that have arrived."""
         with contextlib.suppress(OSError):
+            # Linux still receives what is sent after a shutdown.
+            unread = fcntl.ioctl(
+                self._stream.socket.fileno(), termios.FIONREAD, bytes(4)
+            )
+            self._unread_bytes = int.from_bytes(unread, sys.byteorder)
             self._stream.socket.shutdown(socket.SHUT_RD)
 
     async def close(self) -> None:
         """Reset the connection, so that the runner stops unfinished work."""
         await trio.aclose_forcefully(self._stream)
 
-    async def _next_event(self) -> h11.Event:
-        while True:
-            try:
-                event = self._http.next_event()
-            except h11.RemoteProtocolError as error:
-                raise BrokenAnswerError(f"no HTTP answer: {error}") from error
-            if event is not h11.NEED_DATA:
-                return event
-            try:
-                data = await self._stream.receive_some(_RECEIVE_BYTES)
-            except (
-                trio.BrokenResourceError,
-                trio.ClosedResourceError,
-            ) as error:
-                self.has_peer_closed = isinstance(
-                    error.__cause__, ConnectionResetError
-                )
-                # Not passed on to h11 as the end of the stream: that would
-                # complete a response without a content length.
-                raise BrokenAnswerError(f"reset: {error}") from error
-            self.last_activity_at = trio.current_time()
-            self.has_peer_closed = not data
-            self._http.receive_data(data)
+    async def _parse_event(self) -> h11.Event | type[h11.NEED_DATA]:
+        self._parts += 1
+        if self._parts % _PARTS_PER_STEP == 0:
+            await trio.lowlevel.checkpoint()
+        try:
+            return self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            raise BrokenAnswerError(f"no HTTP answer: {error}") from error
+
+    async def _receive(self) -> None:
+        """Receive bytes and pass them to the parser.
+
+        Raises:
+            BrokenAnswerError: The connection was reset, or too many bytes are
+                no body.
+        """
+        framing_bytes = self._received_bytes - self._body_bytes
+        if framing_bytes > _MAX_FRAMING_BYTES + self._body_bytes:
+            raise BrokenAnswerError(
+                f"{framing_bytes} bytes frame {self._body_bytes} of the body"
+            )
+        size = _RECEIVE_BYTES
+        if self._unread_bytes is not None:
+            size = min(size, self._unread_bytes)
+        try:
+            data = await self._stream.receive_some(size) if size else b""
+        except (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+        ) as error:
+            self.has_peer_closed = isinstance(
+                error.__cause__, ConnectionResetError
+            )
+            # Not passed on to h11 as the end of the stream: that would
+            # complete a response without a content length.
+            raise BrokenAnswerError(f"reset: {error}") from error
+        if self._unread_bytes is not None:
+            self._unread_bytes -= len(data)
+        self._received_bytes += len(data)
+        self.last_activity_at = trio.current_time()
+        self.has_peer_closed = not data
+        self._http.receive_data(data)
+
+
+def _find_length(headers: calls.Headers) -> int:
+    for name, value in headers:
+        if name == b"content-length":
+            # The parser has checked that it is a number.
+            return int(value)
+    return 0
+
+
+def _create_oversized_error() -> BrokenAnswerError:
+    return BrokenAnswerError(f"the body has more than {MAX_ANSWER_BYTES} bytes")
 
 
 async def open_stream(
--- a/tests/test_forwarding/test_endless_answers.py
+++ b/tests/test_forwarding/test_endless_answers.py
@@ -85,6 +85,65 @@
         self.assertLess(took_s, _BUDGET_MS / 1000)
 
 
+_FINE = Script((case.build_answer(200, b"fine", case.SEAL),))
+
+
+class EndlessPlainAnswerTest(EndlessAnswerTest):
+    def _assert_call_goes_on(self, first: bytes, piece: bytes) -> None:
+        answer = EndlessAnswer(first, piece)
+        self._assert_goes_on_elsewhere(answer, _FINE, b"fine")
+
+    def test_a_head_in_one_line(self) -> None:
+        self._assert_call_goes_on(b"HTTP/1.1 200 OK\r\nx: ", b"x")
+
+    def test_a_head_of_many_lines(self) -> None:
+        self._assert_call_goes_on(b"HTTP/1.1 200 OK\r\n", b"x: x\r\n")
+
+    def test_interim_answers(self) -> None:
+        self._assert_call_goes_on(b"", b"HTTP/1.1 100 \r\n\r\n")
+
+    def test_a_body_without_length(self) -> None:
+        self._assert_call_goes_on(_UNSIZED, b"x")
+
+    def test_a_body_with_a_huge_length(self) -> None:
+        first = _HEAD + b"content-length: 900000000000\r\n\r\n"
+        self._assert_call_goes_on(first, b"x")
+
+    def test_a_length_of_thousands_of_digits(self) -> None:
+        first = _HEAD + b"content-length: " + b"9" * 5000 + b"\r\n\r\n"
+        self._assert_call_goes_on(first, b"x")
+
+    def test_chunks(self) -> None:
+        self._assert_call_goes_on(_CHUNKED, b"400\r\n" + b"x" * 1024 + b"\r\n")
+
+    def test_chunks_of_one_byte(self) -> None:
+        self._assert_call_goes_on(_CHUNKED, b"1\r\nx\r\n")
+
+    def test_chunks_with_extensions(self) -> None:
+        piece = b"1;" + b"y" * 8000 + b"\r\nx\r\n"
+        self._assert_call_goes_on(_CHUNKED, piece)
+
+    def test_a_size_line_of_a_chunk(self) -> None:
+        self._assert_call_goes_on(_CHUNKED, b"0")
+
+    def test_an_extension_of_a_chunk(self) -> None:
+        self._assert_call_goes_on(_CHUNKED + b"1;", b"y")
+
+    def test_trailers(self) -> None:
+        self._assert_call_goes_on(_CHUNKED + b"0\r\n", b"x: x\r\n")
+
+    def test_a_failure_that_might_be_kept_for_later(self) -> None:
+        first = _UNSIZED.replace(b"200 OK", b"500 X")
+        self._assert_call_goes_on(first, b"x")
+
+    def test_a_call_that_may_not_be_repeated_may_have_run(self) -> None:
+        self.kind = catalog.CallKind.NON_IDEMPOTENT
+        reply, endless, took_s = self._play(EndlessAnswer(_UNSIZED), _FINE)
+        self.assertEqual(502, reply.status)
+        self.assertEqual(1, endless.requests)
+        self.assertLess(took_s, _BUDGET_MS / 1000)
+
+
 class EndlessStreamTest(EndlessAnswerTest):
     kind = catalog.CallKind.STREAM
 
@@ -106,3 +165,10 @@
     def test_an_event_without_an_end_behind_good_ones(self) -> None:
         first = _UNSIZED + _EVENT % (1, 1) + b"data: "
         self._assert_stream_goes_on(EndlessAnswer(first, b"x"))
+
+    def test_chunks_of_one_byte(self) -> None:
+        self._assert_stream_goes_on(EndlessAnswer(_CHUNKED, b"1\r\nx\r\n"))
+
+    def test_chunks_with_extensions(self) -> None:
+        piece = b"1;" + b"y" * 8000 + b"\r\nx\r\n"
+        self._assert_stream_goes_on(EndlessAnswer(_CHUNKED, piece))
--- a/tests/test_forwarding/test_runner_connection.py
+++ b/tests/test_forwarding/test_runner_connection.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
+
 import testtools
 import trio
 
 from martenquay_daemon.forwarding import runner_connection as connections
 from martenquay_standins.ports import runner
+from tests import endless_runner
 
 _REQUEST = connections.RunnerRequest("GET", "/a", [(b"host", b"a")])
 _SIZED = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n"
@@ -14,6 +17,31 @@
 _CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
 
 
+class StopReadingTest(testtools.TestCase):
+    def test_a_body_without_end_ends_after_what_has_arrived(self) -> None:
+        async def run() -> int:
+            server = endless_runner.EndlessRunner(
+                endless_runner.EndlessAnswer(_UNSIZED)
+            )
+            size = 0
+            async with trio.open_nursery() as nursery:
+                await nursery.start(server.run)
+                async with connections.connect_runner(
+                    server.address, 5.0
+                ) as connection:
+                    await connection.send_request(_REQUEST)
+                    await connection.read_head()
+                    async for piece in connection.iterate_body():
+                        if not size:
+                            connection.stop_reading()
+                        size += len(piece)
+                nursery.cancel_scope.cancel()
+            return size
+
+        # The kernel's buffer of one connection.
+        self.assertLess(trio.run(run), 10_000_000)
+
+
 class RunnerConnectionTest(testtools.TestCase):
     def _call(
         self, script: runner.Script
@@ -75,6 +103,40 @@
         surplus = _SIZED + b"hello" + _SIZED + b"again"
         self.assertEqual(b"hello", self._call(runner.Script((surplus,))))
 
+    def test_an_answer_of_tiny_chunks_is_returned_whole(self) -> None:
+        body = b"1\r\nx\r\n" * 20_000
+        script = runner.Script((_CHUNKED + body + b"0\r\n\r\n",))
+        self.assertEqual(b"x" * 20_000, self._call(script))
+
+    def test_the_bytes_before_a_broken_chunk_are_returned(self) -> None:
+        async def run() -> bytes:
+            server = runner.ScriptedRunner(
+                [runner.Script((_CHUNKED + b"3\r\nhel\r\n!",))]
+            )
+            found = b""
+            async with trio.open_nursery() as nursery:
+                await nursery.start(server.run)
+                async with connections.connect_runner(
+                    server.address, 5.0
+                ) as connection:
+                    await connection.send_request(_REQUEST)
+                    await connection.read_head()
+                    with contextlib.suppress(connections.BrokenAnswerError):
+                        async for piece in connection.iterate_body():
+                            found += piece
+                nursery.cancel_scope.cancel()
+            return found
+
+        self.assertEqual(b"hel", trio.run(run))
+
+    def test_a_length_beyond_the_bound_is_broken_at_once(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n"
+        most = connections.MAX_ANSWER_BYTES
+        script = runner.Script((head % (most + 1),), is_held=True)
+        self.assertIn("bytes", self._assert_broken(script))
+        script = runner.Script((head % most, b"x" * most))
+        self.assertEqual(most, len(self._call(script)))
+
     def test_a_refused_connection_raises_not_connected(self) -> None:
         async def run() -> None:
             async with connections.connect_runner("127.0.0.1:1", 5.0):
