Give up a runner whose bytes complete nothing, or events past its tokens

The limits on a runner's silence began anew with each byte. A runner that sent a byte each 20 ms, in a head, in interim answers or in an event, kept its request until the deadline, though another runner could have served it: 504 or a stream that is cut. The limits now count from the last head, event or piece of a plain body; the probe of the runner's host still counts from its last byte. What is given up so is a broken answer, which the ejector counts, and has a line of its own with the time without progress.

A stream that sends events without an id, or more events than the tokens asked for, went on until the deadline. It may have two events for each token and 1,000 others, then it is broken.

Left: a plain body that drips is read until the deadline, since a slow link looks the same, and so is a request that may not be repeated, which no other runner may take over.

--- a/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
@@ -186,8 +186,13 @@
                 verdict = await silence.wait_until_gone(
                     connection, placement, limits
                 )
-                if verdict is silence.Verdict.SILENT:
-                    result = exchange.Silent()
+                match verdict:
+                    case silence.Verdict.SILENT:
+                        result = exchange.Silent()
+                    case silence.Verdict.STALLED:
+                        result = exchange.Broken(
+                            "the runner's bytes complete no event for too long"
+                        )
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(watch)
--- a/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
@@ -116,6 +116,9 @@
             direct.
         last_activity_at: When the runner last sent bytes, or else when the
             connection opened, on trio's clock.
+        last_progress_at: When the runner last sent bytes that completed the
+            head or an event of a stream, or were part of a plain body; or else
+            when the connection opened.
         has_response_head: The response head has been received.
         has_first_event: The first event of a stream has been received.
         has_peer_closed: The runner has closed or reset the connection. False
@@ -126,6 +129,7 @@
         self.reopen = opened.reopen
         self.relay = opened.relay
         self.last_activity_at = trio.current_time()
+        self.last_progress_at = self.last_activity_at
         self.has_response_head = False
         self.has_first_event = False
         self.has_peer_closed = False
@@ -170,6 +174,7 @@
             match await self._parse_event():
                 case h11.Response(status_code=status, headers=headers):
                     self.has_response_head = True
+                    self.note_progress()
                     self._length = _find_length(headers)
                     return status, list(headers)
                 case h11.InformationalResponse():
@@ -222,10 +227,15 @@
         body = bytearray()
         async for piece in self.iterate_body():
             body += piece
+            self.note_progress()
             if len(body) > MAX_ANSWER_BYTES:
                 raise _create_oversized_error()
         return bytes(body)
 
+    def note_progress(self) -> None:
+        """Record that the answer is a step further."""
+        self.last_progress_at = self.last_activity_at
+
     def stop_reading(self) -> None:
         """Make the body end after the bytes that have arrived."""
         with contextlib.suppress(OSError):
--- a/packages/daemon/src/martenquay_daemon/forwarding/silence.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/silence.py
@@ -37,10 +37,13 @@
     Attributes:
         GONE: The runner accepts no connection.
         SILENT: The connection was silent for longer than its limit.
+        STALLED: The runner sends bytes, but for longer than the limit on its
+            silence none that complete a head or an event.
     """
 
     GONE = enum.auto()
     SILENT = enum.auto()
+    STALLED = enum.auto()
 
 
 def _never_retry() -> bool:
@@ -54,8 +57,8 @@
     Attributes:
         first_probe_s: Silence before a probe, until the response head.
         next_probe_s: Silence before a probe, after the response head.
-        max_silence_s: Silence before the attempt is abandoned even if
-            the runner is reachable, until the first event of a stream.
+        max_silence_s: Time without progress before the attempt is abandoned
+            even if the runner is reachable, until the first event of a stream.
         max_pause_s: The same after the first event of a stream.
         may_retry: Returns whether another runner may get the request now.
             While it may not, silence alone doesn't end the attempt.
@@ -86,10 +89,17 @@
     probed_at = connection.last_activity_at
     while True:
         now = trio.current_time()
-        abandon_at = connection.last_activity_at + _find_max_silence(
+        abandon_at = connection.last_progress_at + _find_max_silence(
             connection, limits
         )
         if now >= abandon_at and limits.may_retry():
+            if now - connection.last_activity_at < limits.next_probe_s:
+                _log_unresponsive(
+                    placement,
+                    connection,
+                    "sends bytes that complete neither a head nor an event",
+                )
+                return Verdict.STALLED
             _log_unresponsive(
                 placement,
                 connection,
@@ -133,11 +143,12 @@
     connection: connections.RunnerConnection,
     reason: str,
 ) -> None:
-    silent_s = trio.current_time() - connection.last_activity_at
+    now = trio.current_time()
     _LOG.write(
         f"Runner {placement.runner.id} {reason}.",
         runner=placement.runner.id,
-        silent_s=round(silent_s, 3),
+        silent_s=round(now - connection.last_activity_at, 3),
+        no_progress_s=round(now - connection.last_progress_at, 3),
     )
 
 
--- a/packages/daemon/src/martenquay_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/stream_relay.py
@@ -29,6 +29,11 @@
 
 __all__ = ["StreamRelay"]
 
+# An event holds a token or several, and a stream has a few events of other
+# kinds, such as comments that keep the connection alive.
+_MAX_EVENTS_PER_TOKEN = 2
+_MAX_OTHER_EVENTS = 1000
+
 
 class StreamRelay:
     """Relays streams, and records how long answers and events take."""
@@ -132,6 +137,13 @@
     ) -> str:
         """Record events and relay them; return a problem, or ""."""
         current.attempt_events += len(events)
+        if _has_too_many_events(current):
+            return (
+                f"{current.attempt_events} events came for "
+                f"{current.call.tokens_out} tokens"
+            )
+        if events:
+            connection.note_progress()
         self._note_events(current, is_whole=False)
         if events and not connection.has_first_event:
             connection.has_first_event = True
@@ -224,3 +236,12 @@
         current.events_delivered += len(new_events)
         await current.writer.write(b"".join(new_events))
         return problem
+
+
+def _has_too_many_events(current: exchange.Exchange) -> bool:
+    tokens = current.call.tokens_out
+    if not tokens:
+        return False
+    return current.attempt_events > (
+        _MAX_EVENTS_PER_TOKEN * tokens + _MAX_OTHER_EVENTS
+    )
--- a/tests/test_forwarding/test_endless_answers.py
+++ b/tests/test_forwarding/test_endless_answers.py
@@ -35,6 +35,7 @@
         good: Script,
         *,
         max_attempts: int = 2,
+        headers: bytes = b"",
     ) -> tuple[serving_scene.Reply, endless_runner.EndlessRunner, float]:
         """Ask until the endless runner got a request.
 
@@ -63,9 +64,8 @@
                     scene.add_runner(healthy.address)
                     while not endless.requests:
                         began_at = trio.current_time()
-                        reply = await scene.ask(
-                            case.CALL % (b"GET /lookup/7", _BUDGET_MS)
-                        )
+                        call = case.CALL % (b"GET /lookup/7", _BUDGET_MS)
+                        reply = await scene.ask(call[:-2] + headers + b"\r\n")
                         took_s = trio.current_time() - began_at
                     found.append((reply, endless, took_s))
                     nursery.cancel_scope.cancel()
@@ -143,6 +143,15 @@
         self.assertEqual(1, endless.requests)
         self.assertLess(took_s, _BUDGET_MS / 1000)
 
+    def test_a_head_that_drips(self) -> None:
+        first = b"HTTP/1.1 200 OK\r\nx: "
+        answer = EndlessAnswer(first, b"x", pause_s=0.02)
+        self._assert_goes_on_elsewhere(answer, _FINE, b"fine")
+
+    def test_interim_answers_that_drip(self) -> None:
+        answer = EndlessAnswer(b"", b"HTTP/1.1 100 \r\n\r\n", pause_s=0.02)
+        self._assert_goes_on_elsewhere(answer, _FINE, b"fine")
+
 
 class EndlessStreamTest(EndlessAnswerTest):
     kind = catalog.CallKind.STREAM
@@ -172,3 +181,34 @@
     def test_chunks_with_extensions(self) -> None:
         piece = b"1;" + b"y" * 8000 + b"\r\nx\r\n"
         self._assert_stream_goes_on(EndlessAnswer(_CHUNKED, piece))
+
+    def test_bytes_that_drip_before_the_first_event(self) -> None:
+        self._assert_stream_goes_on(EndlessAnswer(_UNSIZED, b"x", pause_s=0.02))
+
+    def test_bytes_that_drip_in_the_middle_of_a_stream(self) -> None:
+        first = _UNSIZED + _EVENT % (1, 1)
+        self._assert_stream_goes_on(EndlessAnswer(first, b"x", pause_s=0.02))
+
+    def test_blank_lines_that_drip(self) -> None:
+        self._assert_stream_goes_on(
+            EndlessAnswer(_UNSIZED, b"\n", pause_s=0.02)
+        )
+
+    def test_events_without_an_id(self) -> None:
+        first = _UNSIZED + _EVENT % (1, 1)
+        self._assert_stream_ends(EndlessAnswer(first, b": x\r\n\r\n"))
+
+    def test_more_events_than_tokens_were_asked_for(self) -> None:
+        events = b"".join(_EVENT % (n, n) for n in range(1, 40_000))
+        self._assert_stream_ends(EndlessAnswer(_UNSIZED + events))
+
+    def _assert_stream_ends(self, answer: EndlessAnswer) -> None:
+        """Check that a stream past its tokens is cut, and not as whole."""
+        good = Script((_UNSIZED + b"!",))
+        reply, endless, took_s = self._play(
+            answer, good, headers=b"token-counts: 100,3\r\n"
+        )
+        self.assertFalse(reply.is_whole)
+        self.assertLess(reply.body.count(b"\r\n\r\n"), 10_000)
+        self.assertLess(endless.sent_bytes, _MAX_TAKEN_BYTES)
+        self.assertLess(took_s, _BUDGET_MS / 1000)
--- a/tests/test_forwarding/test_silence.py
+++ b/tests/test_forwarding/test_silence.py
@@ -19,6 +19,7 @@
 
     def __init__(self) -> None:
         self.last_activity_at = trio.current_time()
+        self.last_progress_at = self.last_activity_at
         self.has_response_head = False
         self.has_first_event = False
 
