Go on with a moved run though its source's stream never ends

After the last copy the daemon waits until the source has been silent for 0.2 s. A source that sends on, junk or events, kept the run from its target until the deadline, and its caller without an event for over 2 s. Junk does not count any more, and after 1 s the body is made to end. The new test of test_transfer timed out before.

--- a/packages/daemon/src/martenquay_daemon/migration/transfer.py
+++ b/packages/daemon/src/martenquay_daemon/migration/transfer.py
@@ -36,6 +36,9 @@
 # The source has stopped the run, so all of its events are on their way; a
 # stream that is silent for this long will send none of them.
 _CLOSE_SILENCE_S = 0.2
+# The same for a stream that sends on: within the two seconds above, the request
+# has to reach the target as well.
+_MAX_CLOSE_S = 1.0
 
 
 class Transfer:
@@ -173,8 +176,11 @@
         connection = stream.connection
         stopped_at = trio.current_time()
         while not stream.is_over:
-            silent_since = max(stopped_at, connection.last_activity_at)
-            left_s = silent_since + _CLOSE_SILENCE_S - trio.current_time()
+            silent_since = max(stopped_at, connection.last_progress_at)
+            close_at = min(
+                silent_since + _CLOSE_SILENCE_S, stopped_at + _MAX_CLOSE_S
+            )
+            left_s = close_at - trio.current_time()
             if left_s <= 0:
                 _LOG.write(
                     "The source has not closed the stopped stream.",
--- a/tests/migration_builders.py
+++ b/tests/migration_builders.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, Any
 
+import trio
+
 from martenquay_core.serving import catalog
 from martenquay_daemon.forwarding import exchange
 from martenquay_daemon.migration import plan
@@ -14,6 +16,7 @@
     from martenquay_core.serving import runners
 
 __all__ = [
+    "EndlessConnection",
     "build_catalog",
     "build_leaving_engine",
     "build_stream",
@@ -32,6 +35,7 @@
 
     def __init__(self) -> None:
         self.last_activity_at = 0.0
+        self.last_progress_at = 0.0
         self.has_peer_closed = False
         self.is_reading_stopped = False
 
@@ -40,8 +44,40 @@
         self.is_reading_stopped = True
 
 
-def build_watched_stream(source: runners.Runner) -> streams.WatchedStream:
-    """Return a stream that a runner serves over a silent connection."""
+class EndlessConnection(FakeConnection):
+    """Connection whose stream never ends.
+
+    Attributes:
+        completes_events: Whether its bytes are events.
+    """
+
+    def __init__(self, *, completes_events: bool) -> None:
+        self.completes_events = completes_events
+        super().__init__()
+
+    @property
+    def last_activity_at(self) -> float:
+        """The current time."""
+        return trio.current_time()
+
+    @last_activity_at.setter
+    def last_activity_at(self, value: float) -> None:
+        del value
+
+    @property
+    def last_progress_at(self) -> float:
+        """The current time if the bytes are events."""
+        return trio.current_time() if self.completes_events else 0.0
+
+    @last_progress_at.setter
+    def last_progress_at(self, value: float) -> None:
+        del value
+
+
+def build_watched_stream(
+    source: runners.Runner, connection: FakeConnection | None = None
+) -> streams.WatchedStream:
+    """Return a stream over a connection, which is silent by default."""
     current = exchange.Exchange(
         call=serving_builders.build_call(),
         route=serving_builders.build_route(kind=catalog.CallKind.STREAM),
@@ -51,7 +87,9 @@
         deadline=10.0,
         writer=None,
     )
-    return streams.WatchedStream(current, source, FakeConnection())
+    return streams.WatchedStream(
+        current, source, connection or FakeConnection()
+    )
 
 
 def build_traits(**changes: Any) -> catalog.EngineTraits:
--- a/tests/test_migration/test_transfer.py
+++ b/tests/test_migration/test_transfer.py
@@ -52,18 +52,34 @@
 
 
 class TransferTest(testtools.TestCase):
-    def move(self, *answers: moves.MoveAnswer) -> stream.MoveOutcome | None:
+    def move(
+        self,
+        *answers: moves.MoveAnswer,
+        connection: builders.FakeConnection | None = None,
+    ) -> stream.MoveOutcome | None:
         """Move a stream with scripted answers; return the outcome."""
         self.engines = FakeEngines(*answers)
-        self.stream = builders.build_watched_stream(_SOURCE)
+        self.stream = builders.build_watched_stream(_SOURCE, connection)
 
         async def run() -> stream.MoveOutcome | None:
             run_transfer = transfer.Transfer(self.engines)
-            return await run_transfer.move(self.stream, _TARGETS, 0.01)
+            # Callers give up a stream without an event after 2 s.
+            with trio.fail_after(2.0):
+                return await run_transfer.move(self.stream, _TARGETS, 0.01)
 
         clock = trio.testing.MockClock(autojump_threshold=0)
         return trio.run(run, clock=clock)
 
+    def test_a_stopped_stream_that_never_ends_is_made_to_end(self) -> None:
+        for completes_events in (False, True):
+            connection = builders.EndlessConnection(
+                completes_events=completes_events
+            )
+            self.assertIsNone(
+                self.move(_COPIED, _COPIED, connection=connection)
+            )
+            self.assertTrue(connection.is_reading_stopped)
+
     def test_a_run_is_copied_and_then_stopped(self) -> None:
         self.assertIsNone(self.move(_COPIED, moves.Copied("h-1", 5)))
         self.assertEqual(
