Bound the bodies of the platform's answers, and the reads of their parser

httpcore reads a whole body into memory, whatever its size: within one timeout an endless answer of the log, the cloud API or a runner's own calls (moves, loads, cache events) takes as much as loopback gives. Lines of a streamed body were copied and searched anew at each read; with a line without end the test run was ended by hand after 200 s.

Lines are split in linear time and have 1 MiB at most.

--- a/packages/core/src/martenquay_core/util/http.py
+++ b/packages/core/src/martenquay_core/util/http.py
@@ -10,17 +10,20 @@
 
 import httpcore
 import msgspec
+import trio
 from expression import Error, Ok, Result
 
-from martenquay_core.util import keepalive, pools
+from martenquay_core.util import keepalive, pools, short_reads
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
 __all__ = [
+    "MAX_BODY_BYTES",
     "Answer",
     "CallFailure",
     "HttpClient",
+    "LineSplitter",
     "StreamedAnswer",
     "decode_json",
     "open_client",
@@ -39,6 +42,15 @@
 # Finds dead connections that are idle or in a long poll within 3 s.
 _KEEPALIVE = keepalive.KeepAlive(idle_s=1, probes=2)
 _DEFAULT_TIMEOUT_S = 10.0
+# Body of an answer. The pages bound what the platform's store sends at once by
+# 1 MB, which base64 and JSON make larger, and an append by 2 MB (`CallBytes`).
+# Several calls are in progress at a time.
+MAX_BODY_BYTES = 4_194_304
+# One line of a streamed body: an event with a few tokens, as in a stream of
+# server-sent events.
+_MAX_LINE_BYTES = 1_048_576
+# Pieces of a body that are taken without a checkpoint: about 5 ms.
+_PIECES_PER_STEP = 256
 _MAX_CONNECTIONS = 1000
 _IDLE_EXPIRY_S = 4.0
 
@@ -70,11 +82,52 @@
             server cannot have run it.
         message: Description of the failure.
         is_silent: Nothing was received, not even a connection reset.
+        is_oversized: The body has more than `MAX_BODY_BYTES`, perhaps without
+            an end.
     """
 
     sent: bool
     message: str
     is_silent: bool = False
+    is_oversized: bool = False
+
+
+class _OversizedBodyError(Exception):
+    """A body has more than `MAX_BODY_BYTES`."""
+
+
+class LineSplitter:
+    """Buffers bytes until they form complete lines, in linear time.
+
+    Attributes:
+        rest: Bytes of the line that is still incomplete.
+    """
+
+    def __init__(self) -> None:
+        self.rest = bytearray()
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Add bytes and return the non-empty lines that they complete.
+
+        Raises:
+            httpcore.RemoteProtocolError: A line has more than 1 MiB.
+        """
+        first, *others = data.split(b"\n")
+        self.rest += first
+        lines: list[bytes] = []
+        for other in others:
+            self._check_size()
+            if self.rest:
+                lines.append(bytes(self.rest))
+            self.rest = bytearray(other)
+        self._check_size()
+        return lines
+
+    def _check_size(self) -> None:
+        if len(self.rest) > _MAX_LINE_BYTES:
+            raise httpcore.RemoteProtocolError(
+                f"a line has more than {_MAX_LINE_BYTES} bytes"
+            )
 
 
 class StreamedAnswer:
@@ -95,16 +148,15 @@
 
         Raises:
             httpcore.NetworkError: The connection broke.
-            httpcore.ProtocolError: The body is incomplete.
+            httpcore.ProtocolError: The body is incomplete, or a line is too
+                long.
         """
-        incomplete = b""
-        async for piece in self._response.aiter_stream():
-            *lines, incomplete = (incomplete + piece).split(b"\n")
-            for line in lines:
-                if line:
-                    yield line
-        if incomplete:
-            yield incomplete
+        splitter = LineSplitter()
+        async for piece in _iterate_pieces(self._response):
+            for line in splitter.feed(piece):
+                yield line
+        if splitter.rest:
+            yield bytes(splitter.rest)
 
 
 class HttpClient:
@@ -140,15 +192,14 @@
         async with self._pools.use() as generation:
             try:
                 with generation.limit(timeout_s, is_cancellable=is_cancellable):
-                    response = await generation.pool.request(
+                    async with generation.pool.stream(
                         method,
                         url,
                         headers=headers or [],
                         content=body,
                         extensions=_create_timeouts(timeout_s),
-                    )
-                    names = _lower_names(response.headers)
-                    return Ok(Answer(response.status, names, response.content))
+                    ) as response:
+                        return Ok(await _read_answer(response))
             except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
                 return Error(CallFailure(sent=False, message=_describe(error)))
             except (
@@ -157,6 +208,12 @@
                 httpcore.TimeoutException,
             ) as error:
                 return Error(CallFailure(sent=True, message=_describe(error)))
+            except _OversizedBodyError as error:
+                return Error(
+                    CallFailure(
+                        sent=True, message=str(error), is_oversized=True
+                    )
+                )
             self._pools.replace(generation)
         message = f"no answer in {timeout_s:.3f} s or before it was cut"
         return Error(CallFailure(sent=True, message=message, is_silent=True))
@@ -241,6 +298,7 @@
             max_keepalive_connections=_MAX_CONNECTIONS if reuse else 0,
             keepalive_expiry=_IDLE_EXPIRY_S,
             socket_options=options,
+            network_backend=short_reads.ShortReadBackend(),
         )
 
     pool_manager = pools.PoolManager(create_pool)
@@ -250,6 +308,31 @@
         await pool_manager.close()
 
 
+async def _read_answer(response: httpcore.Response) -> Answer:
+    """Read the body.
+
+    Raises:
+        _OversizedBodyError: It has more than `MAX_BODY_BYTES`.
+    """
+    body = bytearray()
+    async for piece in _iterate_pieces(response):
+        body += piece
+        if len(body) > MAX_BODY_BYTES:
+            raise _OversizedBodyError(
+                f"the answer has more than {MAX_BODY_BYTES} bytes"
+            )
+    return Answer(response.status, _lower_names(response.headers), bytes(body))
+
+
+async def _iterate_pieces(response: httpcore.Response) -> AsyncIterator[bytes]:
+    count = 0
+    async for piece in response.aiter_stream():
+        count += 1
+        if count % _PIECES_PER_STEP == 0:
+            await trio.lowlevel.checkpoint()
+        yield piece
+
+
 def _decode_body(
     body: bytes, content_type: type[Content]
 ) -> Result[Content, CallFailure]:
--- a/tests/test_core/test_http.py
+++ b/tests/test_core/test_http.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
+import random
+
+import httpcore
 import msgspec
 import testtools
 import trio
 from expression import Ok
 
 from martenquay_core.util import http
+from tests import endless_runner, step_timer
 
 _HANG_S = 30.0
+# What the two kernels' buffers of a loopback connection hold, and one answer.
+_MAX_TAKEN_BYTES = 24_000_000
 
 
 class _Load(msgspec.Struct):
@@ -78,3 +84,121 @@
 
     def test_other_clients_close_without_a_reset(self) -> None:
         self.assertFalse(self._time_out_call())
+
+
+class EndlessAnswerTest(testtools.TestCase):
+    """Answers that come without end are failures, and cost little."""
+
+    def _call(self, answer: endless_runner.EndlessAnswer) -> http.CallFailure:
+        timer = step_timer.StepTimer()
+
+        async def run() -> http.CallFailure:
+            server = endless_runner.EndlessRunner(answer)
+            with trio.fail_after(_HANG_S):
+                async with (
+                    trio.open_nursery() as nursery,
+                    http.open_client() as client,
+                ):
+                    await nursery.start(server.run)
+                    result = await client.call(
+                        "GET", f"http://{server.address}/", timeout_s=1.0
+                    )
+                    self.sent_bytes = server.sent_bytes
+                    nursery.cancel_scope.cancel()
+            return result.error
+
+        failure = trio.run(run, instruments=[timer])
+        self.assertLess(timer.longest_s, step_timer.MAX_STEP_S, timer.task_name)
+        self.assertLess(self.sent_bytes, _MAX_TAKEN_BYTES)
+        return failure
+
+    def test_a_body(self) -> None:
+        for head in (
+            b"HTTP/1.1 200 OK\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\ncontent-length: 90000000000\r\n\r\n",
+            b"HTTP/1.1 503 X\r\n\r\n",
+        ):
+            failure = self._call(endless_runner.EndlessAnswer(head))
+            self.assertTrue(failure.sent)
+            self.assertTrue(failure.is_oversized)
+
+    def test_chunks(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        piece = b"400\r\n" + b"x" * 1024 + b"\r\n"
+        failure = self._call(endless_runner.EndlessAnswer(head, piece))
+        self.assertTrue(failure.is_oversized)
+
+    def test_chunks_of_one_byte(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        failure = self._call(endless_runner.EndlessAnswer(head, b"1\r\nx\r\n"))
+        self.assertTrue(failure.sent)
+
+    def test_a_head(self) -> None:
+        for first, piece in (
+            (b"HTTP/1.1 200 OK\r\nx: ", b"x"),
+            (b"HTTP/1.1 200 OK\r\n", b"x: x\r\n"),
+            (b"", b"HTTP/1.1 100 \r\n\r\n"),
+        ):
+            failure = self._call(endless_runner.EndlessAnswer(first, piece))
+            self.assertTrue(failure.sent)
+
+    def test_an_oversized_answer_is_the_last_on_its_connection(self) -> None:
+        # Otherwise the rest of the body would be taken for the next answer.
+        head = b"HTTP/1.1 200 OK\r\n\r\n"
+
+        async def run() -> None:
+            server = endless_runner.EndlessRunner(
+                endless_runner.EndlessAnswer(head)
+            )
+            async with (
+                trio.open_nursery() as nursery,
+                http.open_client() as client,
+            ):
+                await nursery.start(server.run)
+                for _ in range(2):
+                    await client.call("GET", f"http://{server.address}/")
+                while server.closed < 2:
+                    await trio.sleep(0.01)
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
+
+class EndlessLineTest(testtools.TestCase):
+    def test_a_line_without_end_is_a_protocol_error(self) -> None:
+        timer = step_timer.StepTimer()
+
+        async def run() -> None:
+            server = endless_runner.EndlessRunner(
+                endless_runner.EndlessAnswer(b"HTTP/1.1 200 OK\r\n\r\n")
+            )
+            with trio.fail_after(_HANG_S):
+                async with (
+                    trio.open_nursery() as nursery,
+                    http.open_client() as client,
+                ):
+                    await nursery.start(server.run)
+                    async with client.stream(
+                        "GET", f"http://{server.address}/"
+                    ) as answer:
+                        async for _ in answer.iterate_lines():
+                            pass
+                    nursery.cancel_scope.cancel()
+
+        error = self.assertRaises(
+            ExceptionGroup, trio.run, run, instruments=[timer]
+        )
+        self.assertIsInstance(error.exceptions[0], httpcore.ProtocolError)
+        self.assertLess(timer.longest_s, step_timer.MAX_STEP_S, timer.task_name)
+
+    def test_lines_are_the_same_for_any_pieces(self) -> None:
+        generator = random.Random(1)
+        lines = [b"x" * generator.randrange(1, 40) for _ in range(300)]
+        whole = b"\n".join(lines) + b"\n\nlast"
+        splitter = http.LineSplitter()
+        found = []
+        while whole:
+            size = generator.randrange(1, 90)
+            found += splitter.feed(whole[:size])
+            whole = whole[size:]
+        self.assertEqual([*lines, b"last"], [*found, splitter.rest])
