Read a page of the log that is too large in smaller ones

Since bodies have a bound, a topic with large records (1,024 of 256 KB may be in one page) would never be read past them.

--- a/tests/test_platform/test_log.py
+++ b/tests/test_platform/test_log.py
@@ -79,6 +79,35 @@
         self.assertTrue(page.is_lost)
         self.assertEqual(90, page.start)
 
+    def test_a_page_that_is_too_large_is_read_in_smaller_ones(self) -> None:
+        # Otherwise a reader would never get past large records.
+        oversized = http.CallFailure(sent=True, message="", is_oversized=True)
+        body = struct.pack(">QQ", 842, 0) + b"\0\0\0\2ab"
+        client = _FakeClient(Error(oversized), _create_answer(200, body))
+        page = self._call(client, "read", "work", 840).ok
+        self.assertEqual((b"ab",), page.records)
+        most = int(_parse_query(client.calls[1][1])["MaxSize"])
+        # RecordBytes, and the page's header and the lengths of its records.
+        self.assertLess(16 + most * (262_144 + 4), http.MAX_BODY_BYTES)
+
+    def test_pages_without_end_are_a_failure(self) -> None:
+        class _EndlessClient(_FakeClient):
+            async def call(self, method, url, *, body=b"", **options):
+                self._answers.append(
+                    _create_json_answer(
+                        200,
+                        Entries=[{"PrivateKey": "a", "Value": "YQ=="}],
+                        HasMore=True,
+                        EndOffset=5,
+                    )
+                )
+                return await super().call(method, url, body=body, **options)
+
+        client = _EndlessClient()
+        result = self._call(client, "read_newest", "keyed.op")
+        self.assertTrue(result.is_error())
+        self.assertLess(len(client.calls), 1000)
+
     def test_a_snapshot_ends_at_the_end_of_its_first_page(self) -> None:
         def entry(key: str, offset: int) -> dict[str, object]:
             value = base64.b64encode(key.encode()).decode()
