Bound the frames of messages between daemons

ZMQ_MAXMSGSIZE was not set on the links: a peer, or anything that speaks ZMTP to the port, could announce a frame of any size, which is then allocated and filled. A frame may have 16 MiB now; the connection that brings a larger one is closed. Both new tests received the frame before.

Left: the number of frames in one message has no bound in libzmq.

--- a/packages/core/src/martenquay_core/peers/sockets.py
+++ b/packages/core/src/martenquay_core/peers/sockets.py
@@ -12,8 +12,12 @@
 import trio
 import zmq
 
-__all__ = ["PeerSocket", "bind_router", "connect_dealer"]
+__all__ = ["MAX_FRAME_BYTES", "PeerSocket", "bind_router", "connect_dealer"]
 
+# A message holds records of the log, each of 262,144 bytes at most
+# (`RecordBytes`), or a state of some kilobytes. A connection that brings a
+# larger frame is closed; without a bound its announced length is allocated.
+MAX_FRAME_BYTES = 16_777_216
 _LINGER_MS = 0
 _QUEUE_MESSAGES = 10_000
 _RECONNECT_MIN_MS = 100
@@ -93,7 +97,7 @@
     raw_socket = context.socket(zmq.ROUTER)
     raw_socket.setsockopt(zmq.RCVHWM, _QUEUE_MESSAGES)
     raw_socket.setsockopt(zmq.SNDHWM, _QUEUE_MESSAGES)
-    _set_timeouts(raw_socket, _LISTENER_HEARTBEAT_INTERVAL_MS)
+    _set_limits(raw_socket, _LISTENER_HEARTBEAT_INTERVAL_MS)
     host, port = address.rsplit(":", 1)
     raw_socket.bind(f"tcp://{host}:{'*' if port == '0' else port}")
     endpoint = raw_socket.getsockopt(zmq.LAST_ENDPOINT).decode().rstrip("\x00")
@@ -122,7 +126,7 @@
     raw_socket = context.socket(zmq.DEALER)
     raw_socket.setsockopt(zmq.SNDHWM, queue_length)
     raw_socket.setsockopt(zmq.IMMEDIATE, 0 if waits_for_peer else 1)
-    _set_timeouts(raw_socket, _HEARTBEAT_INTERVAL_MS)
+    _set_limits(raw_socket, _HEARTBEAT_INTERVAL_MS)
     raw_socket.setsockopt(zmq.CONNECT_TIMEOUT, _CONNECT_TIMEOUT_MS)
     raw_socket.setsockopt(zmq.RECONNECT_IVL, _RECONNECT_MIN_MS)
     raw_socket.setsockopt(zmq.RECONNECT_IVL_MAX, _RECONNECT_MAX_MS)
@@ -134,10 +138,11 @@
     return PeerSocket(raw_socket)
 
 
-def _set_timeouts(
+def _set_limits(
     raw_socket: zmq.Socket[bytes], heartbeat_interval_ms: int
 ) -> None:
-    """Close connections whose peer is silent or acknowledges nothing."""
+    """Close connections whose peer is silent, stuck or sends too much."""
+    raw_socket.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
     raw_socket.setsockopt(zmq.TCP_MAXRT, _UNACKNOWLEDGED_TIMEOUT_MS)
     raw_socket.setsockopt(zmq.HEARTBEAT_IVL, heartbeat_interval_ms)
     raw_socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, _HEARTBEAT_TIMEOUT_MS)
--- a/tests/test_core/test_sockets.py
+++ b/tests/test_core/test_sockets.py
@@ -13,7 +13,7 @@
 _HANG_S = 30.0
 
 
-class DealerTest(testtools.TestCase):
+class SocketTestCase(testtools.TestCase):
     def _run(self, scenario) -> None:
         async def run() -> None:
             context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
@@ -25,6 +25,8 @@
 
         trio.run(run)
 
+
+class DealerTest(SocketTestCase):
     def test_messages_without_a_connection_are_refused(self) -> None:
         async def scenario(context) -> None:
             dealer = sockets.connect_dealer(
@@ -52,3 +54,36 @@
             router.close()
 
         self._run(scenario)
+
+
+class EndlessMessageTest(SocketTestCase):
+    def test_a_frame_beyond_the_bound_is_not_received(self) -> None:
+        async def scenario(context) -> None:
+            router = sockets.bind_router(context, "127.0.0.1:0")
+            large = sockets.connect_dealer(context, router.address)
+            small = sockets.connect_dealer(context, router.address)
+            large.send([bytes(sockets.MAX_FRAME_BYTES + 1)])
+            await trio.sleep(0.3)
+            small.send([b"kept"])
+            frames = await router.receive()
+            self.assertEqual(b"kept", frames[-1])
+            for one in (large, small, router):
+                one.close()
+
+        self._run(scenario)
+
+    def test_an_oversized_reply_is_not_received(self) -> None:
+        async def scenario(context) -> None:
+            router = sockets.bind_router(context, "127.0.0.1:0")
+            dealer = sockets.connect_dealer(context, router.address)
+            dealer.send([b"ask"])
+            sender, _ = await router.receive()
+            router.send([sender, bytes(sockets.MAX_FRAME_BYTES + 1)])
+            received: list[list[bytes]] = []
+            with trio.move_on_after(0.5):
+                received.append(await dealer.receive())
+            self.assertEqual([], received)
+            for one in (dealer, router):
+                one.close()
+
+        self._run(scenario)
