Bound the time and the framing of a request's body

The time limit on a caller's body began anew with each byte, so a body that drips was read long after its caller's deadline; extensions of chunks had no bound in all; and chunks of one byte were parsed without a checkpoint, in steps of 122 and 135 ms. A body now has to arrive by the deadline of its caller (408, not run), framing may be 64 KiB and eight bytes for each of the body (413), and parsing passes a checkpoint each 256 parts. A body of 40,000 chunks of one byte still arrives whole.

Already bounded, with tests: heads in one line, blank lines before a request, trailers, the size line of a chunk, a body above the limit.

--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
@@ -23,7 +23,16 @@
 __all__ = ["CallHandler", "CallerConnection", "ListenerState"]
 
 _LOG = logs.create_log("callers")
-_RECEIVE_BYTES = 65_536
+_RECEIVE_BYTES = 16_384
+# Bytes that frame a chunked body: a chunk of one byte has five others. Servers
+# ought to limit chunk extensions (RFC 9112, 7.1.1).
+_MAX_FRAMING_BYTES = 65_536
+_MAX_FRAMING_PER_BODY_BYTE = 8
+# Parts of a body that are parsed without a checkpoint: about 5 ms.
+_PARTS_PER_STEP = 256
+# For a body without a deadline of its caller; beyond the time for which any
+# route holds a request.
+_MAX_BODY_S = 300.0
 # Pipelined bytes that are buffered while a request is being answered; without
 # a limit a caller could fill the daemon's memory.
 _MAX_PIPELINED_BYTES = 65_536
@@ -325,7 +334,9 @@
         self._check_size_limits(target, headers)
         call = self._codec.decode_call(method, target, headers)
         self._call_id = call.id
-        body = await self._read_body(headers)
+        # An answer after the caller's deadline would be of no use to it.
+        deadline = self._received_at + (call.budget_s or _MAX_BODY_S)
+        body = await self._read_body(headers, deadline)
         return dataclasses.replace(call, body=body)
 
     async def _read_head(self) -> h11.Request | None:
@@ -386,39 +397,55 @@
         if length.isdigit() and int(length) > self._limits.body_bytes:
             raise _RequestRejectedError(self._create_body_too_large())
 
-    async def _read_body(self, headers: calls.Headers) -> bytes:
+    async def _read_body(
+        self, headers: calls.Headers, deadline: float
+    ) -> bytes:
+        """Read the body until a time on trio's clock."""
         if self._http.they_are_waiting_for_100_continue:
             await self.send_event(
                 h11.InformationalResponse(status_code=100, headers=[])
             )
-        chunks: list[bytes] = []
-        size = 0
+        body = bytearray()
+        received_bytes = 0
+        parts = 0
         while True:
-            event = self._parse_event()
-            match event:
+            parts += 1
+            if parts % _PARTS_PER_STEP == 0:
+                await trio.lowlevel.checkpoint()
+            match self._parse_event():
                 case h11.EndOfMessage():
-                    return b"".join(chunks)
+                    return bytes(body)
                 case h11.Data(data=data):
-                    chunks.append(bytes(data))
-                    size += len(data)
+                    body += data
                 case h11.ConnectionClosed():
                     raise _CallerDisconnectedError
                 case _:
-                    await self._receive_with_timeout()
-            if size > self._limits.body_bytes:
+                    framing_bytes = received_bytes - len(body)
+                    if framing_bytes > (
+                        _MAX_FRAMING_BYTES
+                        + _MAX_FRAMING_PER_BODY_BYTE * len(body)
+                    ):
+                        raise _RequestRejectedError(
+                            answers.create_own_answer(
+                                results.ResultCode.BODY_TOO_LARGE,
+                                f"{framing_bytes} bytes frame {len(body)} "
+                                "of the body",
+                            )
+                        )
+                    received_bytes += await self._receive_with_timeout(deadline)
+            if len(body) > self._limits.body_bytes:
                 raise _RequestRejectedError(self._create_body_too_large())
 
-    async def _receive_with_timeout(self) -> None:
-        with trio.move_on_after(self._limits.header_s) as scope:
-            await self._receive()
-        if scope.cancelled_caught:
-            code = results.ResultCode.SLOW_CALLER
-            message = "the request's body did not arrive in time"
-            raise _RequestRejectedError(
-                answers.create_own_answer(code, message)
-            )
+    async def _receive_with_timeout(self, deadline: float) -> int:
+        receive_by = min(trio.current_time() + self._limits.header_s, deadline)
+        with trio.move_on_at(receive_by):
+            return await self._receive()
+        code = results.ResultCode.SLOW_CALLER
+        message = "the request's body did not arrive in time"
+        raise _RequestRejectedError(answers.create_own_answer(code, message))
 
-    async def _receive(self) -> None:
+    async def _receive(self) -> int:
+        """Receive bytes and pass them to the parser; return their number."""
         try:
             data = await self._stream.receive_some(_RECEIVE_BYTES)
         except trio.BrokenResourceError:
@@ -426,6 +453,7 @@
         if not data and not self.is_idle:
             raise _CallerDisconnectedError
         self._http.receive_data(data)
+        return len(data)
 
     def _parse_event(self) -> h11.Event | type[h11.NEED_DATA]:
         try:
