--- a/packages/daemon/src/martenquay_daemon/forwarding/event_stream.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/event_stream.py
@@ -9,7 +9,13 @@
 import dataclasses
 import re
 
-__all__ = ["MAX_EVENT_BYTES", "Event", "EventSplitter", "OversizedEventError"]
+__all__ = [
+    "MAX_EVENT_BYTES",
+    "Event",
+    "EventSplitter",
+    "OversizedEventError",
+    "is_comment",
+]
 
 # An event holds a few tokens. The pages limit no event; this is the size, 1 MB,
 # that they set for one page of records.
@@ -48,6 +54,11 @@
     id: int | None
 
 
+def is_comment(raw: bytes) -> bool:
+    """Return whether an event begins with a comment, as keep-alives do."""
+    return raw.lstrip(b"\r\n").startswith(b":")
+
+
 class EventSplitter:
     """Buffers bytes until they form complete events.
 
--- a/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
@@ -42,6 +42,7 @@
 # Body of an answer that is held whole; streams have no bound of this kind. The
 # pages set it for bodies of requests (the default of `MaxBodyBytes`).
 MAX_ANSWER_BYTES = 4_194_304
+_MIN_FAILURE_STATUS = 300
 _RECEIVE_BYTES = 16_384
 # Bytes that are no body: heads, interim answers, trailers, and what frames
 # chunks. A chunk of one byte has five others, so an answer of 50,000 of them is
@@ -117,8 +118,8 @@
         last_activity_at: When the runner last sent bytes, or else when the
             connection opened, on trio's clock.
         last_progress_at: When the runner last sent bytes that completed the
-            head or an event of a stream, or were part of a plain body; or else
-            when the connection opened.
+            head or an event of a stream, or were part of the body of a plain
+            success; or else when the connection opened.
         has_response_head: The response head has been received.
         has_first_event: The first event of a stream has been received.
         has_peer_closed: The runner has closed or reset the connection. False
@@ -140,6 +141,7 @@
         self._parts = 0
         # As the head announces; 0 if it does not.
         self._length = 0
+        self._is_success = False
 
     async def send_request(self, request: RunnerRequest) -> None:
         """Send the request.
@@ -176,6 +178,7 @@
                     self.has_response_head = True
                     self.note_progress()
                     self._length = _find_length(headers)
+                    self._is_success = status < _MIN_FAILURE_STATUS
                     return status, list(headers)
                 case h11.InformationalResponse():
                     continue
@@ -227,7 +230,9 @@
         body = bytearray()
         async for piece in self.iterate_body():
             body += piece
-            self.note_progress()
+            # Another runner may do better than a failure that is slow to come.
+            if self._is_success:
+                self.note_progress()
             if len(body) > MAX_ANSWER_BYTES:
                 raise _create_oversized_error()
         return bytes(body)
--- a/packages/daemon/src/martenquay_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/stream_relay.py
@@ -142,8 +142,6 @@
                 f"{current.attempt_events} events came for "
                 f"{current.call.tokens_out} tokens"
             )
-        if events:
-            connection.note_progress()
         self._note_events(current, is_whole=False)
         if events and not connection.has_first_event:
             connection.has_first_event = True
@@ -160,7 +158,9 @@
             self._speeds.note_events(
                 current.watch, later_events, trio.current_time()
             )
-        return await self._relay_events(current, placement.runner, head, events)
+        return await self._relay_events(
+            current, placement.runner, head, connection, events
+        )
 
     def record_slot_time(self, current: exchange.Exchange) -> None:
         """Record how long a complete answer held its slot."""
@@ -203,6 +203,7 @@
         current: exchange.Exchange,
         runner: runners.Runner,
         head: calls.AnswerHead,
+        connection: runner_connection.RunnerConnection,
         events: list[event_stream.Event],
     ) -> str:
         """Write the events that the caller lacks; return a problem, or ""."""
@@ -225,6 +226,8 @@
             new_events.append(event.raw)
         if not new_events:
             return problem
+        if not all(event_stream.is_comment(raw) for raw in new_events):
+            connection.note_progress()
         current.stage = disconnects.Stage.STREAMING
         if current.software is None:
             current.software = runner.software
