--- a/tests/test_relay/test_server.py
+++ b/tests/test_relay/test_server.py
@@ -64,6 +64,32 @@
 
         self._run(scenario, Script((_UNSIZED, _BODY)))
 
+    def test_a_request_for_a_tunnel_without_end_is_closed(self) -> None:
+        async def scenario(scene, runner) -> None:
+            host, _, port = scene.addresses[0].rpartition(":")
+            for first, piece in (
+                (b"CONNECT %s HTTP/1.1\r\nx: ", b"x" * 65_536),
+                (b"CONNECT %s HTTP/1.1\r\n", b"x: x\r\n" * 10_000),
+                (b"", b"\r\n" * 30_000),
+                (
+                    b"CONNECT %s HTTP/1.1\r\nhost: a\r\n"
+                    b"transfer-encoding: chunked\r\n\r\n",
+                    b"1\r\nx\r\n" * 10_000,
+                ),
+            ):
+                stream = await trio.open_tcp_stream(host, int(port))
+                address = runner.address.encode()
+                with trio.fail_after(2.0):
+                    async with stream:
+                        try:
+                            await stream.send_all(first.replace(b"%s", address))
+                            while True:
+                                await stream.send_all(piece)
+                        except trio.BrokenResourceError:
+                            continue
+
+        self._run(scenario, Script(is_held=True))
+
     def test_a_reset_by_the_runner_does_not_complete_an_answer(self) -> None:
         async def scenario(scene, runner) -> None:
             await self._assert_broken(scene, runner)
