Count a runner whose bytes completed nothing until the deadline

Requests that may not be repeated wait for their runner until the deadline, also while its bytes complete nothing; that ended as a timeout, which the ejector does not count, and the runner got the next request as well. An attempt in which bytes came for over 0.25 s after the last progress is now broken, as it is for requests that may go on elsewhere. The caller's answer stays a timeout, as no time is left.

--- a/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
@@ -46,6 +46,8 @@
 _CONNECT_TIMEOUT_S = 0.1
 # Lets the runner's own answer at the deadline arrive.
 _ANSWER_GRACE_S = 0.08
+# Bytes that come for longer and complete nothing are no answer that is late.
+_MAX_STALL_S = 0.25
 # The load of a prompt that takes at least this long to prefill is gossiped at
 # once; until the next regular digest, a quarter of a second later, other
 # daemons would send requests that queue behind it and are late.
@@ -108,6 +110,7 @@
         current.relay = ""
         self._note_demand(current, placement)
         result: exchange.AttemptResult = exchange.TimedOut()
+        stalled_s = 0.0
         time_limit = trio.move_on_at(current.deadline + _ANSWER_GRACE_S)
         with (
             time_limit,
@@ -138,13 +141,20 @@
                     limits = silence_limits.find_silence_limits(
                         current, placement, may_retry
                     )
-                    result = await self._send_with_liveness_checks(
-                        current, placement, connection, running, limits
-                    )
+                    try:
+                        result = await self._send_with_liveness_checks(
+                            current, placement, connection, running, limits
+                        )
+                    finally:
+                        stalled_s = connection.stalled_s
             except connections.NotConnectedError as error:
                 result = exchange.NotSent(str(error))
             except connections.BrokenAnswerError as error:
                 result = exchange.Broken(str(error))
+        if isinstance(result, exchange.TimedOut) and stalled_s > _MAX_STALL_S:
+            return exchange.Broken(
+                f"bytes came for {stalled_s:.3f} s and completed nothing"
+            )
         return result
 
     def _note_demand(
--- a/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
@@ -143,6 +143,11 @@
         self._length = 0
         self._is_success = False
 
+    @property
+    def stalled_s(self) -> float:
+        """For how long the runner has sent bytes that made no progress."""
+        return self.last_activity_at - self.last_progress_at
+
     async def send_request(self, request: RunnerRequest) -> None:
         """Send the request.
 
--- a/tests/test_forwarding/test_endless_answers.py
+++ b/tests/test_forwarding/test_endless_answers.py
@@ -243,3 +243,86 @@
         self.assertLess(reply.body.count(b"\r\n\r\n"), 10_000)
         self.assertLess(endless.sent_bytes, _MAX_TAKEN_BYTES)
         self.assertLess(took_s, _BUDGET_MS / 1000)
+
+
+class LeavingCallerTest(testtools.TestCase):
+    """A caller's close reaches a runner that sends for ever."""
+
+    def _leave(self, answer: EndlessAnswer, kind: catalog.CallKind) -> None:
+        route = builders.build_route(kind=kind, is_resumable=True)
+        content = builders.build_catalog(routes=(route,))
+
+        async def run() -> None:
+            with trio.fail_after(_HANG_S):
+                async with (
+                    trio.open_nursery() as nursery,
+                    serving_scene.open_scene(content) as scene,
+                ):
+                    endless = endless_runner.EndlessRunner(answer)
+                    await nursery.start(endless.run)
+                    scene.add_runner(endless.address)
+                    caller = await scene.open_caller()
+                    await caller.send_all(
+                        case.CALL % (b"GET /lookup/7", _BUDGET_MS)
+                    )
+                    while not endless.sent_bytes:
+                        await trio.sleep(0.01)
+                    await caller.aclose()
+                    # Runners may work on for half a second.
+                    with trio.fail_after(0.5):
+                        while not endless.closed:
+                            await trio.sleep(0.01)
+                    nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
+    def test_events_that_the_caller_does_not_read(self) -> None:
+        answer = EndlessAnswer(_UNSIZED, b"data: x\n\n")
+        self._leave(answer, catalog.CallKind.STREAM)
+
+    def test_bytes_that_drip(self) -> None:
+        for kind in catalog.CallKind:
+            self._leave(EndlessAnswer(_UNSIZED, b"x", pause_s=0.02), kind)
+
+    def test_a_head_that_drips(self) -> None:
+        for kind in catalog.CallKind:
+            self._leave(EndlessAnswer(b"", b"\n", pause_s=0.02), kind)
+
+
+class EjectionTest(testtools.TestCase):
+    """Runners whose bytes form no answer get no requests for a while."""
+
+    def _assert_ejected(
+        self, answer: EndlessAnswer, kind: catalog.CallKind
+    ) -> None:
+        route = builders.build_route(kind=kind, max_attempts=1)
+        content = builders.build_catalog(routes=(route,))
+
+        async def run() -> None:
+            with trio.fail_after(_HANG_S):
+                async with (
+                    trio.open_nursery() as nursery,
+                    serving_scene.open_scene(content) as scene,
+                ):
+                    endless = endless_runner.EndlessRunner(answer)
+                    await nursery.start(endless.run)
+                    scene.add_runner(endless.address, id="endless")
+                    for _ in range(3):
+                        reply = await scene.ask(
+                            case.CALL % (b"GET /lookup/7", 500)
+                        )
+                        self.assertIn(reply.status, (502, 504))
+                    self.assertEqual(3, endless.requests)
+                    self.assertTrue(scene.parts.ejector.is_ejected("endless"))
+                    nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
+    def test_of_fast_bytes(self) -> None:
+        for kind in catalog.CallKind:
+            self._assert_ejected(EndlessAnswer(_UNSIZED, b"x"), kind)
+
+    def test_of_a_head_that_drips_until_the_deadline(self) -> None:
+        answer = EndlessAnswer(b"HTTP/1.1 200 OK\r\nx: ", b"x", pause_s=0.02)
+        for kind in catalog.CallKind:
+            self._assert_ejected(answer, kind)
