--- a/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
@@ -45,9 +45,10 @@
 _MIN_FAILURE_STATUS = 300
 _RECEIVE_BYTES = 16_384
 # Bytes that are no body: heads, interim answers, trailers, and what frames
-# chunks. A chunk of one byte has five others, so an answer of 50,000 of them is
-# accepted; a larger one has to have no more framing than body.
-_MAX_FRAMING_BYTES = 262_144
+# chunks. A chunk of one byte has five others and takes 15 us or more, so an
+# answer of 13,000 of them is accepted; a larger one has to have no more framing
+# than body.
+_MAX_FRAMING_BYTES = 65_536
 # Parts of one read that are parsed without a checkpoint: about 5 ms, as each
 # chunk takes some 15 us.
 _PARTS_PER_STEP = 256
