--- a/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
@@ -29,6 +29,7 @@
     StreamOpener = Callable[[str, float, float], Awaitable["OpenedStream"]]
 
 __all__ = [
+    "MAX_ANSWER_BYTES",
     "BrokenAnswerError",
     "NotConnectedError",
     "OpenedStream",
@@ -38,7 +39,19 @@
     "open_stream",
 ]
 
-_RECEIVE_BYTES = 65_536
+# Body of an answer that is held whole; streams have no bound of this kind. The
+# pages set it for bodies of requests (the default of `MaxBodyBytes`).
+MAX_ANSWER_BYTES = 4_194_304
+_MIN_FAILURE_STATUS = 300
+_RECEIVE_BYTES = 16_384
+# Bytes that are no body: heads, interim answers, trailers, and what frames
+# chunks. A chunk of one byte has five others and takes 15 us or more, so an
+# answer of 13,000 of them is accepted; a larger one has to have no more framing
+# than body.
+_MAX_FRAMING_BYTES = 65_536
+# Parts of one read that are parsed without a checkpoint: about 5 ms, as each
+# chunk takes some 15 us.
+_PARTS_PER_STEP = 256
 # SO_LINGER with a timeout of 0 s: close() resets the connection. Otherwise the
 # kernel would retransmit an abandoned request after a network partition.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -105,6 +118,9 @@
             direct.
         last_activity_at: When the runner last sent bytes, or else when the
             connection opened, on trio's clock.
+        last_progress_at: When the runner last sent bytes that completed the
+            head or an event of a stream, or were part of the body of a plain
+            success; or else when the connection opened.
         has_response_head: The response head has been received.
         has_first_event: The first event of a stream has been received.
         has_peer_closed: The runner has closed or reset the connection. False
@@ -115,11 +131,23 @@
         self.reopen = opened.reopen
         self.relay = opened.relay
         self.last_activity_at = trio.current_time()
+        self.last_progress_at = self.last_activity_at
         self.has_response_head = False
         self.has_first_event = False
         self.has_peer_closed = False
         self._stream = opened.stream
         self._http = h11.Connection(h11.CLIENT)
+        self._received_bytes = 0
+        self._body_bytes = 0
+        self._parts = 0
+        # As the head announces; 0 if it does not.
+        self._length = 0
+        self._is_success = False
+
+    @property
+    def stalled_s(self) -> float:
+        """For how long the runner has sent bytes that made no progress."""
+        return self.last_activity_at - self.last_progress_at
 
     async def send_request(self, request: RunnerRequest) -> None:
         """Send the request.
@@ -151,27 +179,46 @@
                 or the bytes are not HTTP.
         """
         while True:
-            event = await self._next_event()
-            match event:
+            match await self._parse_event():
                 case h11.Response(status_code=status, headers=headers):
                     self.has_response_head = True
+                    self.note_progress()
+                    self._length = _find_length(headers)
+                    self._is_success = status < _MIN_FAILURE_STATUS
                     return status, list(headers)
                 case h11.InformationalResponse():
                     continue
+                case h11.NEED_DATA:
+                    await self._receive()
                 case _:
                     raise BrokenAnswerError("closed without an answer")
 
     async def iterate_body(self) -> AsyncIterator[bytes]:
-        """Yield chunks of the body as they arrive.
+        """Yield pieces of the body as they arrive.
 
         Raises:
-            BrokenAnswerError: The body ended early.
+            BrokenAnswerError: The body ended early, or its framing is larger
+                than it may be.
         """
+        piece = bytearray()
         while True:
-            event = await self._next_event()
+            try:
+                event = await self._parse_event()
+            except BrokenAnswerError:
+                if piece:
+                    yield bytes(piece)
+                raise
             match event:
                 case h11.Data(data=data):
-                    yield bytes(data)
+                    piece += data
+                    self._body_bytes += len(data)
+                    continue
+                case _ if piece:
+                    yield bytes(piece)
+                    piece.clear()
+            match event:
+                case h11.NEED_DATA:
+                    await self._receive()
                 case h11.EndOfMessage():
                     return
                 case _:
@@ -181,10 +228,24 @@
         """Return the whole body.
 
         Raises:
-            BrokenAnswerError: The body ended early.
+            BrokenAnswerError: The body ended early, or has more than
+                `MAX_ANSWER_BYTES`.
         """
-        chunks = [chunk async for chunk in self.iterate_body()]
-        return b"".join(chunks)
+        if self._length > MAX_ANSWER_BYTES:
+            raise _create_oversized_error()
+        body = bytearray()
+        async for piece in self.iterate_body():
+            body += piece
+            # Another runner may do better than a failure that is slow to come.
+            if self._is_success:
+                self.note_progress()
+            if len(body) > MAX_ANSWER_BYTES:
+                raise _create_oversized_error()
+        return bytes(body)
+
+    def note_progress(self) -> None:
+        """Record that the answer is a step further."""
+        self.last_progress_at = self.last_activity_at
 
     def stop_reading(self) -> None:
         """Make the body end after the bytes that have arrived."""
@@ -195,29 +256,55 @@
         """Reset the connection, so that the runner stops unfinished work."""
         await trio.aclose_forcefully(self._stream)
 
-    async def _next_event(self) -> h11.Event:
-        while True:
-            try:
-                event = self._http.next_event()
-            except h11.RemoteProtocolError as error:
-                raise BrokenAnswerError(f"no HTTP answer: {error}") from error
-            if event is not h11.NEED_DATA:
-                return event
-            try:
-                data = await self._stream.receive_some(_RECEIVE_BYTES)
-            except (
-                trio.BrokenResourceError,
-                trio.ClosedResourceError,
-            ) as error:
-                self.has_peer_closed = isinstance(
-                    error.__cause__, ConnectionResetError
-                )
-                # Not passed on to h11 as the end of the stream: that would
-                # complete a response without a content length.
-                raise BrokenAnswerError(f"reset: {error}") from error
-            self.last_activity_at = trio.current_time()
-            self.has_peer_closed = not data
-            self._http.receive_data(data)
+    async def _parse_event(self) -> h11.Event | type[h11.NEED_DATA]:
+        self._parts += 1
+        if self._parts % _PARTS_PER_STEP == 0:
+            await trio.lowlevel.checkpoint()
+        try:
+            return self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            raise BrokenAnswerError(f"no HTTP answer: {error}") from error
+
+    async def _receive(self) -> None:
+        """Receive bytes and pass them to the parser.
+
+        Raises:
+            BrokenAnswerError: The connection was reset, or too many bytes are
+                no body.
+        """
+        framing_bytes = self._received_bytes - self._body_bytes
+        if framing_bytes > _MAX_FRAMING_BYTES + self._body_bytes:
+            raise BrokenAnswerError(
+                f"{framing_bytes} bytes frame {self._body_bytes} of the body"
+            )
+        try:
+            data = await self._stream.receive_some(_RECEIVE_BYTES)
+        except (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+        ) as error:
+            self.has_peer_closed = isinstance(
+                error.__cause__, ConnectionResetError
+            )
+            # Not passed on to h11 as the end of the stream: that would
+            # complete a response without a content length.
+            raise BrokenAnswerError(f"reset: {error}") from error
+        self._received_bytes += len(data)
+        self.last_activity_at = trio.current_time()
+        self.has_peer_closed = not data
+        self._http.receive_data(data)
+
+
+def _find_length(headers: calls.Headers) -> int:
+    for name, value in headers:
+        if name == b"content-length":
+            # The parser has checked that it is a number.
+            return int(value)
+    return 0
+
+
+def _create_oversized_error() -> BrokenAnswerError:
+    return BrokenAnswerError(f"the body has more than {MAX_ANSWER_BYTES} bytes")
 
 
 async def open_stream(
--- a/packages/daemon/src/martenquay_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/stream_relay.py
@@ -29,6 +29,11 @@
 
 __all__ = ["StreamRelay"]
 
+# An event holds a token or several, and a stream has a few events of other
+# kinds, such as comments that keep the connection alive.
+_MAX_EVENTS_PER_TOKEN = 2
+_MAX_OTHER_EVENTS = 1000
+
 
 class StreamRelay:
     """Relays streams, and records how long answers and events take."""
@@ -82,31 +87,34 @@
             is_end: Returns whether a stream that ends is complete, as opposed
                 to stopped by a move.
         """
-        splitter = event_stream.EventSplitter()
-        has_first_event = False
-        async for chunk in connection.iterate_body():
-            events = splitter.feed(chunk)
-            current.attempt_events += len(events)
-            self._note_events(current, is_whole=False)
-            if events and not has_first_event:
-                has_first_event = True
-                connection.has_first_event = True
-                running.note_first_event()
-                took_s = trio.current_time() - current.sent_at
-                self._record_first_event(current, placement, took_s)
-                # A moved run was counted where it sent its first event.
-                if current.kv_source is None or not current.events_delivered:
-                    usage_entry.UsageEntry(self._usage, current.team).count()
-            elif events and current.watch is not None:
-                self._speeds.note_events(
-                    current.watch, len(events), trio.current_time()
+        splitter = event_stream.EventSplitter(
+            is_continued=current.writer.has_started
+        )
+        try:
+            async for chunk in connection.iterate_body():
+                problem = await self._take_events(
+                    current,
+                    placement,
+                    head,
+                    connection,
+                    running,
+                    splitter.feed(chunk),
                 )
-            problem = await self._relay_events(
-                current, placement.runner, head, events
+                if problem:
+                    return exchange.Broken(problem)
+            problem = await self._take_events(
+                current,
+                placement,
+                head,
+                connection,
+                running,
+                splitter.finish(),
             )
-            if problem:
-                return exchange.Broken(problem)
-        if splitter.rest:
+        except event_stream.OversizedEventError as error:
+            return exchange.Broken(str(error))
+        if problem:
+            return exchange.Broken(problem)
+        if splitter.is_inside_event:
             return exchange.Broken("the stream ended in the middle of an event")
         if not await is_end():
             return exchange.Broken("the run was stopped to continue elsewhere")
@@ -114,9 +122,47 @@
             return exchange.Broken("the stream ended without an event")
         self._note_events(current, is_whole=True)
         current.stage = disconnects.Stage.DELIVERING
+        # Blank lines behind the last event.
+        await current.writer.write(splitter.rest)
         await current.writer.finish()
         return exchange.Delivered()
 
+    async def _take_events(
+        self,
+        current: exchange.Exchange,
+        placement: placer.Placement,
+        head: calls.AnswerHead,
+        connection: runner_connection.RunnerConnection,
+        running: loads.Running,
+        events: list[event_stream.Event],
+    ) -> str:
+        """Record events and relay them; return a problem, or ""."""
+        current.attempt_events += len(events)
+        if _has_too_many_events(current):
+            return (
+                f"{current.attempt_events} events came for "
+                f"{current.call.tokens_out} tokens"
+            )
+        self._note_events(current, is_whole=False)
+        if events and not connection.has_first_event:
+            connection.has_first_event = True
+            running.note_first_event()
+            took_s = trio.current_time() - current.sent_at
+            self._record_first_event(current, placement, took_s)
+            # A moved run was counted where it sent its first event.
+            if current.kv_source is None or not current.events_delivered:
+                usage_entry.UsageEntry(self._usage, current.team).count()
+            later_events = len(events) - 1
+        else:
+            later_events = len(events)
+        if later_events and current.watch is not None:
+            self._speeds.note_events(
+                current.watch, later_events, trio.current_time()
+            )
+        return await self._relay_events(
+            current, placement.runner, head, connection, events
+        )
+
     def record_slot_time(self, current: exchange.Exchange) -> None:
         """Record how long a complete answer held its slot."""
         # Time before the first event is left out: it includes the wait for a
@@ -164,24 +210,31 @@
         current: exchange.Exchange,
         runner: runners.Runner,
         head: calls.AnswerHead,
+        connection: runner_connection.RunnerConnection,
         events: list[event_stream.Event],
     ) -> str:
         """Write the events that the caller lacks; return a problem, or ""."""
         new_events = []
+        problem = ""
         for event in events:
             last = current.last_event_id
             if event.id is not None and last is not None:
                 if event.id <= last:
                     continue
                 if event.id > last + 1:
-                    return (
+                    # The events before it go to the caller, as the next
+                    # runner goes on after them.
+                    problem = (
                         f"event {event.id} follows event {last}; some are lost"
                     )
+                    break
             if event.id is not None:
                 current.last_event_id = event.id
             new_events.append(event.raw)
         if not new_events:
-            return ""
+            return problem
+        if not all(event_stream.is_comment(raw) for raw in new_events):
+            connection.note_progress()
         current.stage = disconnects.Stage.STREAMING
         if current.software is None:
             current.software = runner.software
@@ -192,4 +245,13 @@
             await current.writer.start(head.status, head.headers, None)
         current.events_delivered += len(new_events)
         await current.writer.write(b"".join(new_events))
-        return ""
+        return problem
+
+
+def _has_too_many_events(current: exchange.Exchange) -> bool:
+    tokens = current.call.tokens_out
+    if not tokens:
+        return False
+    return current.attempt_events > (
+        _MAX_EVENTS_PER_TOKEN * tokens + _MAX_OTHER_EVENTS
+    )
