Log how the version of each resumed stream was looked up

A refusal for want of quota or capacity named no resumed request, so the causes for which streams were not taken up could not be counted. The line replaces the one for unknown versions and has its fields.

--- a/packages/daemon/src/martenquay_daemon/forwarding/stream_resumption.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/stream_resumption.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING
 
 import trio
@@ -22,6 +23,7 @@
 # Above the interval at which daemons write origins to the log.
 _MAX_WAIT_S = 0.8
 _MAX_WAIT_FRACTION = 0.25
+_MS = 1000
 
 
 class StreamResumption:
@@ -58,37 +60,55 @@
             current.service,
             min(_MAX_WAIT_S, _MAX_WAIT_FRACTION * left_s),
         )
+        outcome, refusal = self._apply(current, found)
+        self._metrics.count_resumed_stream(current.service, outcome)
+        self._log_lookup(current, found, outcome)
+        return refusal
+
+    def _apply(
+        self, current: exchange.Exchange, found: finder.Origin
+    ) -> tuple[str, answers.OwnAnswer | None]:
+        """Return the outcome of a lookup, and why the stream cannot go on."""
         match found:
             case finder.AnyVersion():
-                self._metrics.count_resumed_stream(current.service, "any")
-                return None
+                return "any", None
             case finder.Begun(origin=origin):
                 return self._bind_to_version(current, origin)
             case finder.UnknownVersion(is_log_read=is_log_read):
-                self._metrics.count_resumed_stream(current.service, "unknown")
-                _LOG.write(
-                    "It is not known which version began a stream.",
-                    request=call.id,
-                    resumed_request=call.resumed_id,
-                    service=current.service,
-                    is_log_read=is_log_read,
-                )
-                return own_answers.describe_unknown_version(
+                return "unknown", own_answers.describe_unknown_version(
                     is_log_read=is_log_read
                 )
 
     def _bind_to_version(
         self, current: exchange.Exchange, origin: records.StreamOrigin
-    ) -> answers.OwnAnswer | None:
+    ) -> tuple[str, answers.OwnAnswer | None]:
         services = {one.service for one in current.route.destinations}
         if origin.service in services:
             current.service = origin.service
         current.software = origin.software
         usable = self._directory.list_usable(current.service)
         if any(runner.software == origin.software for runner in usable):
-            self._metrics.count_resumed_stream(current.service, "bound")
-            return None
-        self._metrics.count_resumed_stream(current.service, "gone")
-        return own_answers.describe_lost_version(
+            return "bound", None
+        return "gone", own_answers.describe_lost_version(
             current.service, origin.software
         )
+
+    def _log_lookup(
+        self, current: exchange.Exchange, found: finder.Origin, outcome: str
+    ) -> None:
+        known = collections.Counter(
+            runner.software
+            for runner in self._directory.list_usable(current.service)
+        )
+        _LOG.write(
+            f"Looked up the version of a resumed stream: {outcome}.",
+            request=current.call.id,
+            resumed_request=current.call.resumed_id or None,
+            service=current.service,
+            software=current.software,
+            usable=dict(known),
+            is_log_read=getattr(found, "is_log_read", None),
+            waited_ms=round(
+                (trio.current_time() - current.received_at) * _MS, 1
+            ),
+        )
