Give resumed streams the quota before new requests

After a kill of all daemons a team's quota begins at 0, and callers resume their streams at once. They were refused (429), told to return after up to 4 s, and then counted as late retries, which leave half of the quota to requests on time: a resumed stream has always spent the time to its first event.

A resumed stream is no late request and leaves no reserve to others. If there is no quota for it, it waits as long as a request may wait for quota, and new requests leave it what it lacks. No unit is added, so the bound on spent units stays. Both tests failed before: 0 of 3 streams were admitted, and the stream was asked for as a late request. In a fleet with hubs the hub sees it as urgent and on time, but sets nothing aside.

--- a/packages/daemon/src/martenquay_daemon/allowances/gate.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/gate.py
@@ -82,8 +82,33 @@
                 )
                 if decision is not None and decision.is_admitted:
                     return decision
+        if request.is_resuming:
+            verdict = await self._wait_in_front(team, request, verdict)
         return await self.settle(team, request, verdict, _TRANSFER_WAIT_S)
 
+    async def _wait_in_front(
+        self,
+        team: catalog.Team,
+        request: terms.AdmissionRequest,
+        verdict: terms.Verdict,
+    ) -> terms.Verdict:
+        """Wait until there is quota for a resumed stream.
+
+        After a restart of all daemons the quota begins at 0. Callers resume
+        their streams at once, and a refusal would lose what they have.
+        """
+        if isinstance(verdict, terms.Admitted):
+            return verdict
+        deadline = trio.current_time() + request.max_wait_s
+        with self._ledger.set_aside(team, request.units):
+            while trio.current_time() < deadline:
+                with trio.move_on_after(_SHARE_POLL_S):
+                    await self._ledger.quota_received.wait()
+                verdict = self._ledger.try_spend(team, request, is_again=True)
+                if isinstance(verdict, terms.Admitted):
+                    break
+        return verdict
+
     async def _spend_locally(
         self, team: catalog.Team, request: terms.AdmissionRequest
     ) -> terms.Verdict:
--- a/packages/daemon/src/martenquay_daemon/allowances/quota_ledger.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/quota_ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import math
 from typing import TYPE_CHECKING
@@ -11,7 +12,7 @@
 from martenquay_daemon.allowances import quota_bucket, sharing, terms
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Iterator
 
     from martenquay_core.serving import catalog
     from martenquay_daemon.allowances import refill_shares
@@ -102,6 +103,7 @@
         demand: Moving average of the units requested per second.
         demand_at: When the average was last updated.
         shortage: Units that waiting requests lack.
+        set_aside: Units that new requests leave to waiting resumed streams.
         refilled: Units refilled since transfers were last computed.
         promised: Units that refused callers are expected to retry for, less
             what was refilled since.
@@ -113,6 +115,7 @@
     demand: float = 0.0
     demand_at: float = 0.0
     shortage: float = 0.0
+    set_aside: float = 0.0
     refilled: float = 0.0
     promised: float = 0.0
 
@@ -213,6 +216,23 @@
         if units > 0:
             self._notify_soon()
 
+    @contextlib.contextmanager
+    def set_aside(self, team: catalog.Team, units: float) -> Iterator[None]:
+        """Have new requests leave quota to a resumed stream that waits.
+
+        Args:
+            team: The team whose quota is short.
+            units: The units that the stream costs.
+        """
+        self.note_shortage(team, units)
+        self._refill(team).set_aside += units
+        try:
+            yield
+        finally:
+            account = self._refill(team)
+            account.set_aside = max(0.0, account.set_aside - units)
+            self.note_shortage(team, -units)
+
     def refill(self, teams: Iterable[catalog.Team]) -> None:
         """Refill the quota of all teams up to now."""
         for team in teams:
@@ -327,13 +347,16 @@
         # Any positive level admits a request, and the overdraft covers the
         # rest of it; otherwise small requests would drain every refill and
         # large ones would starve.
-        has_credit = request.reserve == 0 or bucket.level > 0
-        missing = units - bucket.level - overdraft
+        level = bucket.level
+        if not request.is_resuming:
+            level -= account.set_aside
+        has_credit = request.reserve == 0 or level > 0
+        missing = units - level - overdraft
         if has_credit and missing <= 0:
             bucket.spend(units)
             self._notify_if_low(team, account)
             return terms.Admitted()
-        missing = max(missing, 1.0 - bucket.level)
+        missing = max(missing, 1.0 - level)
         if self._is_held_elsewhere(team, missing):
             return terms.HeldElsewhere(
                 missing, self._choose_holder(team, units)
--- a/packages/daemon/src/martenquay_daemon/allowances/terms.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/terms.py
@@ -85,12 +85,15 @@
         is_late: Whether it is a caller's retry that can no longer meet its
             deadline.
         max_wait_s: How long it may wait for refill shares to arrive.
+        is_resuming: Whether it resumes a stream that its caller has a part
+            of; it then waits for quota before new requests get any.
     """
 
     units: float
     reserve: int = 0
     is_late: bool = False
     max_wait_s: float = 0.6
+    is_resuming: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
@@ -5,12 +5,12 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from martenquay_core.serving import signals
+from martenquay_core.serving import catalog, signals
 from martenquay_daemon.allowances import terms
 from martenquay_daemon.forwarding import disconnects
 
 if TYPE_CHECKING:
-    from martenquay_core.serving import calls, catalog, runners
+    from martenquay_core.serving import calls, runners
     from martenquay_daemon.engines import speed_tracker
     from martenquay_daemon.forwarding import answers
 
@@ -160,6 +160,12 @@
             urgency = team.urgency
         return min(max(urgency, 0), _MAX_URGENCY)
 
+    @property
+    def is_resuming(self) -> bool:
+        """Whether the caller has a part of the stream already."""
+        is_stream = self.route.kind is catalog.CallKind.STREAM
+        return is_stream and self.call.resume_after is not None
+
     @property
     def stream_request(self) -> str:
         """Id of the request that brought or brings the stream's first event."""
--- a/packages/daemon/src/martenquay_daemon/forwarding/request_admission.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/request_admission.py
@@ -141,11 +141,18 @@
         team = current.team
         if team is None:
             return None
+        if current.is_resuming:
+            # Its time to the first event is over by its nature.
+            is_late, reserve = False, 0
+        else:
+            is_late = current.caller_elapsed_s > current.route.target_s > 0
+            reserve = self._find_priority_reserve(current)
         admission_request = terms.AdmissionRequest(
             current.units,
-            self._find_priority_reserve(current),
-            current.caller_elapsed_s > current.route.target_s > 0,
+            reserve,
+            is_late,
             _find_max_quota_wait(current),
+            current.is_resuming,
         )
         decision = await self._allowances.acquire(team, admission_request)
         if decision.is_admitted:
@@ -162,6 +169,7 @@
             part=round(quota.part, 3),
             asked=round(quota.asked),
             tried_ms=round(current.caller_elapsed_s * 1000),
+            resumed_request=current.call.resumed_id or None,
             units=current.units,
             rate=team.rate,
             burst=team.burst,
--- a/packages/daemon/src/martenquay_daemon/forwarding/stream_resumption.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/stream_resumption.py
@@ -8,7 +8,6 @@
 import trio
 
 from martenquay_core import logs
-from martenquay_core.serving import catalog
 from martenquay_daemon.forwarding import own_answers
 from martenquay_daemon.origins import finder
 
@@ -51,8 +50,7 @@
             current: The request; its service and version are updated.
         """
         call = current.call
-        is_stream = current.route.kind is catalog.CallKind.STREAM
-        if call.resume_after is None or not is_stream:
+        if not current.is_resuming:
             return None
         left_s = max(0.0, current.deadline - trio.current_time())
         found = await self._origins.find(
--- a/tests/test_allowances/test_quota_ledger.py
+++ b/tests/test_allowances/test_quota_ledger.py
@@ -271,6 +271,34 @@
 
         self.run_clocked(scenario)
 
+    def test_a_resumed_stream_gets_quota_before_new_requests(self) -> None:
+        async def scenario() -> None:
+            # As after a restart: nothing is there and nothing is overdrawn.
+            ledger = allowance_fleet.build_ledger(0.125)
+            quota_gate = self._build(ledger)
+            admitted: dict[bool, int] = {True: 0, False: 0}
+
+            async def ask(units: float, *, is_resuming: bool) -> None:
+                decision = await quota_gate.acquire(
+                    _TEAM,
+                    terms.AdmissionRequest(
+                        units, max_wait_s=1.5, is_resuming=is_resuming
+                    ),
+                )
+                admitted[is_resuming] += decision.is_admitted
+
+            async with trio.open_nursery() as nursery:
+                for _ in range(3):
+                    nursery.start_soon(lambda: ask(1_500.0, is_resuming=True))
+                for _ in range(100):
+                    nursery.start_soon(lambda: ask(300.0, is_resuming=False))
+                    await trio.sleep(0.02)
+            self.assertEqual(3, admitted[True])
+            # New requests get the rest once nobody waits.
+            self.assertGreater(admitted[False], 5)
+
+        self.run_clocked(scenario)
+
     def test_a_request_is_refused_when_no_transfer_arrives(self) -> None:
         async def scenario() -> None:
             ledger = allowance_fleet.build_ledger(0.0)
--- a/tests/test_forwarding/test_stream_versions.py
+++ b/tests/test_forwarding/test_stream_versions.py
@@ -2,19 +2,23 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 
 import trio
 
 from martenquay_core.serving import catalog
+from martenquay_daemon.allowances import terms
 from martenquay_standins.ports import runner as scripted
 from martenquay_standins.ports.runner import Script
 from tests import forwarder_case as case
+from tests import serving_builders as builders
 from tests import serving_scene
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+
 _NEW = case.CALL % (b"GET /lookup/7", 5000)
 _RESUMING = (
     b"GET /lookup/7 HTTP/1.1\r\nhost: desk.example\r\nattempt-id: call-2\r\n"
@@ -22,6 +26,12 @@
 )
 
 
+def _add_key(request: bytes) -> bytes:
+    return request.replace(
+        b"\r\n\r\n", b"\r\nauthorization: Token key-1\r\n\r\n"
+    )
+
+
 def _head(call: bytes) -> bytes:
     return (
         b"HTTP/1.1 200 OK\r\nattempt-id: %s\r\nserver-seal: s1\r\n"
@@ -52,11 +62,14 @@
         scenario: Callable[
             [serving_scene.Scene, Callable[..., Awaitable]], Awaitable[None]
         ],
+        teams: tuple[catalog.Team, ...] = (),
     ) -> None:
         """Run a scenario, which may add runners of given versions."""
 
         async def run() -> None:
-            content = self.build_content(is_resumable=True)
+            content = dataclasses.replace(
+                self.build_content(is_resumable=True), teams=teams
+            )
             async with (
                 trio.open_nursery() as nursery,
                 serving_scene.open_scene(content) as scene,
@@ -166,3 +179,33 @@
             self.assertEqual([], newer.requests)
 
         self._run_with_versions(scenario)
+
+    def test_a_resumed_stream_is_not_put_behind_others_in_the_quota(
+        self,
+    ) -> None:
+        asked: list[terms.AdmissionRequest] = []
+
+        async def scenario(
+            scene: serving_scene.Scene, add: Callable[..., Awaitable]
+        ) -> None:
+            async def acquire(
+                team: catalog.Team, request: terms.AdmissionRequest
+            ) -> terms.AdmissionDecision:
+                del team
+                asked.append(request)
+                return terms.AdmissionDecision(0.0)
+
+            scene.parts.allowances.acquire = acquire
+            await add("v1", _begin(b"call-1"), _finish(b"call-2"))
+            await scene.ask(_add_key(_NEW))
+            # The caller has used up the route's target.
+            resuming = _RESUMING.replace(b"5000", b"2000") % b"call-1"
+            await scene.ask(_add_key(resuming))
+
+        self._run_with_versions(scenario, teams=(builders.build_team(),))
+        new, resumed = asked
+        self.assertFalse(new.is_resuming)
+        self.assertEqual(
+            (True, False, 0),
+            (resumed.is_resuming, resumed.is_late, resumed.reserve),
+        )
