Know that one version alone serves, instead of believing it

Callers got streams joined from two versions (ORDER), in two ways: - One version served, so nothing was written, and all daemons were killed. The servers were replaced while the daemons were down. Those that came back listed one version, found nothing in the log, and took any runner for the rest. - A daemon stood still or was cut off while runners of a version joined. It answered from entries of up to 5 s ago, because a new version gets no requests for 6 s. That is not so where the old version has no usable runner, where an operator ordered the new one, and at a daemon that has just started.

Cause of both: the one version was what was last heard, in the life of a process. Now each service's versions are a keyed record in the log, written when they change and read at the start; the runners' entries are read again, by a read that begins after the stream came back, before one version counts as the only one; a gap in the observation of more than 3 s begins it anew; and the stream is bound to the one version, as others may join while it waits for quota.

Without the log's answer nothing is guessed any more, also within the first 5 s of an outage: 503 with Retry-After.

On the code before, the scenes of the new tests gave AnyVersion for streams of a version that was replaced while all were down, that joined during a suspension, and that came and left in a gap.

Changed tests: a daemon that has observed nothing for longer than a lifetime does not count as having seen it, so two tests let it observe; the first read is two calls, as the versions are read. OnlyVersion names the version, which is stricter than AnyVersion.

--- a/packages/core/src/martenquay_core/serving/topics.py
+++ b/packages/core/src/martenquay_core/serving/topics.py
@@ -23,6 +23,8 @@
         rollouts: Keyed by service; rollout steps.
         origins: The software versions that began streams, while a service has
             several.
+        versions: Keyed by service; the software versions whose streams may be
+            resumed.
         status: Keyed; rollout status for operators.
     """
 
@@ -35,4 +37,5 @@
     strikes: str
     rollouts: str
     origins: str
+    versions: str
     status: str
--- a/packages/daemon/src/martenquay_daemon/forwarding/stream_resumption.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/stream_resumption.py
@@ -68,7 +68,9 @@
     ) -> tuple[str, answers.OwnAnswer | None]:
         """Return the outcome of a lookup, and why the stream cannot go on."""
         match found:
-            case finder.AnyVersion():
+            case finder.OnlyVersion(software=software):
+                # Others may join while the request waits for quota.
+                current.software = software
                 return "any", None
             case finder.Begun(origin=origin):
                 return self._bind_to_version(current, origin)
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -526,9 +526,10 @@
         self._origins = origin_parts.create_origins(
             self._ports.log,
             self._ports.topics.origins,
+            self._ports.topics.versions,
             self._catalog_store,
             self._runner_directory,
-            lambda: self._runner_follower.copy_age.age_s,
+            self._runner_follower,
             self.links,
         )
 
--- a/packages/daemon/src/martenquay_daemon/origins/finder.py
+++ b/packages/daemon/src/martenquay_daemon/origins/finder.py
@@ -3,22 +3,16 @@
 from __future__ import annotations
 
 import dataclasses
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import trio
 
 from martenquay_daemon.origins import records
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from martenquay_daemon.origins import log, table, versions
 
-__all__ = ["AnyVersion", "Begun", "Origin", "OriginFinder", "UnknownVersion"]
-
-# A new version gets no requests for the first six seconds, so a copy of the
-# runners' entries up to this age shows all versions that streams have.
-_MAX_ENTRIES_AGE_S = 5.0
+__all__ = ["Begun", "OnlyVersion", "Origin", "OriginFinder", "UnknownVersion"]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -33,8 +27,14 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class AnyVersion:
-    """The service has had one version for as long as a stream lasts."""
+class OnlyVersion:
+    """The service has had one version for as long as a stream lasts.
+
+    Attributes:
+        software: The version; None if no runner is known.
+    """
+
+    software: str | None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -48,7 +48,14 @@
     is_log_read: bool
 
 
-Origin = Begun | AnyVersion | UnknownVersion
+Origin = Begun | OnlyVersion | UnknownVersion
+
+
+class EntryConfirmation(Protocol):
+    """The runners' entries, as far as they decide on resumed streams."""
+
+    async def confirm(self, since: float) -> bool:
+        """Read until they are those of a time; return whether they are."""
 
 
 class OriginFinder:
@@ -59,7 +66,7 @@
         origins: table.OriginTable,
         history: versions.VersionHistory,
         origin_log: log.OriginLog,
-        find_entries_age_s: Callable[[], float],
+        entries: EntryConfirmation,
     ) -> None:
         """Create the finder.
 
@@ -67,12 +74,12 @@
             origins: The known origins.
             history: The versions of each service.
             origin_log: Reads the origins that other daemons have written.
-            find_entries_age_s: Returns the age of the runners' entries.
+            entries: Reads the runners' entries again.
         """
         self._origins = origins
         self._history = history
         self._log = origin_log
-        self._find_entries_age_s = find_entries_age_s
+        self._entries = entries
 
     def note_begun(self, request: str, service: str, software: str) -> None:
         """Record that a stream's first event was relayed here.
@@ -101,11 +108,13 @@
         known = self._origins.find(request)
         if known is not None:
             return Begun(known)
-        if self._is_settled(service):
-            return AnyVersion()
+        asked_at = trio.current_time()
         is_log_read = False
         with trio.move_on_after(timeout_s):
-            is_log_read = await self._log.read()
+            is_current = await self._entries.confirm(asked_at)
+            if is_current and self._is_settled(service):
+                return OnlyVersion(self._history.find_only(service))
+            is_log_read = is_current and await self._log.read()
             # The daemon that began the stream may not have written it yet.
             while (
                 is_log_read
@@ -118,17 +127,14 @@
         if known is not None:
             return Begun(known)
         if is_log_read and not self._history.is_mixed(service):
-            return AnyVersion()
+            return OnlyVersion(self._history.find_only(service))
         return UnknownVersion(is_log_read)
 
     def _is_settled(self, service: str) -> bool:
         """Return whether this daemon alone knows that the service is unmixed.
 
-        It does if it has run for as long as a stream lasts and its copy of the
-        runners' entries is recent.
+        It does if it has observed the versions for as long as a stream lasts.
         """
-        return (
-            not self._history.is_mixed(service)
-            and self._history.has_seen_lifetime(service)
-            and self._find_entries_age_s() < _MAX_ENTRIES_AGE_S
-        )
+        return not self._history.is_mixed(
+            service
+        ) and self._history.has_seen_lifetime(service)
--- a/packages/daemon/src/martenquay_daemon/origins/log.py
+++ b/packages/daemon/src/martenquay_daemon/origins/log.py
@@ -22,7 +22,7 @@
     from collections.abc import Callable
 
     from martenquay_core.serving import ports
-    from martenquay_daemon.origins import table, versions
+    from martenquay_daemon.origins import table, version_log, versions
 
 __all__ = ["OriginLog", "OriginPeers"]
 
@@ -57,6 +57,7 @@
         topic: str,
         origins: table.OriginTable,
         history: versions.VersionHistory,
+        recorded: version_log.VersionLog,
         find_lifetimes: Callable[[], dict[str, float]],
         peers: OriginPeers,
     ) -> None:
@@ -67,6 +68,7 @@
             topic: The topic of origins.
             origins: The known origins.
             history: The versions of each service.
+            recorded: Keeps the versions in the log.
             find_lifetimes: Returns for how long a stream may be resumed, in
                 seconds, for each service that has streams.
             peers: The daemons to share origins with; unless this one writes
@@ -76,6 +78,7 @@
         self._topic = topic
         self._origins = origins
         self._history = history
+        self._recorded = recorded
         self._find_lifetimes = find_lifetimes
         self._peers = peers
         self._position = 0
@@ -88,6 +91,8 @@
         while True:
             # Others may have seen a second version before this daemon began.
             has_read = has_read or await self.read()
+            if self._peers.leads_reading():
+                await self._recorded.write_changes(self._find_lifetimes())
             await self._write_due()
             await trio.sleep(_WRITE_INTERVAL_S)
 
@@ -126,6 +131,8 @@
         return self._is_up_to_date
 
     async def _read_to_end(self, wait_s: float) -> bool:
+        if not await self._recorded.read():
+            return False
         while True:
             page = await self._log.read(
                 self._topic, self._position, wait_s=wait_s
--- a/packages/daemon/src/martenquay_daemon/origins/parts.py
+++ b/packages/daemon/src/martenquay_daemon/origins/parts.py
@@ -6,13 +6,22 @@
 from typing import TYPE_CHECKING
 
 from martenquay_core.serving import catalog
-from martenquay_daemon.origins import finder, log, table, versions
+from martenquay_daemon.origins import (
+    current_entries,
+    finder,
+    log,
+    table,
+    version_log,
+    versions,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from martenquay_core.serving import ports
-    from martenquay_daemon.discovery import catalog_store, runner_directory
+    from martenquay_daemon.discovery import (
+        catalog_store,
+        keyed_follower,
+        runner_directory,
+    )
 
 __all__ = ["Origins", "create_origins"]
 
@@ -37,9 +46,10 @@
 def create_origins(
     platform_log: ports.LogPort,
     topic: str,
+    versions_topic: str,
     store: catalog_store.CatalogStore,
     directory: runner_directory.RunnerDirectory,
-    find_entries_age_s: Callable[[], float],
+    runner_follower: keyed_follower.KeyedFollower,
     peers: log.OriginPeers,
 ) -> Origins:
     """Return the parts, without any origin.
@@ -47,9 +57,10 @@
     Args:
         platform_log: The platform's log.
         topic: The topic of origins.
+        versions_topic: The topic of the services' versions.
         store: The catalog, whose routes tell how long streams last.
         directory: The known runners.
-        find_entries_age_s: Returns the age of the runners' entries.
+        runner_follower: Reads the runners' entries.
         peers: The daemons to share origins with.
     """
 
@@ -60,17 +71,24 @@
     history = versions.VersionHistory(
         directory.list_all,
         lambda service: find_lifetimes().get(service, 0.0),
+        lambda: runner_follower.copy_age.age_s,
     )
     origin_log = log.OriginLog(
         platform_log,
         topic,
         origins,
         history,
+        version_log.VersionLog(platform_log, versions_topic, history),
         find_lifetimes,
         peers,
     )
     return Origins(
-        finder.OriginFinder(origins, history, origin_log, find_entries_age_s),
+        finder.OriginFinder(
+            origins,
+            history,
+            origin_log,
+            current_entries.CurrentEntries(runner_follower),
+        ),
         origin_log,
     )
 
--- a/packages/daemon/src/martenquay_daemon/origins/records.py
+++ b/packages/daemon/src/martenquay_daemon/origins/records.py
@@ -10,7 +10,9 @@
     "OriginBatch",
     "StreamOrigin",
     "decode_batch",
+    "decode_versions",
     "encode_batch",
+    "encode_versions",
 ]
 
 
@@ -78,3 +80,22 @@
             for request in requests
         ],
     )
+
+
+def encode_versions(last_listed_ms: dict[str, int | None]) -> bytes:
+    """Return the value of a service's record of its versions.
+
+    Args:
+        last_listed_ms: When each version was last listed, in ms since the Unix
+            epoch; None for those that still are.
+    """
+    return msgspec.json.encode(last_listed_ms)
+
+
+def decode_versions(value: bytes) -> dict[str, int | None]:
+    """Return what `encode_versions` has encoded.
+
+    Raises:
+        ValueError: The record is malformed.
+    """
+    return msgspec.json.decode(value, type=dict[str, int | None])
--- a/packages/daemon/src/martenquay_daemon/origins/versions.py
+++ b/packages/daemon/src/martenquay_daemon/origins/versions.py
@@ -14,6 +14,14 @@
 
 __all__ = ["VersionHistory"]
 
+# Above the time between two reads of the runners' entries. In a longer gap a
+# version may have come and gone unseen.
+_MAX_GAP_S = 3.0
+
+
+def _find_no_age() -> float:
+    return 0.0
+
 
 class VersionHistory:
     """The software versions that each service has had lately.
@@ -26,6 +34,7 @@
         self,
         list_runners: Callable[[str], Iterable[runners.Runner]],
         find_lifetime_s: Callable[[str], float],
+        find_entries_age_s: Callable[[], float] = _find_no_age,
     ) -> None:
         """Create the history.
 
@@ -33,10 +42,15 @@
             list_runners: Returns the known runners of a service.
             find_lifetime_s: Returns for how long after its begin a stream of
                 a service may be resumed, in seconds.
+            find_entries_age_s: Returns the age of the runners' entries.
         """
         self._list_runners = list_runners
         self._find_lifetime_s = find_lifetime_s
-        self._started_at = math.inf
+        self._find_entries_age_s = find_entries_age_s
+        # By service: since when its versions are observed without a gap, and
+        # when they last were.
+        self._complete_since: dict[str, float] = {}
+        self._observed_at: dict[str, float] = {}
         # Time at which a version was last listed, by service.
         self._seen_at: dict[str, dict[str, float]] = {}
         # Until when other daemons take a service for mixed.
@@ -45,11 +59,43 @@
     def observe(self, service: str) -> None:
         """Note the versions that a service has now."""
         now = trio.current_time()
-        self._started_at = min(self._started_at, now)
+        last = self._observed_at.get(service, -math.inf)
+        is_gap = now - last > _MAX_GAP_S
+        if is_gap or self._find_entries_age_s() > _MAX_GAP_S:
+            self._complete_since[service] = now
+        self._observed_at[service] = now
         seen = self._seen_at.setdefault(service, {})
         for runner in self._list_runners(service):
             seen[runner.software] = now
 
+    def list_versions(self, service: str) -> dict[str, float]:
+        """Return the versions whose streams may be resumed.
+
+        Returns:
+            When each was last listed, in trio's time.
+        """
+        self.find_mixed_until(service)
+        return dict(self._seen_at[service])
+
+    def find_only(self, service: str) -> str | None:
+        """Return the only version of a service; None if not just one is known.
+
+        Versions of before the last lifetime do not count.
+        """
+        seen = self.list_versions(service)
+        return next(iter(seen)) if len(seen) == 1 else None
+
+    def note_listed(self, service: str, software: str, at: float) -> None:
+        """Record that another daemon has listed a version.
+
+        Args:
+            service: The service.
+            software: The version.
+            at: When, in trio's time.
+        """
+        seen = self._seen_at.setdefault(service, {})
+        seen[software] = max(at, seen.get(software, -math.inf))
+
     def note_mixed(self, service: str, until: float) -> None:
         """Record until when another daemon takes a service for mixed.
 
@@ -87,7 +133,7 @@
         return self.find_mixed_until(service) > trio.current_time()
 
     def has_seen_lifetime(self, service: str) -> bool:
-        """Return whether this daemon has run for longer than a stream lasts."""
+        """Return whether all versions of a stream's lifetime were seen here."""
         self.observe(service)
-        runs_s = trio.current_time() - self._started_at
-        return runs_s > self._find_lifetime_s(service)
+        seen_s = trio.current_time() - self._complete_since[service]
+        return seen_s > self._find_lifetime_s(service)
--- a/tests/origin_builders.py
+++ b/tests/origin_builders.py
@@ -5,14 +5,30 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from martenquay_daemon.origins import finder, log, records, table, versions
+import trio
+
+from martenquay_daemon.origins import (
+    finder,
+    log,
+    records,
+    table,
+    version_log,
+    versions,
+)
 from tests import serving_builders as builders
 
 if TYPE_CHECKING:
     from martenquay_core.serving import runners
     from martenquay_standins.ports import log as memory
 
-__all__ = ["LIFETIME_S", "OriginDaemon", "build_origin", "create_daemon"]
+__all__ = [
+    "LIFETIME_S",
+    "FakeEntries",
+    "OriginDaemon",
+    "build_origin",
+    "build_runners",
+    "create_daemon",
+]
 
 LIFETIME_S = 30.0
 
@@ -27,6 +43,38 @@
     return records.StreamOrigin(**(fields | changes))
 
 
+class FakeEntries:
+    """Fake of `finder.EntryConfirmation` and of the age of the entries.
+
+    Attributes:
+        age_s: Age of the daemon's copy of the entries.
+        is_log_cut: Whether the log does not answer this daemon.
+        newest: The runners that the log lists, if the daemon's copy lacks
+            them.
+        reads: How often the log was read.
+    """
+
+    def __init__(self, known: list[runners.Runner]) -> None:
+        self.age_s = 0.0
+        self.is_log_cut = False
+        self.newest: list[runners.Runner] | None = None
+        self.reads = 0
+        self._known = known
+
+    async def confirm(self, since: float) -> bool:
+        """Apply the entries that the log lists, if the copy is too old."""
+        if trio.current_time() - self.age_s >= since:
+            return True
+        self.reads += 1
+        await trio.lowlevel.checkpoint()
+        if self.is_log_cut:
+            return False
+        if self.newest is not None:
+            self._known[:] = self.newest
+        self.age_s = 0.0
+        return True
+
+
 @dataclasses.dataclass
 class OriginDaemon:
     """The parts of one daemon that know origins.
@@ -38,7 +86,7 @@
         finder: Finds origins.
         peers: The other daemons, as this one sees them.
         runners: The runners that it knows, of the service `model`.
-        entries_age_s: Age of its copy of their entries.
+        entries: Its copy of their entries.
     """
 
     origins: table.OriginTable
@@ -47,16 +95,21 @@
     finder: finder.OriginFinder
     peers: builders.FakeOriginPeers
     runners: list[runners.Runner]
-    entries_age_s: float = 0.0
+    entries: FakeEntries
 
     def set_versions(self, *software: str) -> None:
         """Replace the runners by one of each version."""
-        self.runners[:] = [
-            builders.build_runner(
-                id=f"runner-{version}", service="model", software=version
-            )
-            for version in software
-        ]
+        self.runners[:] = build_runners(*software)
+
+
+def build_runners(*software: str) -> list[runners.Runner]:
+    """Return a runner of the service `model` of each version."""
+    return [
+        builders.build_runner(
+            id=f"runner-{version}", service="model", software=version
+        )
+        for version in software
+    ]
 
 
 def create_daemon(
@@ -67,13 +120,17 @@
     """Return a daemon that knows one runner of each version."""
     known: list[runners.Runner] = []
     origins = table.OriginTable()
-    history = versions.VersionHistory(lambda _: known, lambda _: LIFETIME_S)
+    entries = FakeEntries(known)
+    history = versions.VersionHistory(
+        lambda _: known, lambda _: LIFETIME_S, lambda: entries.age_s
+    )
     peers = peers or builders.FakeOriginPeers()
     origin_log = log.OriginLog(
         platform_log,
         builders.TOPICS.origins,
         origins,
         history,
+        version_log.VersionLog(platform_log, builders.TOPICS.versions, history),
         lambda: {"model": LIFETIME_S},
         peers,
     )
@@ -81,11 +138,10 @@
         origins,
         history,
         origin_log,
-        finder.OriginFinder(
-            origins, history, origin_log, lambda: daemon.entries_age_s
-        ),
+        finder.OriginFinder(origins, history, origin_log, entries),
         peers,
         known,
+        entries,
     )
     daemon.set_versions(*software)
     return daemon
--- a/tests/serving_builders.py
+++ b/tests/serving_builders.py
@@ -50,6 +50,7 @@
     strikes="strikes",
     rollouts="rollouts",
     origins="origins",
+    versions="versions",
     status="status",
 )
 
--- a/tests/serving_scene.py
+++ b/tests/serving_scene.py
@@ -165,9 +165,10 @@
         self.origins = origin_parts.create_origins(
             self.log,
             builders.TOPICS.origins,
+            builders.TOPICS.versions,
             self.store,
             self.directory,
-            lambda: self.follower.copy_age.age_s,
+            self.follower,
             builders.FakeOriginPeers(),
         )
         rng = random.Random(1)
--- a/tests/test_origins/test_finder.py
+++ b/tests/test_origins/test_finder.py
@@ -10,7 +10,7 @@
 from tests import origin_builders as builders
 
 _TIMEOUT_S = 0.8
-_ANY = finder.AnyVersion()
+_ONLY = finder.OnlyVersion("v1")
 
 
 class FinderTest(clocked.ClockedTestCase):
@@ -30,6 +30,11 @@
                 for daemon in daemons:
                     nursery.start_soon(daemon.log.run)
 
+    async def _observe_lifetime(self, daemon: builders.OriginDaemon) -> None:
+        """Let a daemon observe the versions for longer than a stream lasts."""
+        with trio.move_on_after(builders.LIFETIME_S + 1):
+            await daemon.log.run()
+
     def test_a_stream_that_began_here_is_known(self) -> None:
         async def scenario() -> None:
             daemon = builders.create_daemon(self.log, "v1", "v1.1")
@@ -110,7 +115,8 @@
             cut_off = builders.create_daemon(self.log, "v1")
             cut_off.history.observe("model")
             await trio.sleep(builders.LIFETIME_S + 1)
-            cut_off.entries_age_s = builders.LIFETIME_S
+            cut_off.entries.age_s = builders.LIFETIME_S
+            cut_off.entries.is_log_cut = True
             for daemon in (mixed, started_just_now, cut_off):
                 self.assertEqual(
                     finder.UnknownVersion(is_log_read=False),
@@ -138,28 +144,99 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(daemon.log.run)
                 await trio.sleep(1.0)
+                calls = self.log.calls
                 self.log.faults.is_down = True
                 await trio.sleep(10.0)
                 nursery.cancel_scope.cancel()
-            self.assertEqual(1, self.log.calls)
+            self.assertEqual(calls, self.log.calls)
 
         self.run_clocked(scenario)
 
     def test_a_lone_version_needs_no_call(self) -> None:
         async def scenario() -> None:
             daemon = builders.create_daemon(self.log, "v1")
-            daemon.history.observe("model")
-            await trio.sleep(builders.LIFETIME_S + 1)
-            self.assertEqual(_ANY, await self._find(daemon))
-            self.assertEqual(0, self.log.calls)
+            await self._observe_lifetime(daemon)
+            calls = self.log.calls
+            self.assertEqual(_ONLY, await self._find(daemon))
+            self.assertEqual((calls, 0), (self.log.calls, daemon.entries.reads))
+
+        self.run_clocked(scenario)
+
+    def test_a_version_that_joined_while_a_daemon_stood_still_is_found(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            daemon = builders.create_daemon(self.log, "v1")
+            await self._observe_lifetime(daemon)
+            beginner = builders.create_daemon(self.log, "v1", "v1.1")
+            beginner.finder.note_begun("call-2", "model", "v1.1")
+            await self._write(beginner)
+            daemon.entries.newest = builders.build_runners("v1", "v1.1")
+            daemon.entries.age_s = 3.0
+            begun = finder.Begun(builders.build_origin(2, software="v1.1"))
+            self.assertEqual(begun, await self._find(daemon, "call-2"))
+
+        self.run_clocked(scenario)
+
+    def test_a_version_that_came_and_left_in_a_gap_is_found(self) -> None:
+        async def scenario() -> None:
+            daemon = builders.create_daemon(self.log, "v1")
+            await self._observe_lifetime(daemon)
+            beginner = builders.create_daemon(self.log, "v1", "v1.1")
+            beginner.finder.note_begun("call-2", "model", "v1.1")
+            await self._write(beginner)
+            await trio.sleep(4.0)
+            begun = finder.Begun(builders.build_origin(2, software="v1.1"))
+            self.assertEqual(begun, await self._find(daemon, "call-2"))
+
+        self.run_clocked(scenario)
+
+    def test_a_daemon_that_is_cut_off_just_now_does_not_guess(self) -> None:
+        async def scenario() -> None:
+            daemon = builders.create_daemon(self.log, "v1")
+            await self._observe_lifetime(daemon)
+            daemon.entries.age_s = 1.0
+            daemon.entries.is_log_cut = True
+            self.assertEqual(
+                finder.UnknownVersion(is_log_read=False),
+                await self._find(daemon, "call-2"),
+            )
+
+        self.run_clocked(scenario)
+
+    def test_a_version_that_was_replaced_while_all_daemons_were_down_counts(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            killed = builders.create_daemon(self.log, "v1")
+            killed.finder.note_begun("call-1", "model", "v1")
+            await self._write(killed)
+            daemon = builders.create_daemon(self.log, "v1.1")
+            self.assertEqual(
+                finder.UnknownVersion(is_log_read=True),
+                await self._find(daemon),
+            )
+            await self._write(daemon)
+            # Another kill of all daemons does not end the time.
+            await trio.sleep(builders.LIFETIME_S / 2)
+            daemon = builders.create_daemon(self.log, "v1.1")
+            self.assertEqual(
+                finder.UnknownVersion(is_log_read=True),
+                await self._find(daemon),
+            )
+            await trio.sleep(builders.LIFETIME_S)
+            self.assertEqual(
+                finder.OnlyVersion("v1.1"), await self._find(daemon)
+            )
 
         self.run_clocked(scenario)
 
     def test_a_lone_version_at_a_daemon_that_has_just_started(self) -> None:
         async def scenario() -> None:
             daemon = builders.create_daemon(self.log, "v1")
-            self.assertEqual(_ANY, await self._find(daemon))
-            self.assertEqual(1, self.log.calls)
+            self.assertEqual(_ONLY, await self._find(daemon))
+            # The versions of before, and the origins.
+            self.assertEqual(2, self.log.calls)
 
         self.run_clocked(scenario)
 
@@ -174,7 +251,9 @@
             unknown = finder.UnknownVersion(is_log_read=True)
             self.assertEqual(unknown, await self._find(daemon, "call-2"))
             await trio.sleep(builders.LIFETIME_S)
-            self.assertEqual(_ANY, await self._find(daemon, "call-2"))
+            self.assertEqual(
+                finder.OnlyVersion("v1.1"), await self._find(daemon, "call-2")
+            )
 
         self.run_clocked(scenario)
 
