Write the origins of streams within 0.12 s

After a kill of all daemons only the log tells which version began a stream, and streams of the last half second were not in it.

Origins are written as soon as there are any, with 0.12 s between two appends, and not at all while none begin or one version serves. Eight daemons make 67 appends a second at most of the 400 that are allowed. Test red before: a stream of 0.125 s before the kill was unknown.

--- a/packages/daemon/src/martenquay_daemon/origins/log.py
+++ b/packages/daemon/src/martenquay_daemon/origins/log.py
@@ -28,8 +28,11 @@
 
 _LOG = logs.create_log("origins")
 _MS = 1000
-# Each append has a price.
-_WRITE_INTERVAL_S = 0.5
+# How often versions are observed, and what could not be written is tried again.
+_CHECK_INTERVAL_S = 0.5
+# Between two appends, as each has a price. Streams that began since the last
+# one are lost if all daemons are killed.
+_WRITE_INTERVAL_S = 0.12
 # Records that are read at most after a start or a loss: those of half a minute
 # by two writers in each of 25 zones.
 _MAX_TAIL_RECORDS = 3000
@@ -84,6 +87,7 @@
         self._position = 0
         self._is_up_to_date = False
         self._ongoing: trio.Event | None = None
+        self._has_begun = trio.Event()
 
     async def run(self) -> None:
         """Write origins until cancelled."""
@@ -91,16 +95,20 @@
         while True:
             # Others may have seen a second version before this daemon began.
             has_read = has_read or await self.read()
+            self._has_begun = trio.Event()
             if self._peers.leads_reading():
                 await self._recorded.write_changes(self._find_lifetimes())
             await self._write_due()
             await trio.sleep(_WRITE_INTERVAL_S)
+            with trio.move_on_after(_CHECK_INTERVAL_S - _WRITE_INTERVAL_S):
+                await self._has_begun.wait()
 
     def note_begun(self, origin: records.StreamOrigin) -> None:
         """Record that a stream's first event is relayed here."""
         self._origins.add_begun(origin)
         if self._history.is_mixed(origin.service):
             self._share_batch(self._create_batch([origin]))
+            self._has_begun.set()
 
     def apply_shared(self, record: bytes) -> None:
         """Apply what another daemon shares; a hub also writes it."""
@@ -109,6 +117,7 @@
         if batch is not None and is_hub:
             for origin in batch.origins:
                 self._origins.add_begun(origin)
+            self._has_begun.set()
 
     async def read(self, wait_s: float = 0.0) -> bool:
         """Read the records that are new; return whether the log answered.
--- a/tests/test_origins/test_finder.py
+++ b/tests/test_origins/test_finder.py
@@ -231,6 +231,27 @@
 
         self.run_clocked(scenario)
 
+    def test_an_origin_is_written_within_an_eighth_of_a_second(self) -> None:
+        async def scenario() -> None:
+            killed = builders.create_daemon(self.log, "v1", "v1.1")
+            with trio.move_on_after(2.45):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(killed.log.run)
+                    for number in range(20):
+                        await trio.sleep(0.11)
+                        killed.finder.note_begun(
+                            f"call-{number}", "model", "v1"
+                        )
+                    await trio.sleep(0.125)
+                    nursery.cancel_scope.cancel()
+            daemon = builders.create_daemon(self.log, "v1", "v1.1")
+            found = await self._find(daemon, "call-19")
+            self.assertIsInstance(found, finder.Begun)
+            # At most one in each interval, and those that begin a daemon.
+            self.assertLess(self.log.calls, 2.45 / 0.12 + 8)
+
+        self.run_clocked(scenario)
+
     def test_a_lone_version_at_a_daemon_that_has_just_started(self) -> None:
         async def scenario() -> None:
             daemon = builders.create_daemon(self.log, "v1")
