--- a/tests/test_promises/test_suspension.py
+++ b/tests/test_promises/test_suspension.py
@@ -15,9 +15,10 @@
 from martenquay_daemon.duties import lease
 from martenquay_daemon.fleet import view
 from martenquay_daemon.forwarding import retry_window
+from martenquay_daemon.origins import finder
 from martenquay_daemon.quarantine import crash_table
 from martenquay_standins.ports import log
-from tests import allowance_fleet
+from tests import allowance_fleet, origin_fleet
 
 _SUSPENDED_S = 5.0
 _LEASE_S = 3.0
@@ -67,6 +68,33 @@
 
         self._run(scenario)
 
+    def test_the_one_version_of_before_is_not_the_only_one_after(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            world = origin_fleet.World()
+            world.add_runner("v1")
+            async with trio.open_nursery() as nursery:
+                world.nursery = nursery
+                world.daemons = [None]
+                world.start(0)
+                await trio.sleep(20.0)
+                (daemon,) = world.daemons
+                self.assertEqual(
+                    finder.OnlyVersion("v1"),
+                    await daemon.finder.find("a", origin_fleet.SERVICE, 0.8),
+                )
+                # Joins while the daemon stands still.
+                world.add_runner("v1.1")
+                self.clock.jump(4.0)
+                self.assertEqual(
+                    finder.UnknownVersion(is_log_read=True),
+                    await daemon.finder.find("b", origin_fleet.SERVICE, 0.8),
+                )
+                nursery.cancel_scope.cancel()
+
+        self._run(scenario)
+
     def test_quota_expires(self) -> None:
         async def scenario() -> None:
             ledger = allowance_fleet.build_ledger()
