Try origins that could not be written again each half second

Since origins are written as they begin, each new stream tried again at once while the log was down, up to eight times a second, and each call has a price, also a refused one. Test red before. Versions are checked each half second, as before.

--- a/packages/daemon/src/martenquay_daemon/origins/log.py
+++ b/packages/daemon/src/martenquay_daemon/origins/log.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from typing import TYPE_CHECKING, Protocol
 
@@ -92,13 +93,18 @@
     async def run(self) -> None:
         """Write origins until cancelled."""
         has_read = False
+        checked_at = -math.inf
         while True:
             # Others may have seen a second version before this daemon began.
             has_read = has_read or await self.read()
             self._has_begun = trio.Event()
-            if self._peers.leads_reading():
+            is_check_due = trio.current_time() >= checked_at + _CHECK_INTERVAL_S
+            if is_check_due and self._peers.leads_reading():
+                checked_at = trio.current_time()
                 await self._recorded.write_changes(self._find_lifetimes())
-            await self._write_due()
+            if not await self._write_due():
+                await trio.sleep(_CHECK_INTERVAL_S)
+                continue
             await trio.sleep(_WRITE_INTERVAL_S)
             with trio.move_on_after(_CHECK_INTERVAL_S - _WRITE_INTERVAL_S):
                 await self._has_begun.wait()
@@ -200,30 +206,35 @@
         if is_sent and not self._peers.leads_reading():
             self._origins.note_written(batch.origins)
 
-    async def _write_due(self) -> None:
-        """Write the origins of mixed services that the log does not have."""
+    async def _write_due(self) -> bool:
+        """Write the origins of mixed services that the log does not have.
+
+        Returns:
+            Whether the log did not reject any.
+        """
         origins = [
             origin
             for service, lifetime_s in self._find_lifetimes().items()
             for origin in self._list_due(service, lifetime_s)
         ]
         if not origins:
-            return
+            return True
         batch = self._create_batch(origins)
         if not self._peers.leads_reading():
             self._share_batch(batch)
-            return
+            return True
         written = await self._log.append(
             self._topic, [records.encode_batch(batch)]
         )
         if written.is_ok():
             self._origins.note_written(origins)
-            return
+            return True
         # A repeated record changes nothing, so the next one has them again.
         _LOG.write(
             f"Origins of streams were not written: {written.error.message}.",
             streams=len(origins),
         )
+        return False
 
     def _list_due(
         self, service: str, lifetime_s: float
--- a/tests/test_origins/test_finder.py
+++ b/tests/test_origins/test_finder.py
@@ -252,6 +252,22 @@
 
         self.run_clocked(scenario)
 
+    def test_during_an_outage_writes_are_tried_each_half_second(self) -> None:
+        async def scenario() -> None:
+            daemon = builders.create_daemon(self.log, "v1", "v1.1")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(daemon.log.run)
+                await trio.sleep(1.0)
+                self.log.faults.is_down = True
+                calls = self.log.calls
+                for number in range(100):
+                    daemon.finder.note_begun(f"call-{number}", "model", "v1")
+                    await trio.sleep(0.1)
+                self.assertLessEqual(self.log.calls - calls, 21)
+                nursery.cancel_scope.cancel()
+
+        self.run_clocked(scenario)
+
     def test_a_lone_version_at_a_daemon_that_has_just_started(self) -> None:
         async def scenario() -> None:
             daemon = builders.create_daemon(self.log, "v1")
