--- a/packages/daemon/src/martenquay_daemon/allowances/gate.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/gate.py
@@ -94,8 +94,9 @@
     ) -> terms.Verdict:
         """Wait until there is quota for a resumed stream.
 
-        After a restart of all daemons the quota begins at 0. Callers resume
-        their streams at once, and a refusal would lose what they have.
+        After a restart of all daemons the quota begins at 0, and new requests
+        ask for all that is refilled. A refusal would lose the part of the
+        stream that the caller has.
         """
         if isinstance(verdict, terms.Admitted):
             return verdict
