--- a/packages/daemon/src/martenquay_daemon/origins/log.py
+++ b/packages/daemon/src/martenquay_daemon/origins/log.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from typing import TYPE_CHECKING, Protocol
 
@@ -22,14 +23,17 @@
     from collections.abc import Callable
 
     from martenquay_core.serving import ports
-    from martenquay_daemon.origins import table, versions
+    from martenquay_daemon.origins import table, version_log, versions
 
 __all__ = ["OriginLog", "OriginPeers"]
 
 _LOG = logs.create_log("origins")
 _MS = 1000
-# Each append has a price.
-_WRITE_INTERVAL_S = 0.5
+# How often versions are observed, and what could not be written is tried again.
+_CHECK_INTERVAL_S = 0.5
+# Between two appends, as each has a price. Streams that began since the last
+# one are lost if all daemons are killed.
+_WRITE_INTERVAL_S = 0.12
 # Records that are read at most after a start or a loss: those of half a minute
 # by two writers in each of 25 zones.
 _MAX_TAIL_RECORDS = 3000
@@ -57,6 +61,7 @@
         topic: str,
         origins: table.OriginTable,
         history: versions.VersionHistory,
+        recorded: version_log.VersionLog,
         find_lifetimes: Callable[[], dict[str, float]],
         peers: OriginPeers,
     ) -> None:
@@ -67,6 +72,7 @@
             topic: The topic of origins.
             origins: The known origins.
             history: The versions of each service.
+            recorded: Keeps the versions in the log.
             find_lifetimes: Returns for how long a stream may be resumed, in
                 seconds, for each service that has streams.
             peers: The daemons to share origins with; unless this one writes
@@ -76,26 +82,39 @@
         self._topic = topic
         self._origins = origins
         self._history = history
+        self._recorded = recorded
         self._find_lifetimes = find_lifetimes
         self._peers = peers
         self._position = 0
         self._is_up_to_date = False
         self._ongoing: trio.Event | None = None
+        self._has_begun = trio.Event()
 
     async def run(self) -> None:
         """Write origins until cancelled."""
         has_read = False
+        checked_at = -math.inf
         while True:
             # Others may have seen a second version before this daemon began.
             has_read = has_read or await self.read()
-            await self._write_due()
+            self._has_begun = trio.Event()
+            is_check_due = trio.current_time() >= checked_at + _CHECK_INTERVAL_S
+            if is_check_due and self._peers.leads_reading():
+                checked_at = trio.current_time()
+                await self._recorded.write_changes(self._find_lifetimes())
+            if not await self._write_due():
+                await trio.sleep(_CHECK_INTERVAL_S)
+                continue
             await trio.sleep(_WRITE_INTERVAL_S)
+            with trio.move_on_after(_CHECK_INTERVAL_S - _WRITE_INTERVAL_S):
+                await self._has_begun.wait()
 
     def note_begun(self, origin: records.StreamOrigin) -> None:
         """Record that a stream's first event is relayed here."""
         self._origins.add_begun(origin)
         if self._history.is_mixed(origin.service):
             self._share_batch(self._create_batch([origin]))
+            self._has_begun.set()
 
     def apply_shared(self, record: bytes) -> None:
         """Apply what another daemon shares; a hub also writes it."""
@@ -104,6 +123,7 @@
         if batch is not None and is_hub:
             for origin in batch.origins:
                 self._origins.add_begun(origin)
+            self._has_begun.set()
 
     async def read(self, wait_s: float = 0.0) -> bool:
         """Read the records that are new; return whether the log answered.
@@ -126,6 +146,8 @@
         return self._is_up_to_date
 
     async def _read_to_end(self, wait_s: float) -> bool:
+        if not await self._recorded.read():
+            return False
         while True:
             page = await self._log.read(
                 self._topic, self._position, wait_s=wait_s
@@ -184,30 +206,35 @@
         if is_sent and not self._peers.leads_reading():
             self._origins.note_written(batch.origins)
 
-    async def _write_due(self) -> None:
-        """Write the origins of mixed services that the log does not have."""
+    async def _write_due(self) -> bool:
+        """Write the origins of mixed services that the log does not have.
+
+        Returns:
+            Whether the log did not reject any.
+        """
         origins = [
             origin
             for service, lifetime_s in self._find_lifetimes().items()
             for origin in self._list_due(service, lifetime_s)
         ]
         if not origins:
-            return
+            return True
         batch = self._create_batch(origins)
         if not self._peers.leads_reading():
             self._share_batch(batch)
-            return
+            return True
         written = await self._log.append(
             self._topic, [records.encode_batch(batch)]
         )
         if written.is_ok():
             self._origins.note_written(origins)
-            return
+            return True
         # A repeated record changes nothing, so the next one has them again.
         _LOG.write(
             f"Origins of streams were not written: {written.error.message}.",
             streams=len(origins),
         )
+        return False
 
     def _list_due(
         self, service: str, lifetime_s: float
--- a/tests/serving_builders.py
+++ b/tests/serving_builders.py
@@ -53,6 +53,7 @@
     strikes="strikes",
     rollouts="rollouts",
     origins="origins",
+    versions="versions",
     status="status",
 )
 
