--- a/tests/test_platform/process_scene.py
+++ b/tests/test_platform/process_scene.py
@@ -201,23 +201,25 @@
             self._check_running()
             await trio.sleep(_POLL_INTERVAL_S)
 
-    async def send_signals_while_importing(
-        self, *numbers: signal.Signals
-    ) -> None:
-        """Send signals while the daemon is blocked in its imports.
-
-        The pipe is closed only after the signals are sent, so the daemon
-        cannot finish its imports before it gets them.
-        """
+    @contextlib.asynccontextmanager
+    async def hold_imports(self) -> AsyncIterator[None]:
+        """Block the daemon in its imports until the context is left."""
         assert self._import_pipe is not None, "the scene does not block imports"
         while (pipe := _open_pipe(self._import_pipe)) is None:
             self._check_running()
             await trio.sleep(_POLL_INTERVAL_S)
         try:
-            self.send_signals(*numbers)
+            yield
         finally:
             os.close(pipe)
 
+    async def send_signals_while_importing(
+        self, *numbers: signal.Signals
+    ) -> None:
+        """Send signals while the daemon is blocked in its imports."""
+        async with self.hold_imports():
+            self.send_signals(*numbers)
+
     async def wait_until_serving(self) -> None:
         """Wait until the daemon serves callers and knows route and runner."""
         await self.wait_text(_STARTED_PREFIX)
--- a/tests/test_platform/test_signals.py
+++ b/tests/test_platform/test_signals.py
@@ -116,6 +116,16 @@
 
         self._run_scenario(scenario, blocks_imports=True)
 
+    # On a busy machine the imports took longer than the grace time.
+    def test_a_stop_signal_does_not_wait_for_the_imports(self) -> None:
+        async def scenario(scene: process_scene.ProcessScene) -> None:
+            async with scene.hold_imports():
+                scene.send_signals(_HUP, _TERM)
+                self.assertEqual(0, await scene.wait_exit(), scene.describe())
+            self.assertIn("Stopped before callers were served.", scene.texts)
+
+        self._run_scenario(scenario, blocks_imports=True)
+
     def test_reload_signals_during_imports_do_not_end_the_daemon(self) -> None:
         async def scenario(scene: process_scene.ProcessScene) -> None:
             await scene.send_signals_while_importing(_HUP, _HUP)
