Link to the other peers when one address is invalid

In the standalone daemon one entry of the membership whose address ZeroMQ rejects raised ZMQError in choosing links, each time, and the peers behind it got no link. The test with one such address and one that works failed with ZMQError before. Such a link is now said and left out, as in the links of a fleet.

--- a/packages/daemon/src/martenquay_daemon/membership/links.py
+++ b/packages/daemon/src/martenquay_daemon/membership/links.py
@@ -141,7 +141,11 @@
         chosen = _choose_peers(own, self._settings.zone, others)
         self._chosen = {peer.address for peer in chosen}
         for address in self._chosen - set(self._links):
-            self._open_link(address)
+            try:
+                self._open_link(address)
+            except zmq.ZMQError as error:
+                # One peer's invalid address must not keep back other links.
+                _LOG.write(f"Cannot create a link to {address!r}: {error}.")
         for link in list(self._links.values()):
             idle_s = trio.current_time() - link.used_at
             if link.address not in self._chosen and idle_s > _IDLE_TIMEOUT_S:
--- a/tests/test_daemon/test_peer_links.py
+++ b/tests/test_daemon/test_peer_links.py
@@ -15,10 +15,9 @@
 
 
 class PeerLinksTest(testtools.TestCase):
-    def _run(self, scenario, *, seeds: tuple[str, ...] = ()) -> None:
+    def _run(self, scenario) -> None:
         async def run() -> None:
-            settings = builders.build_settings(seeds=list(seeds))
-            settings["listen"]["peers"] = "127.0.0.1:0"
+            settings = builders.build_settings()
             self.context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
             self.router = sockets.bind_router(self.context, "127.0.0.1:0")
             settings["seeds"] = [self.router.address]
@@ -32,6 +31,7 @@
                 async with trio.open_nursery() as nursery:
                     address = await nursery.start(peer_links.run)
                     dealer = sockets.connect_dealer(self.context, address)
+                    self.links = peer_links
                     await scenario(dealer)
                     dealer.close()
                     nursery.cancel_scope.cancel()
@@ -72,3 +72,18 @@
             await self._check_answered(dealer)
 
         self._run(scenario)
+
+    def test_an_invalid_address_keeps_back_no_other_link(self) -> None:
+        async def scenario(dealer: sockets.PeerSocket) -> None:
+            second = sockets.bind_router(self.context, "127.0.0.1:0")
+            self.links.choose_links(
+                [
+                    links.PeerAddress("entry-2", "serra-a", "no address"),
+                    links.PeerAddress("entry-3", "serra-a", second.address),
+                ]
+            )
+            await second.receive()
+            second.close()
+            await self._check_answered(dealer)
+
+        self._run(scenario)
