--- a/tests/test_promises/test_endless_bytes.py
+++ b/tests/test_promises/test_endless_bytes.py
@@ -13,7 +13,6 @@
 import pathlib
 import random
 import re
-
 from typing import TYPE_CHECKING
 
 import testtools
