Judge a request behind a cut answer by the page alone

The drawn stops excused a request that was sent behind an answer which the end of the grace time cut: answers come in order, so nothing can follow.

--- a/tests/test_platform/stop_callers.py
+++ b/tests/test_platform/stop_callers.py
@@ -45,7 +45,6 @@
         sent_at: When its last byte was sent, on trio's clock.
         tokens: Limit of tokens.
         is_told: The connection had been told to close before.
-        behind: The request that was sent before it, in the same bytes.
         reply: The answer.
         ended_at: When the answer or the connection had ended; None before.
     """
@@ -54,7 +53,6 @@
     sent_at: float
     tokens: int
     is_told: bool
-    behind: SentRequest | None = None
     reply: serving_scene.Reply = dataclasses.field(
         default_factory=serving_scene.Reply
     )
@@ -132,8 +130,6 @@
             SentRequest(call_id, now, most, is_told)
             for call_id, most in zip(ids, tokens, strict=True)
         ]
-        for first, second in itertools.pairwise(asked):
-            second.behind = first
         self.sent.extend(asked)
         replies = await serving_scene.read_replies(stream, count)
         for one, reply in zip(asked, replies, strict=True):
@@ -191,9 +187,6 @@
         return "it ran, and was rejected as not run" if runs else ""
     if reply.is_whole:
         return f"status {reply.status}"
-    if not runs and one.behind is not None and not one.behind.reply.is_whole:
-        # Answers come in order, so nothing can follow one that is cut off.
-        return ""
     if not runs:
         is_crossed = one.is_told or one.ended_at <= one.sent_at + _LOSS_SLACK_S
         return "" if is_crossed else "no answer, not passed on"
