Pass over records of origins whose times no clock shows

One record with an integer of 400 digits, in the topic of origins or of versions, ended each read of the topic with OverflowError: the origins' task failed after each restart at the same record, and the exception went through the finder into each resumed stream of a service that is not settled. Times are now between 0 and 2**53 ms; another record is passed over with the line there is.

Both new tests failed before: OverflowError in VersionLog._apply, and a batch with 20 digits that was accepted.

--- a/packages/daemon/src/martenquay_daemon/origins/records.py
+++ b/packages/daemon/src/martenquay_daemon/origins/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from typing import Annotated
 
 import msgspec
 
@@ -17,6 +18,10 @@
     "encode_versions",
 ]
 
+# Floats hold only these integers exactly; times are computed with them.
+_MAX_INTEGER = 2**53
+_TimeMs = Annotated[int, msgspec.Meta(ge=0, le=_MAX_INTEGER)]
+
 
 @dataclasses.dataclass(frozen=True)
 class StreamOrigin:
@@ -49,7 +54,7 @@
 
 class _ServicePart(msgspec.Struct, frozen=True, array_like=True):
     service: str
-    mixed_until_ms: int
+    mixed_until_ms: _TimeMs
     # Request ids by software version.
     requests: dict[str, list[str]]
 
@@ -100,4 +105,4 @@
     Raises:
         ValueError: The record is malformed.
     """
-    return msgspec.json.decode(value, type=dict[str, int | None])
+    return decoding.decode_json(value, dict[str, _TimeMs | None])
--- a/tests/test_origins/test_finder.py
+++ b/tests/test_origins/test_finder.py
@@ -384,6 +384,27 @@
 
         self.run_clocked(scenario)
 
+    def test_a_record_with_a_huge_time_is_passed_over(self) -> None:
+        async def scenario() -> None:
+            digits = b"9" * 400
+            await self.log.append(
+                "origins", [b'[["model",' + digits + b",{}]]"]
+            )
+            value = b'{"v1":' + digits + b"}"
+            await self.log.append(
+                serving_builders.TOPICS.versions,
+                [self.log.join_keyed("model", value)],
+            )
+            beginner = builders.create_daemon(self.log, "v1", "v1.1")
+            beginner.finder.note_begun("call-1", "model", "v1")
+            with trio.move_on_after(1.0):
+                await beginner.log.run()
+            daemon = builders.create_daemon(self.log, "v1", "v1.1")
+            found = await daemon.finder.find("call-1", "model", _TIMEOUT_S)
+            self.assertEqual(finder.Begun(builders.build_origin(1)), found)
+
+        self.run_clocked(scenario)
+
     def test_origins_are_read_anew_from_a_restored_log(self) -> None:
         async def scenario() -> None:
             older = self.log.take_copy()
--- a/tests/test_origins/test_records.py
+++ b/tests/test_origins/test_records.py
@@ -25,3 +25,10 @@
     def test_a_malformed_record_is_rejected(self) -> None:
         for record in (b"", b"{}", b'[["model"]]', b"\xff"):
             self.assertRaises(ValueError, records.decode_batch, record)
+
+    def test_a_time_that_no_clock_shows_is_rejected(self) -> None:
+        for digits in (b"9" * 20, b"9" * 400, b"-" + b"9" * 400):
+            batch = b'[["model",' + digits + b",{}]]"
+            self.assertRaises(ValueError, records.decode_batch, batch)
+            versions = b'{"v1":' + digits + b"}"
+            self.assertRaises(ValueError, records.decode_versions, versions)
