End at a stop signal during the imports with 0 also if nobody reads the log

The handler that ends a process that still imports writes its line first; on a closed or broken standard output that raised in the import that it interrupted, and the process ended with a traceback and status 1: one that ended by itself, for whoever counts. The new test had status 1 before.

--- a/packages/core/src/martenquay_core/util/held_signals.py
+++ b/packages/core/src/martenquay_core/util/held_signals.py
@@ -74,8 +74,11 @@
         del frame
         if self.ends_at_stop and number != _signal.SIGHUP:
             line = _STOPPED_LINE.format(time.time())
-            posix.write(_STDOUT, line.encode())
-            posix._exit(0)
+            try:
+                posix.write(_STDOUT, line.encode())
+            finally:
+                # Also if nobody reads the log.
+                posix._exit(0)
         self._received_at.append(boot_time.read_boot_time())
         self._numbers.append(number)
 
--- a/tests/test_core/test_signals.py
+++ b/tests/test_core/test_signals.py
@@ -4,6 +4,8 @@
 
 import os
 import signal
+import subprocess
+import sys
 import time
 
 import testtools
@@ -15,6 +17,28 @@
 _HANG_S = 10.0
 
 
+_STOPPED_WHILE_IMPORTING = """\
+import os
+from martenquay_core.util import held_signals
+held_signals.hold_signals(ends_at_stop=True)
+os.kill(os.getpid(), 15)
+"""
+
+
+class ImportingTest(testtools.TestCase):
+    def test_a_stop_without_a_reader_of_the_log_ends_with_0(self) -> None:
+        reader, writer = os.pipe()
+        os.close(reader)
+        self.addCleanup(os.close, writer)
+        ended = subprocess.run(
+            [sys.executable, "-c", _STOPPED_WHILE_IMPORTING],
+            stdout=writer,
+            timeout=_HANG_S,
+            check=False,
+        )
+        self.assertEqual(0, ended.returncode)
+
+
 class SignalsTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
