Begin a stream also at the moment at which its service becomes unmixed

Whether a service is mixed and until when were two looks at the clock. If the time ended between them, the second one gave minus infinity, and rounding it raised OverflowError where the first event of a stream is relayed: its caller got no stream. In the task that writes origins the same ended the task for a second. The window is microseconds at the end of each release; longer when the process stands still in it. The new test lets each look take 1 ms; it had the OverflowError before.

--- a/packages/daemon/src/martenquay_daemon/origins/log.py
+++ b/packages/daemon/src/martenquay_daemon/origins/log.py
@@ -197,7 +197,9 @@
         now_ms, now = time.time() * _MS, trio.current_time()
         mixed_until_ms = {}
         for service in {origin.service for origin in origins}:
-            left_s = self._history.find_mixed_until(service) - now
+            # The time may end while this runs.
+            until = max(now, self._history.find_mixed_until(service))
+            left_s = until - now
             mixed_until_ms[service] = round(now_ms + left_s * _MS)
         return records.OriginBatch(mixed_until_ms, origins)
 
--- a/tests/origin_builders.py
+++ b/tests/origin_builders.py
@@ -18,6 +18,8 @@
 from tests import serving_builders as builders
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from martenquay_core.serving import runners
     from martenquay_standins.ports import log as memory
 
@@ -87,6 +89,7 @@
         peers: The other daemons, as this one sees them.
         runners: The runners that it knows, of the service `model`.
         entries: Its copy of their entries.
+        on_listed: Called when the runners are listed.
     """
 
     origins: table.OriginTable
@@ -96,6 +99,7 @@
     peers: builders.FakeOriginPeers
     runners: list[runners.Runner]
     entries: FakeEntries
+    on_listed: Callable[[], None] = lambda: None
 
     def set_versions(self, *software: str) -> None:
         """Replace the runners by one of each version."""
@@ -119,10 +123,16 @@
 ) -> OriginDaemon:
     """Return a daemon that knows one runner of each version."""
     known: list[runners.Runner] = []
+
+    def list_known(service: str) -> list[runners.Runner]:
+        del service
+        daemon.on_listed()
+        return known
+
     origins = table.OriginTable()
     entries = FakeEntries(known)
     history = versions.VersionHistory(
-        lambda _: known, lambda _: LIFETIME_S, lambda: entries.age_s
+        list_known, lambda _: LIFETIME_S, lambda: entries.age_s
     )
     peers = peers or builders.FakeOriginPeers()
     origin_log = log.OriginLog(
--- a/tests/test_origins/test_finder.py
+++ b/tests/test_origins/test_finder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import trio
+import trio.testing
 
 from martenquay_daemon.origins import finder, records
 from martenquay_standins.ports import log as memory
@@ -384,6 +385,19 @@
 
         self.run_clocked(scenario)
 
+    def test_a_stream_that_begins_as_a_service_becomes_unmixed(self) -> None:
+        clock = trio.testing.MockClock()
+
+        async def scenario() -> None:
+            daemon = builders.create_daemon(self.log, "v1", "v1.1")
+            daemon.history.observe("model")
+            daemon.set_versions("v1.1")
+            clock.jump(builders.LIFETIME_S - 0.0015)
+            daemon.on_listed = lambda: clock.jump(0.001)
+            daemon.finder.note_begun("call-1", "model", "v1.1")
+
+        trio.run(scenario, clock=clock)
+
     def test_a_record_with_a_huge_time_is_passed_over(self) -> None:
         async def scenario() -> None:
             digits = b"9" * 400
