End the notice of a stop within a short grace time

The notice of a stop lasted 2.6 s whatever the grace time: with GraceS below 3, or a change to that during the stop, the process was still there at the end of its grace time, when the platform kills it with all answers in progress. The notice now ends 0.3 s before the drain does, if that is sooner.

--- a/packages/daemon/src/martenquay_daemon/gateway.py
+++ b/packages/daemon/src/martenquay_daemon/gateway.py
@@ -34,6 +34,9 @@
 # The load balancer probes each second and sends new connections until the
 # second failed probe.
 _READINESS_NOTICE_S = 2.6
+# For connections in the accept queue and requests in transit, which come after
+# the notice; a short grace time leaves less for the notice.
+_LAST_REQUESTS_S = 0.3
 # Time to exit between the end of draining and the kill after the grace time.
 _EXIT_MARGIN_S = 0.4
 _DRAIN_POLL_S = 0.02
@@ -158,8 +161,14 @@
         # Read each time: operators may change the grace time during a stop.
         return signalled_at + watch.settings.bounds.grace_s - _EXIT_MARGIN_S
 
+    def find_notice_end() -> float:
+        return min(
+            started_at + _READINESS_NOTICE_S,
+            find_deadline() - _LAST_REQUESTS_S,
+        )
+
     _LOG.write("Stopping; readiness checks fail from now on.")
-    with trio.move_on_after(_READINESS_NOTICE_S):
+    with trio.move_on_at(find_notice_end()):
         try:
             await parts.begin_stop(find_deadline)
         except Exception as error:  # noqa: BLE001
@@ -174,7 +183,8 @@
         "Announced the stop.",
         took_s=round(trio.current_time() - started_at, 3),
     )
-    await trio.sleep_until(started_at + _READINESS_NOTICE_S)
+    while trio.current_time() < find_notice_end():
+        await trio.sleep(_DRAIN_POLL_S)
     parts.end_notice()
     parts.listener.stop_accepting()
     await _drain(parts, find_deadline)
