Begin the limit on a stream's pauses with its first event, not with a comment

Since silence counts from the last progress, a runner that writes comments while it reads a long prompt was given up 2 s after the head, and counted as broken: a comment was taken for the first event, so that the limit on pauses held and not that on the first event, two thirds of the time left. Each runner in turn was given up. The first comment also counted as the time to the first event.

The new test, 25 comments in 2.5 s before an event with 8 s of time, failed before: both runners were given up.

--- a/packages/daemon/src/martenquay_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/stream_relay.py
@@ -144,7 +144,9 @@
                 f"{current.call.tokens_out} tokens"
             )
         self._note_events(current, is_whole=False)
-        if events and not connection.has_first_event:
+        later_events = len(events) if connection.has_first_event else 0
+        first = None if connection.has_first_event else _find_first(events)
+        if first is not None:
             connection.has_first_event = True
             running.note_first_event()
             took_s = trio.current_time() - current.sent_at
@@ -152,9 +154,7 @@
             # A moved run was counted where it sent its first event.
             if current.kv_source is None or not current.events_delivered:
                 usage_entry.UsageEntry(self._usage, current.team).count()
-            later_events = len(events) - 1
-        else:
-            later_events = len(events)
+            later_events = len(events) - first - 1
         if later_events and current.watch is not None:
             self._speeds.note_events(
                 current.watch, later_events, trio.current_time()
@@ -248,6 +248,17 @@
         return problem
 
 
+def _find_first(events: list[event_stream.Event]) -> int | None:
+    """Return the index of the first event that is no comment.
+
+    Comments may come while a runner still reads the prompt.
+    """
+    for index, event in enumerate(events):
+        if not event_stream.is_comment(event.raw):
+            return index
+    return None
+
+
 def _has_too_many_events(current: exchange.Exchange) -> bool:
     tokens = current.call.tokens_out
     if not tokens:
--- a/tests/test_forwarding/test_endless_answers.py
+++ b/tests/test_forwarding/test_endless_answers.py
@@ -8,7 +8,7 @@
 from martenquay_core.serving import catalog
 from martenquay_standins.ports import runner as scripted
 from martenquay_standins.ports.runner import Script
-from tests import endless_runner, serving_scene, step_timer
+from tests import endless_runner, prefilling_runner, serving_scene, step_timer
 from tests import forwarder_case as case
 from tests import serving_builders as builders
 from tests.endless_runner import EndlessAnswer
@@ -218,6 +218,36 @@
         self.assertEqual(good, reply.body.replace(b": x\n\n", b""))
         self.assertLess(took_s, _BUDGET_MS / 1000)
 
+    def test_comments_during_a_prefill_above_the_pause_of_a_stream(
+        self,
+    ) -> None:
+        """The pause between events begins with the first one."""
+        script = [_UNSIZED, *[b": x\n\n"] * 25, _EVENT % (1, 1)]
+        route = builders.build_route(
+            kind=self.kind, max_attempts=2, is_resumable=True
+        )
+        content = builders.build_catalog(routes=(route,))
+
+        async def run() -> None:
+            with trio.fail_after(_HANG_S):
+                async with (
+                    trio.open_nursery() as nursery,
+                    serving_scene.open_scene(content) as scene,
+                ):
+                    for _ in range(2):
+                        runner = prefilling_runner.PrefillingRunner(script)
+                        await nursery.start(runner.run)
+                        scene.add_runner(runner.address)
+                    reply = await scene.ask(
+                        case.CALL % (b"GET /lookup/7", 8000)
+                    )
+                    self.assertEqual(
+                        b": x\n\n" * 25 + _EVENT % (1, 1), reply.body
+                    )
+                    nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
     def test_an_event_that_is_repeated_slowly(self) -> None:
         piece = _EVENT % (1, 1)
         self._assert_stream_goes_on(
