Set no quota aside for a resumed stream that costs more than its team has

A resumed stream that names more tokens than its team can ever hold waited up to 1.5 s, and all of them were set aside meanwhile: every new request of the team at this daemon was refused, with its quota untouched. The test failed before.

--- a/packages/daemon/src/martenquay_daemon/allowances/quota_ledger.py
+++ b/packages/daemon/src/martenquay_daemon/allowances/quota_ledger.py
@@ -222,10 +222,16 @@
 
         Args:
             team: The team whose quota is short.
-            units: The units that the stream costs.
+            units: The units that the stream costs; more than the team ever
+                has are not set aside.
         """
+        account = self._refill(team)
+        policy = account.policy
+        most = policy.rate * policy.life_s + self.bounds.find_max_overdraft()
+        if units > most:
+            units = 0.0
         self.note_shortage(team, units)
-        self._refill(team).set_aside += units
+        account.set_aside += units
         try:
             yield
         finally:
--- a/tests/test_allowances/test_quota_ledger.py
+++ b/tests/test_allowances/test_quota_ledger.py
@@ -299,6 +299,27 @@
 
         self.run_clocked(scenario)
 
+    def test_a_resumed_stream_beyond_all_quota_holds_nobody_up(self) -> None:
+        async def scenario() -> None:
+            ledger = allowance_fleet.build_ledger()
+            await _fill(ledger)
+            quota_gate = self._build(ledger)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    quota_gate.acquire,
+                    _TEAM,
+                    terms.AdmissionRequest(
+                        10_000_000.0, max_wait_s=1.5, is_resuming=True
+                    ),
+                )
+                await trio.sleep(0.5)
+                decision = await quota_gate.acquire(
+                    _TEAM, terms.AdmissionRequest(100.0)
+                )
+                self.assertTrue(decision.is_admitted)
+
+        self.run_clocked(scenario)
+
     def test_a_request_is_refused_when_no_transfer_arrives(self) -> None:
         async def scenario() -> None:
             ledger = allowance_fleet.build_ledger(0.0)
