--- a/packages/daemon/src/martenquay_daemon/main.py
+++ b/packages/daemon/src/martenquay_daemon/main.py
@@ -29,6 +29,7 @@
 
 def start(held: held_signals.HeldSignals) -> None:
     """Run the daemon until it is stopped."""
+    held.ends_at_stop = False
     app.run(lambda _: _run_and_end(held))
 
 
