Contain the faults of links without a generator for each message and step

The module took 6.1 s of processor time in place of 3.1 s: each message and each of six steps of a gossip round went through two generator contexts (424,448 in one test by the profile).

The 47 tests of what it contains pass unchanged.

--- a/packages/daemon/src/martenquay_daemon/supervision.py
+++ b/packages/daemon/src/martenquay_daemon/supervision.py
@@ -11,6 +11,7 @@
 from martenquay_core import logs
 
 if TYPE_CHECKING:
+    import types
     from collections.abc import Awaitable, Callable, Iterator
 
 __all__ = ["contain_faults", "keep_running", "run_contained"]
@@ -65,22 +66,49 @@
         await run()
 
 
-@contextlib.contextmanager
-def contain_faults(text: str, **fields: object) -> Iterator[None]:
-    """Log an exception of the block and go on behind it.
+def contain_faults(text: str, **fields: object) -> _FaultContainer:
+    """Return a context that logs an exception of its block and goes on.
 
     Args:
         text: What failed; the log line adds the exception and its traceback.
         **fields: Further fields of the log line.
     """
-    with _catch_faults() as faults:
-        yield
-    for error in faults:
-        _FAULT_LOG.write(
-            f"{text}: {error!r}.",
-            trace="".join(traceback.format_exception(error)),
-            **fields,
-        )
+    return _FaultContainer(text, fields)
+
+
+class _FaultContainer:
+    """Context for each message and step; a generator would cost several times.
+
+    A cancellation goes on, also if the block fails while it is cancelled.
+    """
+
+    __slots__ = ("_fields", "_text")
+
+    def __init__(self, text: str, fields: dict[str, object]) -> None:
+        self._text = text
+        self._fields = fields
+
+    def __enter__(self) -> None:
+        """Begin the block."""
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> bool:
+        """Log an exception; return whether it ends here."""
+        if error is None:
+            return False
+        with _catch_faults() as faults:
+            raise error
+        for fault in faults:
+            _FAULT_LOG.write(
+                f"{self._text}: {fault!r}.",
+                trace="".join(traceback.format_exception(fault)),
+                **self._fields,
+            )
+        return True
 
 
 @contextlib.contextmanager
