Share the memory for callers' bodies between all connections

What callers saw: the daemon ended for lack of memory while many callers left their bodies unfinished, just short of the limit of one body, or sent bodies far over it.

Cause: a bound on one caller was taken for a bound on all. MaxBodyBytes bounds one body, nothing bounded the sum over connections. A body that was rejected stayed in memory until its answer and the linger were over, as the error's traceback refers to its frames.

Now what connections have received comes out of one budget of the process, derived from the instance's memory (new setting resources.memory_mb). For lack of room the request that has held most for longest is refused with 503 and Retry-After: no runner has it, so "not run" is true. Bodies are no longer copied to be sent behind their head.

--- a/packages/core/src/martenquay_core/settings/gateway.py
+++ b/packages/core/src/martenquay_core/settings/gateway.py
@@ -12,6 +12,7 @@
     "GatewayPlatform",
     "GatewaySettings",
     "LoadSettings",
+    "ResourceSettings",
 ]
 
 # A port or octet out of range would otherwise fail only when the daemon binds
@@ -27,6 +28,7 @@
 NotNegative = Annotated[float, msgspec.Meta(ge=0)]
 Milliseconds = Annotated[float, msgspec.Meta(gt=0)]
 Fraction = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Megabytes = Annotated[float, msgspec.Meta(gt=0)]
 Port = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
 
 
@@ -136,6 +138,17 @@
     expected_demand: Fraction = 0.0
 
 
+class ResourceSettings(_Strict, kw_only=True, frozen=True):
+    """What the instance gives the daemon's process.
+
+    Attributes:
+        memory_mb: Memory in MB. What callers' requests may hold is derived
+            from it.
+    """
+
+    memory_mb: Megabytes = 200.0
+
+
 class GatewaySettings(_Strict, kw_only=True, frozen=True):
     """All settings of a daemon that runs on a platform.
 
@@ -149,6 +162,7 @@
         link_mbps: Network bandwidth of the instance in Mbit/s; 0 if unknown.
             In a large fleet the daemons with the most become hubs.
         load: Which decisions under load the daemon makes.
+        resources: What the instance gives the daemon's process.
     """
 
     instance: Text
@@ -159,3 +173,4 @@
     seeds: list[str] = []
     link_mbps: NotNegative = 0.0
     load: LoadSettings = LoadSettings()
+    resources: ResourceSettings = ResourceSettings()
--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import dataclasses
-import re
 import traceback
 from typing import TYPE_CHECKING, Protocol
 
@@ -16,31 +15,19 @@
 import trio
 
 from martenquay_core import logs, results
-from martenquay_daemon.forwarding import answers, disconnects
+from martenquay_daemon.forwarding import answers, caller_input, disconnects
 
 if TYPE_CHECKING:
     from martenquay_core.serving import calls, catalog, ports
+    from martenquay_daemon.forwarding import caller_budget
 
 __all__ = ["CallHandler", "CallerConnection", "ListenerState"]
 
 _LOG = logs.create_log("callers")
 _RECEIVE_BYTES = 16_384
-# Bytes that frame a chunked body: a chunk of one byte has five others. Servers
-# ought to limit chunk extensions (RFC 9112, 7.1.1).
-_MAX_FRAMING_BYTES = 65_536
-_MAX_FRAMING_PER_BODY_BYTE = 8
-# Parts of a body that are parsed without a checkpoint: about 5 ms.
-_PARTS_PER_STEP = 256
 # For a body without a deadline of its caller; beyond the time for which any
 # route holds a request.
 _MAX_BODY_S = 300.0
-# Bytes of further requests that are buffered while one is being answered;
-# without a limit a caller could fill the daemon's memory.
-_MAX_PIPELINED_BYTES = 65_536
-# Ends a head, as h11 finds it.
-_BLANK_LINE = re.compile(rb"\n\r?\n")
-# May become a blank line with the bytes that follow.
-_PARTIAL_BLANK_LINE = re.compile(rb"\n\r?\Z")
 # After the last answer unread bytes are discarded for this long: closing with
 # unread bytes sends a reset, and the caller would lose what it has not received
 # of the answer.
@@ -81,30 +68,17 @@
     Attributes:
         is_closing: Each connection closes after its next answer.
         is_stopped: Idle connections close as well.
+        budget: Bounds what all connections hold.
     """
 
     is_closing: bool
     is_stopped: bool
+    budget: caller_budget.CallerBudget
 
     def find_limits(self) -> catalog.CallerLimits:
         """Return the limits in force."""
 
 
-@dataclasses.dataclass
-class _RequestRejectedError(Exception):
-    """The request is malformed, too large or too slow.
-
-    Attributes:
-        answer: The error response for the caller.
-    """
-
-    answer: answers.OwnAnswer
-
-
-class _CallerDisconnectedError(Exception):
-    """The caller closed its connection in the middle of a request."""
-
-
 class _AnswerWriter:
     """Writes the answer to one request to the caller's connection.
 
@@ -170,9 +144,9 @@
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
         )
-        # Received and not yet passed to the parser, which gets no more than
-        # the current request: it would keep the rest, and has no bound on it.
-        self._unparsed = bytearray()
+        self._input = caller_input.CallerInput(
+            stream, self._http, listener_state.budget
+        )
         self._has_partial_write = False
         self.received_at = 0.0
         self.call_id = ""
@@ -188,7 +162,7 @@
         try:
             while await self._serve_one():
                 self._http.start_next_cycle()
-        except _CallerDisconnectedError:
+        except caller_input.CallerDisconnectedError:
             disconnects.log_disconnect(
                 self.call_id, disconnects.Stage.READING, self.received_at
             )
@@ -197,6 +171,7 @@
             # while an answer is sent, `_handle_call` catches these errors.
             return
         finally:
+            self._input.drop()
             await trio.aclose_forcefully(self._stream)
 
     def close_if_idle(self) -> None:
@@ -217,7 +192,9 @@
         headers = list(headers)
         if length is not None:
             headers.append((b"content-length", str(length).encode()))
-        if self._listener_state.is_closing and not self._has_next_request():
+        # The caller sent further bytes without knowing that the connection will
+        # close.
+        if self._listener_state.is_closing and not self._input.has_request():
             headers.append((b"connection", b"close"))
         await self.send_event(
             h11.Response(status_code=status, headers=headers, reason=b"")
@@ -226,7 +203,7 @@
     def receive_bytes(self, data: bytes) -> h11.Event | type[h11.NEED_DATA]:
         """Feed bytes from the caller to the parser and return its event."""
         self._http.receive_data(data)
-        return self._parse_event()
+        return self._http.next_event()
 
     async def send_event(self, event: h11.Event) -> None:
         """Send one h11 event of an answer.
@@ -268,28 +245,27 @@
         self.call_id = ""
         try:
             call = await self._read_call()
-        except _RequestRejectedError as rejected:
-            await self._reject(rejected.answer)
-            return False
-        if call is None:
-            return False
+        except caller_input.RequestRejectedError as rejected:
+            answer = rejected.answer
+        else:
+            return call is not None and await self._answer_call(call)
+        # Behind the handler: the error's traceback refers to the request.
+        self._input.drop()
+        await self._reject(answer)
+        return False
+
+    async def _answer_call(self, call: calls.Call) -> bool:
+        """Answer a request; return whether another may follow."""
         writer = await self._handle_call(call)
         if writer.is_aborted or not writer.has_started:
             return False
         if h11.DONE is self._http.our_state is self._http.their_state:
+            self._input.end_request()
             return True
+        self._input.drop()
         await self._end_sending()
         return False
 
-    def _has_next_request(self) -> bool:
-        """Return whether bytes of a further request have been read.
-
-        The caller sent them without knowing that the connection will close.
-        """
-        return bool(
-            self._http.trailing_data[0].strip() + self._unparsed.strip()
-        )
-
     async def _end_sending(self) -> None:
         """End the sending side and discard what the caller still sends."""
         # The caller has its answer: a stop's notice need not wait for it.
@@ -337,15 +313,9 @@
             writer.abort()
 
     async def _watch_for_disconnect(self, scope: trio.CancelScope) -> None:
-        while len(self._unparsed) < _MAX_PIPELINED_BYTES:
-            try:
-                data = await self._stream.receive_some(_RECEIVE_BYTES)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                data = b""
-            if not data:
-                scope.cancel()
-                return
-            self._unparsed += data
+        if not await self._input.receive_ahead():
+            scope.cancel()
+            return
         # Bytes beyond the limit stay unread, and the end of the stream is
         # behind them, so the kernel has to be asked for it.
         await disconnects.wait_until_disconnected(self._stream.socket)
@@ -364,38 +334,46 @@
         self.call_id = call.id
         # An answer after the caller's deadline would be of no use to it.
         deadline = self.received_at + (call.budget_s or _MAX_BODY_S)
-        body = await self._read_body(headers, deadline)
+        if self._http.they_are_waiting_for_100_continue:
+            await self.send_event(
+                h11.InformationalResponse(status_code=100, headers=[])
+            )
+        body = await self._input.read_body(headers, self._limits, deadline)
         return dataclasses.replace(call, body=body)
 
     async def _read_head(self) -> h11.Request | None:
         if not await self._wait_for_first_bytes():
             return None
         self.is_idle = False
+        self._input.begin_request(self.received_at)
         with trio.move_on_after(self._limits.header_s):
             while True:
-                match self._parse_head():
+                match self._input.parse_head():
                     case h11.Request() as head:
                         return head
                     case h11.ConnectionClosed():
                         return None
-                await self._receive()
+                if not await self._input.receive():
+                    raise caller_input.CallerDisconnectedError
         code = results.ResultCode.SLOW_CALLER
         message = "the request's head did not arrive in time"
-        raise _RequestRejectedError(answers.create_own_answer(code, message))
+        raise caller_input.RequestRejectedError(
+            answers.create_own_answer(code, message)
+        )
 
     async def _wait_for_first_bytes(self) -> bool:
         """Wait for a request to start; False after the idle timeout."""
-        if self._has_next_request():
+        if self._input.has_bytes():
             self.received_at = trio.current_time()
             return True
         with trio.move_on_after(self._limits.idle_s) as scope:
             self._idle_scope = scope
             if self._listener_state.is_stopped:
                 self._shorten_idle_wait(scope)
-            await self._receive()
+            await self._input.receive()
             self.received_at = trio.current_time()
         self._idle_scope = None
-        return bool(self._unparsed)
+        return self._input.has_bytes()
 
     def _shorten_idle_wait(self, scope: trio.CancelScope) -> None:
         # Cancelling at once would leave bytes unread that the kernel has
@@ -413,116 +391,12 @@
             answer = answers.create_own_answer(
                 code, "the request's head is too large", status=431
             )
-            raise _RequestRejectedError(answer)
+            raise caller_input.RequestRejectedError(answer)
         length = dict(headers).get(b"content-length", b"0")
         if length.isdigit() and int(length) > self._limits.body_bytes:
-            raise _RequestRejectedError(self._create_body_too_large())
-
-    async def _read_body(
-        self, headers: calls.Headers, deadline: float
-    ) -> bytes:
-        """Read the body until a time on trio's clock."""
-        if self._http.they_are_waiting_for_100_continue:
-            await self.send_event(
-                h11.InformationalResponse(status_code=100, headers=[])
+            raise caller_input.RequestRejectedError(
+                caller_input.create_body_too_large(self._limits.body_bytes)
             )
-        body = bytearray()
-        received_bytes = 0
-        parts = 0
-        remaining_bytes = int(dict(headers).get(b"content-length", b"0"))
-        is_sized = b"transfer-encoding" not in dict(headers)
-        while True:
-            parts += 1
-            if parts % _PARTS_PER_STEP == 0:
-                await trio.lowlevel.checkpoint()
-            match self._parse_event():
-                case h11.EndOfMessage():
-                    return bytes(body)
-                case h11.Data(data=data):
-                    body += data
-                case h11.ConnectionClosed():
-                    raise _CallerDisconnectedError
-                case _:
-                    framing_bytes = received_bytes - len(body)
-                    if framing_bytes > (
-                        _MAX_FRAMING_BYTES
-                        + _MAX_FRAMING_PER_BODY_BYTE * len(body)
-                    ):
-                        raise _RequestRejectedError(
-                            answers.create_own_answer(
-                                results.ResultCode.BODY_TOO_LARGE,
-                                f"{framing_bytes} bytes frame {len(body)} "
-                                "of the body",
-                            )
-                        )
-                    if not self._unparsed:
-                        await self._receive_with_timeout(deadline)
-                    count = min(len(self._unparsed), _RECEIVE_BYTES)
-                    if is_sized:
-                        count = min(count, remaining_bytes)
-                    self._pass_bytes(count)
-                    remaining_bytes -= count
-                    received_bytes += count
-            if len(body) > self._limits.body_bytes:
-                raise _RequestRejectedError(self._create_body_too_large())
-
-    async def _receive_with_timeout(self, deadline: float) -> None:
-        receive_by = min(trio.current_time() + self._limits.header_s, deadline)
-        with trio.move_on_at(receive_by):
-            await self._receive()
-            return
-        code = results.ResultCode.SLOW_CALLER
-        message = "the request's body did not arrive in time"
-        raise _RequestRejectedError(answers.create_own_answer(code, message))
-
-    async def _receive(self) -> None:
-        """Receive bytes that are still to be parsed."""
-        try:
-            data = await self._stream.receive_some(_RECEIVE_BYTES)
-        except trio.BrokenResourceError:
-            data = b""
-        if not data and not self.is_idle:
-            raise _CallerDisconnectedError
-        self._unparsed += data
-
-    def _parse_head(self) -> h11.Event | type[h11.NEED_DATA]:
-        """Pass bytes up to the end of the head to the parser."""
-        event = self._parse_event()
-        if event is not h11.NEED_DATA:
-            return event
-        end = _BLANK_LINE.search(self._unparsed)
-        if end is not None:
-            self._pass_bytes(end.end())
-        else:
-            partial = _PARTIAL_BLANK_LINE.search(self._unparsed)
-            self._pass_bytes(
-                len(self._unparsed) if partial is None else partial.start()
-            )
-        return self._parse_event()
-
-    def _pass_bytes(self, count: int) -> None:
-        """Pass received bytes to the parser."""
-        # An empty piece would mean that the caller has closed.
-        if count:
-            self._http.receive_data(bytes(self._unparsed[:count]))
-            del self._unparsed[:count]
-
-    def _parse_event(self) -> h11.Event | type[h11.NEED_DATA]:
-        try:
-            return self._http.next_event()
-        except h11.RemoteProtocolError as error:
-            answer = answers.create_own_answer(
-                results.ResultCode.MALFORMED_REQUEST,
-                f"the request is malformed: {error}",
-                status=error.error_status_hint,
-            )
-            raise _RequestRejectedError(answer) from error
-
-    def _create_body_too_large(self) -> answers.OwnAnswer:
-        code = results.ResultCode.BODY_TOO_LARGE
-        limit = self._limits.body_bytes
-        message = f"the body has more than {limit} bytes"
-        return answers.create_own_answer(code, message)
 
     async def _reject(self, answer: answers.OwnAnswer) -> None:
         """Answer a request that was not read completely, then close."""
--- /dev/null
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_input.py
@@ -0,0 +1,290 @@
+"""Read the requests of one caller's connection, within its share of memory."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import re
+from typing import TYPE_CHECKING
+
+import h11
+import trio
+
+from martenquay_core import results
+from martenquay_daemon.forwarding import answers, caller_budget
+
+if TYPE_CHECKING:
+    from martenquay_core.serving import calls, catalog
+
+__all__ = [
+    "CallerDisconnectedError",
+    "CallerInput",
+    "RequestRejectedError",
+    "create_body_too_large",
+]
+
+_RECEIVE_BYTES = 16_384
+# Bytes that frame a chunked body: a chunk of one byte has five others. Servers
+# ought to limit chunk extensions (RFC 9112, 7.1.1).
+_MAX_FRAMING_BYTES = 65_536
+_MAX_FRAMING_PER_BODY_BYTE = 8
+# Parts of a body that are parsed without a checkpoint: about 5 ms.
+_PARTS_PER_STEP = 256
+# Bytes of further requests that are buffered while one is being answered;
+# without a limit a caller could fill the daemon's memory.
+_MAX_PIPELINED_BYTES = 65_536
+# Ends a head, as h11 finds it.
+_BLANK_LINE = re.compile(rb"\n\r?\n")
+# May become a blank line with the bytes that follow.
+_PARTIAL_BLANK_LINE = re.compile(rb"\n\r?\Z")
+# Another daemon may have room, and what takes it here is refused in favor of
+# smaller and newer requests.
+_MEMORY_RETRY_AFTER_S = 0.25
+_UNAVAILABLE_STATUS = 503
+
+
+@dataclasses.dataclass
+class RequestRejectedError(Exception):
+    """The request is malformed, too large or too slow.
+
+    Attributes:
+        answer: The error response for the caller.
+    """
+
+    answer: answers.OwnAnswer
+
+
+class CallerDisconnectedError(Exception):
+    """The caller closed its connection in the middle of a request."""
+
+
+class CallerInput:
+    """Bytes that a caller has sent, and the requests in them."""
+
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        http: h11.Connection,
+        budget: caller_budget.CallerBudget,
+    ) -> None:
+        self._stream = stream
+        self._http = http
+        # Received and not yet passed to the parser, which gets no more than
+        # the current request: it would keep the rest, and has no bound on it.
+        self._unparsed = bytearray()
+        self._body = bytearray()
+        # Of the body that is being answered.
+        self._taken_bytes = 0
+        self._budget = budget
+        self._holding = caller_budget.Holding(self._refuse)
+        self._is_refused = False
+        self._receive_scope: trio.CancelScope | None = None
+
+    def has_bytes(self) -> bool:
+        """Return whether bytes have been received that no request has taken."""
+        return bool(self._http.trailing_data[0] or self._unparsed)
+
+    def has_request(self) -> bool:
+        """Return whether they begin a further request, not just blank lines."""
+        parsed, _ = self._http.trailing_data
+        return bool(parsed.strip() or self._unparsed.strip())
+
+    def begin_request(self, received_at: float) -> None:
+        """Begin to count what a request holds; it may be refused from now on.
+
+        Args:
+            received_at: When its first byte arrived, on trio's clock.
+        """
+        self._holding.since = received_at
+        self._holding.is_refusable = True
+
+    def end_request(self) -> None:
+        """Count only what has been received of further requests."""
+        self._taken_bytes = 0
+        self._count_held_bytes()
+
+    def drop(self) -> None:
+        """Drop all that was received; no request follows."""
+        self._holding.is_refusable = False
+        self._unparsed.clear()
+        self._body.clear()
+        self._taken_bytes = 0
+        self._count_held_bytes()
+
+    async def receive(self) -> bool:
+        """Receive bytes; return False at their end.
+
+        Raises:
+            RequestRejectedError: The request was refused for lack of memory.
+        """
+        data = b""
+        scope = self._receive_scope = trio.CancelScope()
+        with scope, contextlib.suppress(trio.BrokenResourceError):
+            data = await self._stream.receive_some(_RECEIVE_BYTES)
+        self._receive_scope = None
+        if not self._is_refused:
+            self._unparsed += data
+            self._is_refused = not self._count_held_bytes()
+        if self._is_refused:
+            raise RequestRejectedError(_create_memory_answer())
+        return bool(data)
+
+    async def receive_ahead(self) -> bool:
+        """Receive bytes of further requests; return False at their end.
+
+        Returns True once no more of them may be buffered.
+        """
+        while len(self._unparsed) < _MAX_PIPELINED_BYTES:
+            if not self._budget.has_room(_RECEIVE_BYTES):
+                return True
+            try:
+                data = await self._stream.receive_some(_RECEIVE_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return False
+            if not data:
+                return False
+            self._unparsed += data
+            self._count_held_bytes()
+        return True
+
+    def parse_head(self) -> h11.Event | type[h11.NEED_DATA]:
+        """Pass bytes up to the end of the head to the parser.
+
+        Raises:
+            RequestRejectedError: The head is malformed or too large.
+        """
+        event = self._parse_event()
+        if event is not h11.NEED_DATA:
+            return event
+        end = _BLANK_LINE.search(self._unparsed)
+        if end is not None:
+            self._pass_bytes(end.end())
+        else:
+            partial = _PARTIAL_BLANK_LINE.search(self._unparsed)
+            self._pass_bytes(
+                len(self._unparsed) if partial is None else partial.start()
+            )
+        return self._parse_event()
+
+    async def read_body(
+        self,
+        headers: calls.Headers,
+        limits: catalog.CallerLimits,
+        deadline: float,
+    ) -> bytes:
+        """Read the body until a time on trio's clock.
+
+        Raises:
+            RequestRejectedError: The body is malformed, too large or too slow,
+                or was refused for lack of memory.
+            CallerDisconnectedError: The caller closed the connection.
+        """
+        fields = dict(headers)
+        is_sized = b"transfer-encoding" not in fields
+        remaining_bytes = int(fields.get(b"content-length", b"0"))
+        received_bytes = 0
+        parts = 0
+        while True:
+            parts += 1
+            if parts % _PARTS_PER_STEP == 0:
+                await trio.lowlevel.checkpoint()
+            match self._parse_event():
+                case h11.EndOfMessage():
+                    return self._take_body()
+                case h11.Data(data=data):
+                    self._body += data
+                case h11.ConnectionClosed():
+                    raise CallerDisconnectedError
+                case _:
+                    self._check_framing(received_bytes - len(self._body))
+                    if not self._unparsed:
+                        await self._receive_with_timeout(limits, deadline)
+                    count = min(len(self._unparsed), _RECEIVE_BYTES)
+                    if is_sized:
+                        count = min(count, remaining_bytes)
+                    self._pass_bytes(count)
+                    remaining_bytes -= count
+                    received_bytes += count
+            if len(self._body) > limits.body_bytes:
+                raise RequestRejectedError(
+                    create_body_too_large(limits.body_bytes)
+                )
+
+    def _take_body(self) -> bytes:
+        """Return the body; it is counted until the request has ended."""
+        self._holding.is_refusable = False
+        body = bytes(self._body)
+        self._taken_bytes = len(body)
+        self._body.clear()
+        return body
+
+    def _count_held_bytes(self) -> bool:
+        """Count what is held; return False if this request is to be refused."""
+        held_bytes = len(self._unparsed) + len(self._body) + self._taken_bytes
+        return self._budget.resize(self._holding, held_bytes)
+
+    def _check_framing(self, framing_bytes: int) -> None:
+        body_bytes = len(self._body)
+        if framing_bytes > (
+            _MAX_FRAMING_BYTES + _MAX_FRAMING_PER_BODY_BYTE * body_bytes
+        ):
+            raise RequestRejectedError(
+                answers.create_own_answer(
+                    results.ResultCode.BODY_TOO_LARGE,
+                    f"{framing_bytes} bytes frame {body_bytes} of the body",
+                )
+            )
+
+    async def _receive_with_timeout(
+        self, limits: catalog.CallerLimits, deadline: float
+    ) -> None:
+        with trio.move_on_at(
+            min(trio.current_time() + limits.header_s, deadline)
+        ):
+            if not await self.receive():
+                raise CallerDisconnectedError
+            return
+        code = results.ResultCode.SLOW_CALLER
+        message = "the request's body did not arrive in time"
+        raise RequestRejectedError(answers.create_own_answer(code, message))
+
+    def _refuse(self) -> None:
+        """Drop what is held in favor of other connections."""
+        self._is_refused = True
+        self._unparsed.clear()
+        self._body.clear()
+        if self._receive_scope is not None:
+            self._receive_scope.cancel()
+
+    def _parse_event(self) -> h11.Event | type[h11.NEED_DATA]:
+        try:
+            return self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            answer = answers.create_own_answer(
+                results.ResultCode.MALFORMED_REQUEST,
+                f"the request is malformed: {error}",
+                status=error.error_status_hint,
+            )
+            raise RequestRejectedError(answer) from error
+
+    def _pass_bytes(self, count: int) -> None:
+        """Pass received bytes to the parser."""
+        # An empty piece would mean that the caller has closed.
+        if count:
+            self._http.receive_data(bytes(self._unparsed[:count]))
+            del self._unparsed[:count]
+
+
+def create_body_too_large(limit: int) -> answers.OwnAnswer:
+    """Return the answer to a body of more than `limit` bytes."""
+    message = f"the body has more than {limit} bytes"
+    return answers.create_own_answer(results.ResultCode.BODY_TOO_LARGE, message)
+
+
+def _create_memory_answer() -> answers.OwnAnswer:
+    return answers.create_own_answer(
+        results.ResultCode.NOT_RUN_OVERLOADED,
+        "the memory for callers' requests is in use",
+        status=_UNAVAILABLE_STATUS,
+        retry_after_s=_MEMORY_RETRY_AFTER_S,
+    )
--- a/packages/daemon/src/martenquay_daemon/forwarding/listener.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/listener.py
@@ -10,8 +10,9 @@
 import trio
 
 from martenquay_core import logs
+from martenquay_core.settings import gateway
 from martenquay_core.util import keepalive, listening
-from martenquay_daemon.forwarding import caller_connection
+from martenquay_daemon.forwarding import caller_budget, caller_connection
 
 if TYPE_CHECKING:
     from martenquay_core.serving import catalog, ports
@@ -20,6 +21,7 @@
 __all__ = ["CallerListener"]
 
 _LOG = logs.create_log("callers")
+_DEFAULT_RESOURCES = gateway.ResourceSettings()
 _BACKLOG = 1024
 # A stop keeps accepting for this long, so that handshakes in transit are not
 # reset; assumed to be far longer than a round trip within a region.
@@ -44,6 +46,7 @@
         is_closing: Each connection closes after its next answer.
         is_stopped: Idle connections close as well, and the listener accepts
             only connections that are queued or in transit.
+        budget: Bounds what all connections hold.
     """
 
     def __init__(
@@ -52,7 +55,9 @@
         store: catalog_store.CatalogStore,
         codec: ports.CallCodec,
         handler: caller_connection.CallHandler,
+        resources: gateway.ResourceSettings = _DEFAULT_RESOURCES,
     ) -> None:
+        self.budget = caller_budget.create_budget(resources.memory_mb)
         self.is_closing = False
         self.is_stopped = False
         self._address = address
--- a/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
@@ -44,6 +44,8 @@
 MAX_ANSWER_BYTES = 4_194_304
 _MIN_FAILURE_STATUS = 300
 _RECEIVE_BYTES = 16_384
+# Larger bodies are sent behind the head rather than copied into one piece.
+_MAX_JOINED_BYTES = 16_384
 # Bytes that are no body: heads, interim answers, trailers, and what frames
 # chunks. A chunk of one byte has five others and takes 15 us or more, so an
 # answer of 13,000 of them is accepted; a larger one has to have no more framing
@@ -161,11 +163,17 @@
             headers=request.headers,
         )
         data = self._http.send(head) or b""
+        body = b""
         if request.body:
-            data += self._http.send(h11.Data(data=request.body)) or b""
-        data += self._http.send(h11.EndOfMessage()) or b""
+            body = self._http.send(h11.Data(data=request.body)) or b""
+        # A codec frames bodies by their length, so nothing follows them.
+        self._http.send(h11.EndOfMessage())
+        if len(body) <= _MAX_JOINED_BYTES:
+            data, body = data + body, b""
         try:
             await self._stream.send_all(data)
+            if body:
+                await self._stream.send_all(body)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise BrokenAnswerError(
                 f"sending the request failed: {error}"
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -143,7 +143,7 @@
     def apply_settings(self, settings: gateway.GatewaySettings) -> None:
         """Apply the settings that can change without a restart.
 
-        Addresses, zone and instance take effect at the next restart.
+        Addresses, zone, instance and resources take effect at the next restart.
         """
         bounds = settings.bounds
         self._retries.bounds = _find_retry_bounds(bounds)
@@ -687,6 +687,7 @@
             self._catalog_store,
             codec,
             forwarder.Forwarder(parts),
+            self._settings.resources,
         )
 
 
