--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
@@ -69,11 +69,13 @@
         is_closing: Each connection closes after its next answer.
         is_stopped: Idle connections close as well.
         budget: Bounds what all connections hold.
+        parsing_turn: Held while a large piece of a chunked body is parsed.
     """
 
     is_closing: bool
     is_stopped: bool
     budget: caller_budget.CallerBudget
+    parsing_turn: trio.Lock
 
     def find_limits(self) -> catalog.CallerLimits:
         """Return the limits in force."""
@@ -145,7 +147,10 @@
             h11.SERVER, max_incomplete_event_size=self._limits.header_bytes
         )
         self._input = caller_input.CallerInput(
-            stream, self._http, listener_state.budget
+            stream,
+            self._http,
+            listener_state.budget,
+            listener_state.parsing_turn,
         )
         self._has_partial_write = False
         self.received_at = 0.0
--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_input.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_input.py
@@ -11,7 +11,7 @@
 import trio
 
 from martenquay_core import results
-from martenquay_daemon.forwarding import answers, caller_budget
+from martenquay_daemon.forwarding import answers, caller_budget, chunked_body
 
 if TYPE_CHECKING:
     from martenquay_core.serving import calls, catalog
@@ -28,8 +28,11 @@
 # ought to limit chunk extensions (RFC 9112, 7.1.1).
 _MAX_FRAMING_BYTES = 65_536
 _MAX_FRAMING_PER_BODY_BYTE = 8
-# Parts of a body that are parsed without a checkpoint: about 5 ms.
-_PARTS_PER_STEP = 256
+# A larger piece of a chunked body, which may take a millisecond, waits for its
+# turn, so that all connections together parse one of them a round of the loop.
+_MAX_PIECE_WITHOUT_TURN_BYTES = 2048
+# Ends a chunked body at h11, which does not see its chunks.
+_LAST_CHUNK = b"0\r\n\r\n"
 # Bytes of further requests that are buffered while one is being answered;
 # without a limit a caller could fill the daemon's memory.
 _MAX_PIPELINED_BYTES = 65_536
@@ -41,6 +44,7 @@
 # smaller and newer requests.
 _MEMORY_RETRY_AFTER_S = 0.25
 _UNAVAILABLE_STATUS = 503
+_HEADERS_TOO_LARGE_STATUS = 431
 
 
 @dataclasses.dataclass
@@ -66,6 +70,7 @@
         stream: trio.SocketStream,
         http: h11.Connection,
         budget: caller_budget.CallerBudget,
+        parsing_turn: trio.Lock,
     ) -> None:
         self._stream = stream
         self._http = http
@@ -76,18 +81,18 @@
         # Of the body that is being answered.
         self._taken_bytes = 0
         self._budget = budget
+        self._parsing_turn = parsing_turn
         self._holding = caller_budget.Holding(self._refuse)
         self._is_refused = False
         self._receive_scope: trio.CancelScope | None = None
 
     def has_bytes(self) -> bool:
         """Return whether bytes have been received that no request has taken."""
-        return bool(self._http.trailing_data[0] or self._unparsed)
+        return bool(self._unparsed)
 
     def has_request(self) -> bool:
         """Return whether they begin a further request, not just blank lines."""
-        parsed, _ = self._http.trailing_data
-        return bool(parsed.strip() or self._unparsed.strip())
+        return bool(self._unparsed.strip())
 
     def begin_request(self, received_at: float) -> None:
         """Begin to count what a request holds; it may be refused from now on.
@@ -125,8 +130,7 @@
         if not self._is_refused:
             self._unparsed += data
             self._is_refused = not self._count_held_bytes()
-        if self._is_refused:
-            raise RequestRejectedError(_create_memory_answer())
+        self._check_refused()
         return bool(data)
 
     async def receive_ahead(self) -> bool:
@@ -153,9 +157,6 @@
         Raises:
             RequestRejectedError: The head is malformed or too large.
         """
-        event = self._parse_event()
-        if event is not h11.NEED_DATA:
-            return event
         end = _BLANK_LINE.search(self._unparsed)
         if end is not None:
             self._pass_bytes(end.end())
@@ -180,14 +181,11 @@
             CallerDisconnectedError: The caller closed the connection.
         """
         fields = dict(headers)
-        is_sized = b"transfer-encoding" not in fields
-        remaining_bytes = int(fields.get(b"content-length", b"0"))
-        received_bytes = 0
-        parts = 0
+        if b"transfer-encoding" in fields:
+            await self._read_chunks(limits, deadline)
+            self._http.receive_data(_LAST_CHUNK)
+        length = int(fields.get(b"content-length", b"0"))
         while True:
-            parts += 1
-            if parts % _PARTS_PER_STEP == 0:
-                await trio.lowlevel.checkpoint()
             match self._parse_event():
                 case h11.EndOfMessage():
                     return self._take_body()
@@ -196,19 +194,49 @@
                 case h11.ConnectionClosed():
                     raise CallerDisconnectedError
                 case _:
-                    self._check_framing(received_bytes - len(self._body))
                     if not self._unparsed:
                         await self._receive_with_timeout(limits, deadline)
-                    count = min(len(self._unparsed), _RECEIVE_BYTES)
-                    if is_sized:
-                        count = min(count, remaining_bytes)
-                    self._pass_bytes(count)
-                    remaining_bytes -= count
-                    received_bytes += count
+                    # At least one byte, or a request that h11 takes for a
+                    # longer one would never end.
+                    remaining_bytes = max(1, length - len(self._body))
+                    self._pass_bytes(min(remaining_bytes, _RECEIVE_BYTES))
+
+    async def _read_chunks(
+        self, limits: catalog.CallerLimits, deadline: float
+    ) -> None:
+        """Decode a chunked body until its end."""
+        decoder = chunked_body.ChunkedBody(self._body)
+        received_bytes = 0
+        while not decoder.has_ended:
+            if not self._unparsed:
+                await self._receive_with_timeout(limits, deadline)
+            if len(self._unparsed) > _MAX_PIECE_WITHOUT_TURN_BYTES:
+                async with self._parsing_turn:
+                    self._check_refused()
+                    received_bytes += self._decode_piece(decoder)
+            else:
+                received_bytes += self._decode_piece(decoder)
             if len(self._body) > limits.body_bytes:
                 raise RequestRejectedError(
                     create_body_too_large(limits.body_bytes)
                 )
+            self._check_framing(received_bytes - len(self._body))
+            if decoder.idle_bytes > limits.header_bytes:
+                raise RequestRejectedError(_create_framing_too_large())
+
+    def _decode_piece(self, decoder: chunked_body.ChunkedBody) -> int:
+        """Decode received bytes; return how many of them."""
+        piece = bytes(self._unparsed[:_RECEIVE_BYTES])
+        try:
+            taken = decoder.feed(piece)
+        except chunked_body.MalformedChunkError as error:
+            answer = answers.create_own_answer(
+                results.ResultCode.MALFORMED_REQUEST,
+                f"the request is malformed: {error}",
+            )
+            raise RequestRejectedError(answer) from error
+        del self._unparsed[:taken]
+        return taken
 
     def _take_body(self) -> bytes:
         """Return the body; it is counted until the request has ended."""
@@ -218,6 +246,10 @@
         self._body.clear()
         return body
 
+    def _check_refused(self) -> None:
+        if self._is_refused:
+            raise RequestRejectedError(_create_memory_answer())
+
     def _count_held_bytes(self) -> bool:
         """Count what is held; return False if this request is to be refused."""
         held_bytes = len(self._unparsed) + len(self._body) + self._taken_bytes
@@ -268,7 +300,7 @@
             raise RequestRejectedError(answer) from error
 
     def _pass_bytes(self, count: int) -> None:
-        """Pass received bytes to the parser."""
+        """Pass received bytes to the parser, at most `count`."""
         # An empty piece would mean that the caller has closed.
         if count:
             self._http.receive_data(bytes(self._unparsed[:count]))
@@ -281,6 +313,14 @@
     return answers.create_own_answer(results.ResultCode.BODY_TOO_LARGE, message)
 
 
+def _create_framing_too_large() -> answers.OwnAnswer:
+    return answers.create_own_answer(
+        results.ResultCode.MALFORMED_REQUEST,
+        "a chunk's size and extensions, or the trailers, are too large",
+        status=_HEADERS_TOO_LARGE_STATUS,
+    )
+
+
 def _create_memory_answer() -> answers.OwnAnswer:
     return answers.create_own_answer(
         results.ResultCode.NOT_RUN_OVERLOADED,
--- a/packages/daemon/src/martenquay_daemon/forwarding/listener.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/listener.py
@@ -47,6 +47,7 @@
         is_stopped: Idle connections close as well, and the listener accepts
             only connections that are queued or in transit.
         budget: Bounds what all connections hold.
+        parsing_turn: Held while a large piece of a chunked body is parsed.
     """
 
     def __init__(
@@ -58,6 +59,7 @@
         resources: gateway.ResourceSettings = _DEFAULT_RESOURCES,
     ) -> None:
         self.budget = caller_budget.create_budget(resources.memory_mb)
+        self.parsing_turn = trio.Lock()
         self.is_closing = False
         self.is_stopped = False
         self._address = address
