Limit callers' connections, and close those that wait for longest

What callers saw: an ordinary request had no answer while other callers held connections on which they sent nothing, or half a head.

Cause: connections were accepted until the process had no descriptor left. Then no caller, no runner and no call to the platform got one, until idle timeouts ended others.

Now the number of connections is limited: three quarters of the descriptors are for callers, two for each, as a request needs one for its runner, and each counts as 32 KiB of memory (new setting resources.descriptors, the process's limit by default). At the limit some are closed for a new one: first those that leave a request or answer unfinished or never sent anything, then those that rest, the longest wait first. A request that was read in part is refused as not run. Waiting for a caller's close behind unread bytes takes no descriptor any more.

--- a/packages/core/src/martenquay_core/settings/gateway.py
+++ b/packages/core/src/martenquay_core/settings/gateway.py
@@ -29,6 +29,7 @@
 Milliseconds = Annotated[float, msgspec.Meta(gt=0)]
 Fraction = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Megabytes = Annotated[float, msgspec.Meta(gt=0)]
+Count = Annotated[int, msgspec.Meta(ge=0)]
 Port = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
 
 
@@ -142,11 +143,14 @@
     """What the instance gives the daemon's process.
 
     Attributes:
-        memory_mb: Memory in MB. What callers' requests may hold is derived
-            from it.
+        memory_mb: Memory in MB. What callers' requests may hold, and the
+            number of their connections, are derived from it.
+        descriptors: Maximum number of open descriptors, which bounds callers'
+            connections, too; 0 for the limit of the process.
     """
 
     memory_mb: Megabytes = 200.0
+    descriptors: Count = 0
 
 
 class GatewaySettings(_Strict, kw_only=True, frozen=True):
--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_budget.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_budget.py
@@ -16,7 +16,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ["FREE_BYTES", "CallerBudget", "Holding", "create_budget"]
+__all__ = [
+    "FREE_BYTES",
+    "CallerBudget",
+    "Holding",
+    "create_budget",
+    "find_caller_bytes",
+]
 
 # Of each connection, not counted: one read. Small requests need no share of the
 # budget, so that large ones cannot keep them out.
@@ -26,9 +32,8 @@
 # Of an instance that has little more than that.
 _MIN_FRACTION = 0.25
 _BYTES_PER_MB = 1_000_000
-# The rest is for the connections themselves, and for copies that are made
-# while a request is passed on.
-_BUDGET_FRACTION = 0.5
+# For what requests hold; connections may take as much besides.
+_CALLER_FRACTION = 0.5
 
 
 @dataclasses.dataclass(eq=False)
@@ -116,9 +121,18 @@
 def create_budget(memory_mb: float) -> CallerBudget:
     """Return the budget of an instance.
 
+    Args:
+        memory_mb: Memory of the instance in MB.
+    """
+    return CallerBudget(int(find_caller_bytes(memory_mb)))
+
+
+def find_caller_bytes(memory_mb: float) -> float:
+    """Return what callers' requests may hold, and their connections besides.
+
     Args:
         memory_mb: Memory of the instance in MB.
     """
     memory_bytes = memory_mb * _BYTES_PER_MB
     rest_bytes = max(memory_bytes - _OWN_BYTES, _MIN_FRACTION * memory_bytes)
-    return CallerBudget(int(_BUDGET_FRACTION * rest_bytes))
+    return _CALLER_FRACTION * rest_bytes
--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
@@ -128,6 +128,9 @@
         call_id: Id of the current request; empty until its head has been
             read.
         received_at: When its first byte arrived, on trio's clock.
+        waits_since: When the connection began to wait for its caller, who
+            sends or reads nothing, on trio's clock; None while a request is
+            being answered.
     """
 
     def __init__(
@@ -155,13 +158,23 @@
         self._has_partial_write = False
         self.received_at = 0.0
         self.call_id = ""
+        self.waits_since: float | None = trio.current_time()
+        self._has_served = False
+        self._is_unwanted = False
         self._idle_scope: trio.CancelScope | None = None
+        self._send_scope: trio.CancelScope | None = None
+        self._linger_scope: trio.CancelScope | None = None
 
     @property
     def has_disconnected(self) -> bool:
         """Whether the caller has closed its connection."""
         return disconnects.has_disconnected(self._stream.socket)
 
+    @property
+    def is_resting(self) -> bool:
+        """Whether it has served requests and waits for the next one."""
+        return self._has_served and self.is_idle
+
     async def serve(self) -> None:
         """Serve requests until either side closes."""
         try:
@@ -184,6 +197,18 @@
         if self.is_idle and self._idle_scope is not None:
             self._shorten_idle_wait(self._idle_scope)
 
+    def close_early(self) -> None:
+        """Close the connection, which waits for its caller, for lack of room.
+
+        A request that is being read is refused.
+        """
+        self._is_unwanted = True
+        if not self.is_idle:
+            self._input.refuse()
+        for scope in (self._idle_scope, self._send_scope, self._linger_scope):
+            if scope is not None:
+                scope.cancel()
+
     async def send_head(
         self, status: int, headers: calls.Headers, length: int | None
     ) -> None:
@@ -231,23 +256,29 @@
 
     async def _send_with_timeout(self, data: bytes) -> None:
         view = memoryview(data)
+        self.waits_since = trio.current_time()
         for offset in range(0, len(data), _SEND_CHUNK_BYTES):
             with trio.move_on_after(_SEND_TIMEOUT_S) as scope:
+                self._send_scope = scope
                 await self._stream.send_all(
                     view[offset : offset + _SEND_CHUNK_BYTES]
                 )
             if scope.cancelled_caught:
                 _LOG.write(
                     "Closing a connection: its caller stopped reading.",
-                    waited_s=_SEND_TIMEOUT_S,
+                    waited_s=round(trio.current_time() - self.waits_since, 3),
                 )
                 raise trio.BrokenResourceError("the caller stopped reading")
+        self._send_scope = None
+        self.waits_since = None
 
     async def _serve_one(self) -> bool:
         """Serve one request; return whether another may follow."""
         self._limits = self._listener_state.find_limits()
         self.is_idle = True
         self.call_id = ""
+        if self._has_served:
+            self.waits_since = trio.current_time()
         try:
             call = await self._read_call()
         except caller_input.RequestRejectedError as rejected:
@@ -261,7 +292,9 @@
 
     async def _answer_call(self, call: calls.Call) -> bool:
         """Answer a request; return whether another may follow."""
+        self.waits_since = None
         writer = await self._handle_call(call)
+        self._has_served = True
         if writer.is_aborted or not writer.has_started:
             return False
         if h11.DONE is self._http.our_state is self._http.their_state:
@@ -275,7 +308,10 @@
         """End the sending side and discard what the caller still sends."""
         # The caller has its answer: a stop's notice need not wait for it.
         self.is_idle = True
-        with trio.move_on_after(_LINGER_TIMEOUT_S):
+        if self._is_unwanted:
+            return
+        self.waits_since = trio.current_time()
+        with trio.move_on_after(_LINGER_TIMEOUT_S) as self._linger_scope:
             await self._stream.send_eof()
             while await self._stream.receive_some(_RECEIVE_BYTES):
                 pass
--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_input.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_input.py
@@ -42,7 +42,7 @@
 _PARTIAL_BLANK_LINE = re.compile(rb"\n\r?\Z")
 # Another daemon may have room, and what takes it here is refused in favor of
 # smaller and newer requests.
-_MEMORY_RETRY_AFTER_S = 0.25
+_REFUSAL_RETRY_AFTER_S = 0.25
 _UNAVAILABLE_STATUS = 503
 _HEADERS_TOO_LARGE_STATUS = 431
 
@@ -82,7 +82,7 @@
         self._taken_bytes = 0
         self._budget = budget
         self._parsing_turn = parsing_turn
-        self._holding = caller_budget.Holding(self._refuse)
+        self._holding = caller_budget.Holding(self.refuse)
         self._is_refused = False
         self._receive_scope: trio.CancelScope | None = None
 
@@ -108,6 +108,14 @@
         self._taken_bytes = 0
         self._count_held_bytes()
 
+    def refuse(self) -> None:
+        """Drop what is held; the request that is being read is refused."""
+        self._is_refused = True
+        self._unparsed.clear()
+        self._body.clear()
+        if self._receive_scope is not None:
+            self._receive_scope.cancel()
+
     def drop(self) -> None:
         """Drop all that was received; no request follows."""
         self._holding.is_refusable = False
@@ -120,7 +128,7 @@
         """Receive bytes; return False at their end.
 
         Raises:
-            RequestRejectedError: The request was refused for lack of memory.
+            RequestRejectedError: The request was refused for lack of room.
         """
         data = b""
         scope = self._receive_scope = trio.CancelScope()
@@ -177,7 +185,7 @@
 
         Raises:
             RequestRejectedError: The body is malformed, too large or too slow,
-                or was refused for lack of memory.
+                or was refused for lack of room.
             CallerDisconnectedError: The caller closed the connection.
         """
         fields = dict(headers)
@@ -248,7 +256,7 @@
 
     def _check_refused(self) -> None:
         if self._is_refused:
-            raise RequestRejectedError(_create_memory_answer())
+            raise RequestRejectedError(_create_refusal())
 
     def _count_held_bytes(self) -> bool:
         """Count what is held; return False if this request is to be refused."""
@@ -280,14 +288,6 @@
         message = "the request's body did not arrive in time"
         raise RequestRejectedError(answers.create_own_answer(code, message))
 
-    def _refuse(self) -> None:
-        """Drop what is held in favor of other connections."""
-        self._is_refused = True
-        self._unparsed.clear()
-        self._body.clear()
-        if self._receive_scope is not None:
-            self._receive_scope.cancel()
-
     def _parse_event(self) -> h11.Event | type[h11.NEED_DATA]:
         try:
             return self._http.next_event()
@@ -321,10 +321,10 @@
     )
 
 
-def _create_memory_answer() -> answers.OwnAnswer:
+def _create_refusal() -> answers.OwnAnswer:
     return answers.create_own_answer(
         results.ResultCode.NOT_RUN_OVERLOADED,
-        "the memory for callers' requests is in use",
+        "the room for callers' requests is in use",
         status=_UNAVAILABLE_STATUS,
-        retry_after_s=_MEMORY_RETRY_AFTER_S,
+        retry_after_s=_REFUSAL_RETRY_AFTER_S,
     )
--- /dev/null
+++ b/packages/daemon/src/martenquay_daemon/forwarding/connection_limit.py
@@ -0,0 +1,67 @@
+"""Limit the number of callers' connections, and choose which ones to close."""
+
+from __future__ import annotations
+
+import resource
+from typing import TYPE_CHECKING, Protocol, TypeVar
+
+from martenquay_daemon.forwarding import caller_budget
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from martenquay_core.settings import gateway
+
+__all__ = ["ClosableConnection", "choose_connections", "find_max_connections"]
+
+# A connection with its task, parsers and one read in each of its buffers.
+_CONNECTION_BYTES = 32_768
+# The rest is for the platform, other daemons and tunnels.
+_DESCRIPTOR_FRACTION = 0.75
+# A request needs a second descriptor for the connection to its runner.
+_DESCRIPTORS_PER_CONNECTION = 2
+
+
+class ClosableConnection(Protocol):
+    """A connection that may be closed in favor of others.
+
+    Attributes:
+        waits_since: When it began to wait for its caller, on trio's clock;
+            None while a request is being answered.
+    """
+
+    waits_since: float | None
+
+    @property
+    def is_resting(self) -> bool:
+        """Whether it has served requests and waits for the next one."""
+
+
+_Connection = TypeVar("_Connection", bound=ClosableConnection)
+
+
+def find_max_connections(resources: gateway.ResourceSettings) -> int:
+    """Return how many connections callers may have at the same time."""
+    descriptors = resources.descriptors
+    if not descriptors:
+        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    memory_bytes = caller_budget.find_caller_bytes(resources.memory_mb)
+    most = int(memory_bytes / _CONNECTION_BYTES)
+    if descriptors == resource.RLIM_INFINITY:
+        return most
+    share = descriptors * _DESCRIPTOR_FRACTION / _DESCRIPTORS_PER_CONNECTION
+    return min(most, int(share))
+
+
+def choose_connections(
+    connections: Collection[_Connection], count: int
+) -> list[_Connection]:
+    """Return the connections to close first, at most `count`.
+
+    First those whose caller leaves a request or an answer unfinished or has
+    sent nothing yet, then those that rest between requests; of each the ones
+    that have waited for longest.
+    """
+    waiting = [one for one in connections if one.waits_since is not None]
+    waiting.sort(key=lambda one: (one.is_resting, one.waits_since))
+    return waiting[:count]
--- a/packages/daemon/src/martenquay_daemon/forwarding/disconnects.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/disconnects.py
@@ -25,6 +25,8 @@
 ]
 
 _LOG = logs.create_log("callers")
+# Runners have to stop working on a request soon after its caller has left.
+_POLL_INTERVAL_S = 0.1
 
 
 class Stage(enum.Enum):
@@ -49,10 +51,10 @@
 
 async def wait_until_disconnected(sock: SocketType) -> None:
     """Wait until the peer has closed or reset the connection."""
-    # trio can wait for readability only, which unread bytes cause as well.
-    with select.epoll() as kernel:
-        kernel.register(sock, select.EPOLLRDHUP)
-        await trio.lowlevel.wait_readable(kernel.fileno())
+    # trio can wait for readability only, which unread bytes cause as well. An
+    # epoll for each connection would take a descriptor more of each.
+    while not has_disconnected(sock):
+        await trio.sleep(_POLL_INTERVAL_S)
 
 
 def log_disconnect(
--- a/packages/daemon/src/martenquay_daemon/forwarding/listener.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/listener.py
@@ -12,7 +12,11 @@
 from martenquay_core import logs
 from martenquay_core.settings import gateway
 from martenquay_core.util import keepalive, listening
-from martenquay_daemon.forwarding import caller_budget, caller_connection
+from martenquay_daemon.forwarding import (
+    caller_budget,
+    caller_connection,
+    connection_limit,
+)
 
 if TYPE_CHECKING:
     from martenquay_core.serving import catalog, ports
@@ -34,6 +38,8 @@
 # deadline. Three probes, since callers may be on distant, lossy networks.
 _KEEPALIVE = keepalive.KeepAlive(idle_s=3, probes=3)
 _MAX_LISTED = 5
+# Of all connections, this part is closed at once for lack of room.
+_CLOSED_FRACTION = 16
 # Callers choose the ids.
 _MAX_ID_LENGTH = 64
 _RESOURCE_ERRNOS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS})
@@ -47,6 +53,8 @@
         is_stopped: Idle connections close as well, and the listener accepts
             only connections that are queued or in transit.
         budget: Bounds what all connections hold.
+        max_connections: Limit of connections; for another one some are closed
+            that wait for their callers.
         parsing_turn: Held while a large piece of a chunked body is parsed.
     """
 
@@ -60,6 +68,7 @@
     ) -> None:
         self.budget = caller_budget.create_budget(resources.memory_mb)
         self.parsing_turn = trio.Lock()
+        self.max_connections = connection_limit.find_max_connections(resources)
         self.is_closing = False
         self.is_stopped = False
         self._address = address
@@ -85,6 +94,10 @@
             return len(self._connections) + self._is_draining
         return self.count_requests()
 
+    def count_connections(self) -> int:
+        """Return how many connections are open."""
+        return len(self._connections)
+
     def count_requests(self) -> int:
         """Return how many connections have a request in progress."""
         return sum(not connection.is_idle for connection in self._connections)
@@ -190,6 +203,9 @@
     def _start_connection(
         self, sock: trio.socket.SocketType, nursery: trio.Nursery
     ) -> None:
+        if not self._has_room():
+            sock.close()
+            return
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             connection = caller_connection.CallerConnection(
@@ -207,6 +223,25 @@
         self._connections.add(connection)
         nursery.start_soon(self._serve_connection, connection)
 
+    def _has_room(self) -> bool:
+        """Return whether another connection is served; close others for it."""
+        if len(self._connections) < self.max_connections:
+            return True
+        # Several at once, as choosing takes longer than accepting.
+        chosen = connection_limit.choose_connections(
+            self._connections, 1 + self.max_connections // _CLOSED_FRACTION
+        )
+        for connection in chosen:
+            connection.close_early()
+            # It closes within a moment.
+            self._connections.discard(connection)
+        _LOG.write(
+            f"Callers have {self.max_connections} connections: closing "
+            f"{len(chosen)} of them.",
+            is_refused=not chosen,
+        )
+        return bool(chosen)
+
     async def _serve_connection(
         self, connection: caller_connection.CallerConnection
     ) -> None:
