Serve the readiness port with few connections, too

What callers saw: 502 for an ordinary request while others held connections to the readiness port open, which used up the process's descriptors.

Cause: the same as at the callers' port. The HTTP library has no setting that limits connections, and ends silent ones after 30 s only.

Evidence: tests/test_crowds/test_silent_connections, 200 connections at the readiness port with 128 descriptors: 502 in place of 200 on.

The port is served by the callers' listener with a budget, limits and 24 connections of its own. The listener gets its limits and its room from whoever creates it. The test of a fault in one connection of this port breaks the connection of the new server as it broke that of the old one, and expects the same.

--- a/packages/daemon/src/martenquay_daemon/forwarding/connection_limit.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/connection_limit.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import resource
 from typing import TYPE_CHECKING, Protocol, TypeVar
 
@@ -12,7 +13,13 @@
 
     from martenquay_core.settings import gateway
 
-__all__ = ["ClosableConnection", "choose_connections", "find_max_connections"]
+__all__ = [
+    "ClosableConnection",
+    "ListenerRoom",
+    "choose_connections",
+    "create_room",
+    "find_max_connections",
+]
 
 # A connection with its task, parsers and one read in each of its buffers.
 _CONNECTION_BYTES = 32_768
@@ -40,6 +47,27 @@
 _Connection = TypeVar("_Connection", bound=ClosableConnection)
 
 
+@dataclasses.dataclass(frozen=True)
+class ListenerRoom:
+    """What all connections of a listener may take together.
+
+    Attributes:
+        budget: Bounds what they hold.
+        max_connections: Limit of their number.
+    """
+
+    budget: caller_budget.CallerBudget
+    max_connections: int
+
+
+def create_room(resources: gateway.ResourceSettings) -> ListenerRoom:
+    """Return the room for callers of an instance."""
+    return ListenerRoom(
+        caller_budget.create_budget(resources.memory_mb),
+        find_max_connections(resources),
+    )
+
+
 def find_max_connections(resources: gateway.ResourceSettings) -> int:
     """Return how many connections callers may have at the same time."""
     descriptors = resources.descriptors
--- a/packages/daemon/src/martenquay_daemon/forwarding/listener.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/listener.py
@@ -10,22 +10,20 @@
 import trio
 
 from martenquay_core import logs
-from martenquay_core.settings import gateway
 from martenquay_core.util import keepalive, listening
 from martenquay_daemon.forwarding import (
-    caller_budget,
     caller_connection,
     connection_limit,
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from martenquay_core.serving import catalog, ports
-    from martenquay_daemon.discovery import catalog_store
 
 __all__ = ["CallerListener"]
 
 _LOG = logs.create_log("callers")
-_DEFAULT_RESOURCES = gateway.ResourceSettings()
 _BACKLOG = 1024
 # A stop keeps accepting for this long, so that handshakes in transit are not
 # reset; assumed to be far longer than a round trip within a region.
@@ -61,18 +59,27 @@
     def __init__(
         self,
         address: str,
-        store: catalog_store.CatalogStore,
+        find_limits: Callable[[], catalog.CallerLimits],
         codec: ports.CallCodec,
         handler: caller_connection.CallHandler,
-        resources: gateway.ResourceSettings = _DEFAULT_RESOURCES,
+        room: connection_limit.ListenerRoom,
     ) -> None:
-        self.budget = caller_budget.create_budget(resources.memory_mb)
+        """Create a listener.
+
+        Args:
+            address: Host and port to listen at.
+            find_limits: Returns the limits in force.
+            codec: Decodes and encodes headers.
+            handler: Answers requests.
+            room: What all connections may take together.
+        """
+        self.budget = room.budget
+        self.max_connections = room.max_connections
         self.parsing_turn = trio.Lock()
-        self.max_connections = connection_limit.find_max_connections(resources)
         self.is_closing = False
         self.is_stopped = False
         self._address = address
-        self._store = store
+        self._find_limits = find_limits
         self._codec = codec
         self._handler = handler
         self._raw_socket: socket.socket | None = None
@@ -82,7 +89,7 @@
 
     def find_limits(self) -> catalog.CallerLimits:
         """Return the limits in force."""
-        return self._store.table.catalog.limits
+        return self._find_limits()
 
     def count_busy(self) -> int:
         """Return how many connections have, or may have, a request.
--- a/packages/daemon/src/martenquay_daemon/gateway.py
+++ b/packages/daemon/src/martenquay_daemon/gateway.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from martenquay_core.serving import ports as serving_ports
     from martenquay_core.settings import gateway
     from martenquay_core.util import held_signals
     from martenquay_daemon import gateway_ports
@@ -92,7 +93,7 @@
     )
     handler = signals.SignalHandler(held, watch.reload)
     _LOG.write("Starting.", member=parts.member)
-    readiness_server = _create_readiness(settings, parts)
+    readiness_server = _create_readiness(settings, parts, ports.calls)
     exit_status = 0
     async with trio.open_nursery() as nursery:
         # The handler runs until the last request has ended: an unhandled
@@ -134,12 +135,14 @@
 
 
 def _create_readiness(
-    settings: gateway.GatewaySettings, parts: gateway_parts.GatewayParts
+    settings: gateway.GatewaySettings,
+    parts: gateway_parts.GatewayParts,
+    codec: serving_ports.CallCodec,
 ) -> readiness.ReadinessServer:
-    app = readiness.ReadinessApp(
+    handler = readiness.ReadinessHandler(
         settings.listen, parts.is_ready, parts.metrics.render
     )
-    return readiness.ReadinessServer(app, settings.listen.readiness)
+    return readiness.create_server(handler, settings.listen.readiness, codec)
 
 
 async def _stop(
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -57,6 +57,7 @@
 )
 from martenquay_daemon.forwarding import (
     attempt,
+    connection_limit,
     forwarder,
     listener,
     metrics,
@@ -684,10 +685,10 @@
         )
         self.listener = listener.CallerListener(
             self._settings.listen.callers,
-            self._catalog_store,
+            lambda: self._catalog_store.table.catalog.limits,
             codec,
             forwarder.Forwarder(parts),
-            self._settings.resources,
+            connection_limit.create_room(self._settings.resources),
         )
 
 
--- a/packages/daemon/src/martenquay_daemon/readiness.py
+++ b/packages/daemon/src/martenquay_daemon/readiness.py
@@ -2,30 +2,44 @@
 
 from __future__ import annotations
 
-import functools
 from typing import TYPE_CHECKING
 
-from martenquay_core.util import listening, serving
+from martenquay_core.serving import catalog
 from martenquay_daemon import supervision
+from martenquay_daemon.forwarding import (
+    caller_budget,
+    connection_limit,
+    listener,
+)
 
 if TYPE_CHECKING:
-    import socket
     from collections.abc import Callable
 
+    from martenquay_core.serving import calls, ports
     from martenquay_core.settings import gateway
+    from martenquay_daemon.forwarding import answers
 
-__all__ = ["ReadinessApp", "ReadinessServer"]
+__all__ = ["ReadinessHandler", "ReadinessServer", "create_server"]
 
-_BACKLOG = 100
 _READY = 200
 _NOT_READY = 503
 _NOT_FOUND = 404
 # The load balancer probes each second.
 _RESTART_DELAY_S = 0.1
+# The load balancer and the collector of metrics have one or two each, also
+# where there are several of them.
+_MAX_CONNECTIONS = 24
+_BUDGET_BYTES = 1_000_000
+_LIMITS = catalog.CallerLimits(
+    header_bytes=16_384, body_bytes=65_536, header_s=3.0, idle_s=30.0
+)
 
 
-class ReadinessApp:
-    """ASGI app that answers readiness checks and metrics scrapes."""
+class ReadinessHandler:
+    """Answers readiness checks and metrics scrapes.
+
+    Implements `caller_connection.CallHandler`.
+    """
 
     def __init__(
         self,
@@ -37,20 +51,20 @@
         self._is_ready = is_ready
         self._render_metrics = render_metrics
 
-    async def __call__(
+    async def handle(
         self,
-        scope: serving.Scope,
-        receive: serving.Receive,
-        send: serving.Send,
+        call: calls.Call,
+        received_at: float,
+        writer: answers.AnswerWriter,
     ) -> None:
-        """Answer one ASGI scope."""
-        if scope["type"] == "lifespan":
-            await serving.answer_lifespan(receive, send)
-            return
-        status, body = self._answer(scope.get("path", ""))
-        await serving.send_answer(send, status, body)
-
-    def _answer(self, path: str) -> tuple[int, bytes]:
+        """Answer one request."""
+        del received_at
+        status, body = self._find_answer(call.path)
+        await writer.start(status, [], len(body))
+        await writer.write(body)
+        await writer.finish()
+
+    def _find_answer(self, path: str) -> tuple[int, bytes]:
         if path == self._listen.readiness_path:
             return (_READY if self._is_ready() else _NOT_READY), b""
         if path == self._listen.metrics_path:
@@ -61,10 +75,8 @@
 class ReadinessServer:
     """Serves the readiness check and the metrics at their address."""
 
-    def __init__(self, app: ReadinessApp, address: str) -> None:
-        self._app = app
-        self._address = address
-        self._raw_socket: socket.socket | None = None
+    def __init__(self, http_listener: listener.CallerListener) -> None:
+        self._listener = http_listener
 
     def listen(self) -> None:
         """Listen; connections wait until `run` accepts them.
@@ -72,25 +84,22 @@
         Raises:
             OSError: The address cannot be listened on.
         """
-        self._raw_socket = listening.open_socket(self._address, _BACKLOG)
+        self._listener.listen()
 
     async def run(self) -> None:
-        """Serve until cancelled; after a fault anew, on the same socket."""
-        if self._raw_socket is None:
-            self.listen()
-        with self._raw_socket as raw_socket:
-            await supervision.keep_running(
-                "readiness",
-                functools.partial(self._serve, raw_socket),
-                _RESTART_DELAY_S,
-            )
-
-    async def _serve(self, raw_socket: socket.socket) -> None:
-        # Imported here, since hypercorn's import (80 ms) would delay the
-        # listener.
-        from martenquay_core.util import server  # noqa: PLC0415
-
-        # hypercorn closes its socket when it ends. Meanwhile connections wait
-        # in the queue of this one.
-        options = server.ServerOptions(listening_socket=raw_socket.dup())
-        await server.serve_app(self._app, options)
+        """Serve until cancelled; after a fault anew."""
+        await supervision.keep_running(
+            "readiness", self._listener.run, _RESTART_DELAY_S
+        )
+
+
+def create_server(
+    handler: ReadinessHandler, address: str, codec: ports.CallCodec
+) -> ReadinessServer:
+    """Return a server with few connections, apart from those of callers."""
+    room = connection_limit.ListenerRoom(
+        caller_budget.CallerBudget(_BUDGET_BYTES), _MAX_CONNECTIONS
+    )
+    return ReadinessServer(
+        listener.CallerListener(address, lambda: _LIMITS, codec, handler, room)
+    )
--- a/tests/serving_scene.py
+++ b/tests/serving_scene.py
@@ -32,6 +32,7 @@
 )
 from martenquay_daemon.forwarding import (
     attempt,
+    connection_limit,
     forwarder,
     listener,
     metrics,
@@ -271,9 +272,10 @@
         )
         self.listener = listener.CallerListener(
             loopback.create_address(),
-            self.store,
+            lambda: self.store.table.catalog.limits,
             header_codec,
             forwarder.Forwarder(self.parts),
+            connection_limit.create_room(gateway.ResourceSettings()),
         )
         self.address = ""
         self.runners: list[scripted.ScriptedRunner] = []
--- a/tests/test_crowds/test_silent_connections.py
+++ b/tests/test_crowds/test_silent_connections.py
@@ -32,3 +32,12 @@
 
     def test_of_callers_with_half_a_head(self) -> None:
         self._play_silence("callers", b"POST /lookup/7 HTTP/1.1\r\n")
+
+    def test_at_the_readiness_port(self) -> None:
+        self._play_silence("readiness")
+
+    def test_at_the_relay_port(self) -> None:
+        self._play_silence("relay")
+
+    def test_at_the_port_of_links(self) -> None:
+        self._play_silence("peers")
--- a/tests/test_daemon/test_readiness.py
+++ b/tests/test_daemon/test_readiness.py
@@ -6,12 +6,13 @@
 
 import testtools
 import trio
-from hypercorn.trio import tcp_server
 
 from martenquay_core.settings import gateway
 from martenquay_daemon import readiness
+from martenquay_daemon.forwarding import caller_connection
+from martenquay_platform import codec
 from tests import serving_builders as builders
-from tests import serving_scene
+from tests import serving_scene, start_addresses
 
 _HANG_S = 20.0
 _PROBE = b"GET /ready HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
@@ -19,27 +20,30 @@
 
 class ReadinessServerTest(testtools.TestCase):
     def test_a_connection_that_fails_costs_only_itself(self) -> None:
-        read_data = tcp_server.TCPServer._read_data
+        serve = caller_connection.CallerConnection.serve
         faults = [ValueError("bytes that nobody expected")]
 
-        async def fail_once(server):
+        async def fail_once(connection):
             if faults:
                 raise faults.pop()
-            await read_data(server)
+            await serve(connection)
 
         async def run() -> None:
             listen = builders.build_gateway_settings()["listen"]
-            app = readiness.ReadinessApp(
+            handler = readiness.ReadinessHandler(
                 gateway.GatewayListen(**listen), lambda: True, lambda: b""
             )
-            server = readiness.ReadinessServer(app, listen["readiness"])
+            address = start_addresses.create_addresses()
+            server = readiness.create_server(
+                handler, address.format("readiness"), codec.create_codec()
+            )
             server.listen()
-            host, port = server._raw_socket.getsockname()
+            host, port = address.find("readiness")
             with trio.fail_after(_HANG_S):
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(server.run)
                     with mock.patch.object(
-                        tcp_server.TCPServer, "_read_data", fail_once
+                        caller_connection.CallerConnection, "serve", fail_once
                     ):
                         first = await trio.open_tcp_stream(host, port)
                         while faults:
--- a/tests/test_forwarding/test_listener.py
+++ b/tests/test_forwarding/test_listener.py
@@ -11,8 +11,10 @@
 import trio
 import trio.testing
 
+from martenquay_core.settings import gateway
 from martenquay_daemon.forwarding import (
     caller_connection,
+    connection_limit,
     forwarder,
     listener,
 )
@@ -63,9 +65,10 @@
     async def _serve(self, scene: serving_scene.Scene, scenario) -> None:
         caller_listener = listener.CallerListener(
             loopback.create_address(),
-            scene.store,
+            lambda: scene.store.table.catalog.limits,
             codec.create_codec(),
             forwarder.Forwarder(scene.parts),
+            connection_limit.create_room(gateway.ResourceSettings()),
         )
         ended = trio.Event()
 
