Limit tunnels and connections without one by the descriptors

What callers saw: an ordinary request had no answer while another program held tunnels to a runner open.

Cause: up to 500 tunnels of two connections each were opened whatever the process may open, and any number of connections that had not asked for one.

A quarter of the descriptors are for tunnels, at most 500 of them as before; an eighth, 32 at least, is left for the process itself, the platform and other daemons, the rest for callers. Of connections that have not asked for a tunnel the oldest is closed for a new one.

--- a/packages/daemon/src/martenquay_daemon/forwarding/connection_limit.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/connection_limit.py
@@ -1,4 +1,4 @@
-"""Limit the number of callers' connections, and choose which ones to close."""
+"""Divide descriptors, and choose which connections of callers to close."""
 
 from __future__ import annotations
 
@@ -19,14 +19,20 @@
     "choose_connections",
     "create_room",
     "find_max_connections",
+    "find_max_tunnels",
 ]
 
 # A connection with its task, parsers and one read in each of its buffers.
 _CONNECTION_BYTES = 32_768
-# The rest is for the platform, other daemons and tunnels.
-_DESCRIPTOR_FRACTION = 0.75
-# A request needs a second descriptor for the connection to its runner.
+# For the process itself, the platform and other daemons. Without connections a
+# process has 20 open.
+_OWN_DESCRIPTOR_FRACTION = 0.125
+_MIN_OWN_DESCRIPTORS = 32
+_TUNNEL_DESCRIPTOR_FRACTION = 0.25
+# A tunnel has two ends; a caller's request needs a second descriptor for the
+# connection to its runner.
 _DESCRIPTORS_PER_CONNECTION = 2
+_MAX_TUNNELS = 500
 
 
 class ClosableConnection(Protocol):
@@ -70,15 +76,23 @@
 
 def find_max_connections(resources: gateway.ResourceSettings) -> int:
     """Return how many connections callers may have at the same time."""
-    descriptors = resources.descriptors
-    if not descriptors:
-        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     memory_bytes = caller_budget.find_caller_bytes(resources.memory_mb)
     most = int(memory_bytes / _CONNECTION_BYTES)
-    if descriptors == resource.RLIM_INFINITY:
+    descriptors = _find_descriptors(resources)
+    if descriptors is None:
         return most
-    share = descriptors * _DESCRIPTOR_FRACTION / _DESCRIPTORS_PER_CONNECTION
-    return min(most, int(share))
+    own = max(_MIN_OWN_DESCRIPTORS, descriptors * _OWN_DESCRIPTOR_FRACTION)
+    share = descriptors - own - descriptors * _TUNNEL_DESCRIPTOR_FRACTION
+    return max(1, min(most, int(share / _DESCRIPTORS_PER_CONNECTION)))
+
+
+def find_max_tunnels(resources: gateway.ResourceSettings) -> int:
+    """Return how many tunnels other daemons may have at the same time."""
+    descriptors = _find_descriptors(resources)
+    if descriptors is None:
+        return _MAX_TUNNELS
+    share = descriptors * _TUNNEL_DESCRIPTOR_FRACTION
+    return min(_MAX_TUNNELS, int(share / _DESCRIPTORS_PER_CONNECTION))
 
 
 def choose_connections(
@@ -93,3 +107,11 @@
     waiting = [one for one in connections if one.waits_since is not None]
     waiting.sort(key=lambda one: (one.is_resting, one.waits_since))
     return waiting[:count]
+
+
+def _find_descriptors(resources: gateway.ResourceSettings) -> int | None:
+    """Return the limit of open descriptors; None without one."""
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if allowed == resource.RLIM_INFINITY:
+        return resources.descriptors or None
+    return min(allowed, resources.descriptors or allowed)
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -315,6 +315,7 @@
             self._runner_paths,
             self._runner_directory.has_address,
             self.metrics.count_served_relay,
+            connection_limit.find_max_tunnels(self._settings.resources),
         )
 
     def _build_fleet(self) -> None:
--- a/packages/daemon/src/martenquay_daemon/relay/server.py
+++ b/packages/daemon/src/martenquay_daemon/relay/server.py
@@ -31,10 +31,12 @@
 # Between attempts to listen on an address that is taken.
 _LISTEN_RETRY_S = 1.0
 _HEAD_TIMEOUT_S = 1.0
+# Connections may be without a tunnel yet at the same time, one for so many
+# tunnels, and at least so many.
+_TUNNELS_PER_PENDING = 4
+_MIN_PENDING = 4
 _CONNECT_TIMEOUT_S = 0.1
 _RESTART_DELAY_S = 0.1
-# Each tunnel takes two descriptors, of which callers need most.
-_MAX_TUNNELS = 500
 # SO_LINGER with a timeout of 0 s: closing resets, also when the process ends,
 # so that the other side does not take it for the end of an answer.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -58,6 +60,7 @@
         runner_paths: paths.RunnerPaths,
         is_runner: Callable[[str], bool],
         count_outcome: Callable[[str], None],
+        max_tunnels: int,
     ) -> None:
         """Create the server.
 
@@ -67,6 +70,7 @@
             runner_paths: Paths that this daemon has itself lost.
             is_runner: Returns whether an address is that of a known runner.
             count_outcome: Called with the outcome of each request.
+            max_tunnels: Limit of open tunnels, each of two connections.
         """
         self.is_closing = False
         self.address = ""
@@ -76,7 +80,11 @@
         self._paths = runner_paths
         self._is_runner = is_runner
         self._count_outcome = count_outcome
+        self._max_tunnels = max_tunnels
         self._tunnels = 0
+        self._opening = 0
+        # Connections that have asked for no tunnel yet, the oldest first.
+        self._pending: dict[trio.SocketStream, trio.CancelScope] = {}
         self._raw_socket: socket.socket | None = None
         self._is_refused = False
 
@@ -165,8 +173,13 @@
     async def _serve_tunnel(self, stream: trio.SocketStream) -> None:
         protocol = h11.Connection(h11.SERVER)
         target = None
-        with trio.move_on_after(_HEAD_TIMEOUT_S):
-            target = await _read_target(protocol, stream)
+        self._make_room()
+        with trio.move_on_after(_HEAD_TIMEOUT_S) as scope:
+            self._pending[stream] = scope
+            try:
+                target = await _read_target(protocol, stream)
+            finally:
+                self._pending.pop(stream, None)
         if target is None:
             return
         opened = await self._open_runner(target)
@@ -188,6 +201,14 @@
                 with trio.move_on_after(_HEAD_TIMEOUT_S):
                     await stream.receive_some(_RECEIVE_BYTES)
 
+    def _make_room(self) -> None:
+        """Close the connection that has asked for nothing for longest."""
+        if len(self._pending) >= max(
+            _MIN_PENDING, self._max_tunnels // _TUNNELS_PER_PENDING
+        ):
+            oldest = next(iter(self._pending))
+            self._pending.pop(oldest).cancel()
+
     async def _open_runner(
         self, target: str
     ) -> connections.OpenedStream | http.HTTPStatus:
@@ -196,10 +217,11 @@
             return http.HTTPStatus.FORBIDDEN
         if (
             self.is_closing
-            or self._tunnels >= _MAX_TUNNELS
+            or self._tunnels + self._opening >= self._max_tunnels
             or self._paths.is_lost(target)
         ):
             return http.HTTPStatus.SERVICE_UNAVAILABLE
+        self._opening += 1
         try:
             # Direct only: a tunnel has one hop.
             return await connections.open_stream(
@@ -209,6 +231,8 @@
             if error.is_refused:
                 return http.HTTPStatus.BAD_GATEWAY
             return http.HTTPStatus.GATEWAY_TIMEOUT
+        finally:
+            self._opening -= 1
 
 
 async def _read_target(
