Refuse at a stop the requests that have not arrived

What callers saw: their connection was closed without an answer at the end of a stop, which waited for bodies that nobody ended.

Cause: a stop waits for each request in progress, also for one that is still being read. A body that drips keeps the time limit of a piece, so the stop lasted until its deadline and cut the request off, although "not run" was known.

From 1 s after accepting ends, or 0.3 s before the deadline of a short stop, a request that has not arrived is refused.

--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
@@ -197,6 +197,11 @@
         if self.is_idle and self._idle_scope is not None:
             self._shorten_idle_wait(self._idle_scope)
 
+    def refuse_unfinished(self, answer: answers.OwnAnswer) -> None:
+        """Refuse the request that is being read, if there is one."""
+        if self._input.is_reading:
+            self._input.refuse(answer)
+
     def close_early(self) -> None:
         """Close the connection, which waits for its caller, for lack of room.
 
--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_input.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_input.py
@@ -83,7 +83,7 @@
         self._budget = budget
         self._parsing_turn = parsing_turn
         self._holding = caller_budget.Holding(self.refuse)
-        self._is_refused = False
+        self._refusal: answers.OwnAnswer | None = None
         self._receive_scope: trio.CancelScope | None = None
 
     def has_bytes(self) -> bool:
@@ -108,9 +108,18 @@
         self._taken_bytes = 0
         self._count_held_bytes()
 
-    def refuse(self) -> None:
-        """Drop what is held; the request that is being read is refused."""
-        self._is_refused = True
+    @property
+    def is_reading(self) -> bool:
+        """Whether a request is being read, so that it may be refused."""
+        return self._holding.is_refusable
+
+    def refuse(self, answer: answers.OwnAnswer | None = None) -> None:
+        """Drop what is held; the request that is being read is refused.
+
+        Args:
+            answer: The answer; by default that there is no room.
+        """
+        self._refusal = answer or _create_refusal()
         self._unparsed.clear()
         self._body.clear()
         if self._receive_scope is not None:
@@ -135,9 +144,10 @@
         with scope, contextlib.suppress(trio.BrokenResourceError):
             data = await self._stream.receive_some(_RECEIVE_BYTES)
         self._receive_scope = None
-        if not self._is_refused:
+        if self._refusal is None:
             self._unparsed += data
-            self._is_refused = not self._count_held_bytes()
+            if not self._count_held_bytes():
+                self._refusal = _create_refusal()
         self._check_refused()
         return bool(data)
 
@@ -255,8 +265,8 @@
         return body
 
     def _check_refused(self) -> None:
-        if self._is_refused:
-            raise RequestRejectedError(_create_refusal())
+        if self._refusal is not None:
+            raise RequestRejectedError(self._refusal)
 
     def _count_held_bytes(self) -> bool:
         """Count what is held; return False if this request is to be refused."""
--- a/packages/daemon/src/martenquay_daemon/forwarding/listener.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/listener.py
@@ -14,6 +14,7 @@
 from martenquay_daemon.forwarding import (
     caller_connection,
     connection_limit,
+    own_answers,
 )
 
 if TYPE_CHECKING:
@@ -133,6 +134,12 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
+    def refuse_unfinished(self) -> None:
+        """Refuse the requests that have not arrived, for a stop."""
+        answer = own_answers.describe_unfinished()
+        for connection in self._connections:
+            connection.refuse_unfinished(answer)
+
     def listen(self) -> None:
         """Listen; connections wait until `run` accepts them.
 
--- a/packages/daemon/src/martenquay_daemon/forwarding/own_answers.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/own_answers.py
@@ -20,6 +20,7 @@
     "describe_shed",
     "describe_stop",
     "describe_timeout",
+    "describe_unfinished",
     "describe_unknown_version",
 ]
 
@@ -164,6 +165,15 @@
     )
 
 
+def describe_unfinished() -> answers.OwnAnswer:
+    """Return the answer to a request that has not arrived when a stop ends."""
+    return answers.create_own_answer(
+        _Code.NOT_RUN_STOPPING,
+        "this daemon stops, and the request is not complete",
+        retry_after_s=_STOPPING_RETRY_AFTER_S,
+    )
+
+
 def describe_timeout(
     current: exchange.Exchange,
 ) -> answers.OwnAnswer:
--- a/packages/daemon/src/martenquay_daemon/gateway.py
+++ b/packages/daemon/src/martenquay_daemon/gateway.py
@@ -38,6 +38,11 @@
 # For connections in the accept queue and requests in transit, which come after
 # the notice; a short grace time leaves less for the notice.
 _LAST_REQUESTS_S = 0.3
+# From then on a request that has not arrived is refused: its caller may try
+# another daemon, and the stop need not wait for one that never ends it.
+_LAST_BODIES_S = 1.0
+# Before the end of a short grace time; the refusal takes a moment.
+_REFUSAL_S = 0.3
 # Time to exit between the end of draining and the kill after the grace time.
 _EXIT_MARGIN_S = 0.4
 _DRAIN_POLL_S = 0.02
@@ -204,8 +209,13 @@
 ) -> None:
     """Wait until no request is in progress, or for the deadline."""
     reported_at = -math.inf
+    started_at = trio.current_time()
     while parts.count_busy():
         now = trio.current_time()
+        if now >= min(
+            started_at + _LAST_BODIES_S, find_deadline() - _REFUSAL_S
+        ):
+            parts.listener.refuse_unfinished()
         if now >= find_deadline():
             return
         if now >= reported_at + _PROGRESS_INTERVAL_S:
