Bound the log lines that wait by their bytes

Cause, by reading: the queue of log lines was bounded by their number, 4,000, and lines quote what callers send: heads of up to 16 KiB. While nobody reads the log, requests at unknown paths could make the queue hold 64 MB, and more once quotes are escaped.

Evidence: test_long_lines_that_wait_are_bounded_by_their_bytes, 4,000 lines of 16,000 characters: before, all of them were kept; now less than 8 MB, and the rest is counted as left out.

The answer to an unknown path quotes 200 characters of it.

--- a/packages/core/src/martenquay_core/util/line_writer.py
+++ b/packages/core/src/martenquay_core/util/line_writer.py
@@ -28,6 +28,8 @@
 # write, and 100 KB/s at most.
 _LINES_PER_S = 250
 _QUEUE_LINES = 4000
+# Lines may quote heads of callers, of some kilobytes each.
+_QUEUE_BYTES = 4_000_000
 _KIND_FIELD = "message_type"
 _END = b""
 
@@ -57,6 +59,9 @@
         self._thread = threading.Thread(
             target=self._write_lines, name="log", daemon=True
         )
+        # Counted apart, as each is changed by one thread only.
+        self._queued_bytes = 0
+        self._written_bytes = 0
         self._second = 0
         self._counts: dict[str, int] = {}
         self._dropped: dict[str, int] = {}
@@ -71,8 +76,13 @@
         if left_out:
             message = {**message, "left_out": left_out}
         line = msgspec.json.encode(message, enc_hook=str) + b"\n"
+        waiting_bytes = self._queued_bytes - self._written_bytes
+        if waiting_bytes + len(line) > _QUEUE_BYTES:
+            self._dropped[kind] = left_out + 1
+            return
         try:
             self._queue.put_nowait(line)
+            self._queued_bytes += len(line)
         except queue.Full:
             self._dropped[kind] = left_out + 1
 
@@ -96,6 +106,7 @@
             except OSError:
                 # The log itself is broken, so the error cannot be logged.
                 return
+            self._written_bytes += len(line)
 
     def _is_within_rate(self, kind: str) -> bool:
         if kind in self._unlimited_kinds:
--- a/packages/daemon/src/martenquay_daemon/forwarding/request_admission.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/request_admission.py
@@ -33,6 +33,8 @@
 _LOG = logs.create_log("forwarding")
 _Code = results.ResultCode
 _STARTING_RETRY_AFTER_S = 0.5
+# Of what a caller has sent, in messages and log lines.
+_MAX_QUOTED_LENGTH = 200
 # Enough for a delegated refill share to arrive; the rest of the request's time
 # is left for its answer.
 _MAX_QUOTA_WAIT_S = 1.5
@@ -81,7 +83,8 @@
             )
         route = table.find_route(call)
         if route is None:
-            message = f"no route for {call.host}{call.path}"
+            place = f"{call.host}{call.path}"[:_MAX_QUOTED_LENGTH]
+            message = f"no route for {place}"
             return answers.create_own_answer(_Code.UNKNOWN_ROUTE, message)
         team = table.find_team(call.key)
         if team is None and table.needs_key(route):
--- a/tests/test_core/test_line_writer.py
+++ b/tests/test_core/test_line_writer.py
@@ -6,6 +6,7 @@
 import json
 import os
 import select
+import tempfile
 
 import testtools
 
@@ -93,3 +94,14 @@
             data += os.read(self.reading, 65_536)
         os.close(self.writing)
         return [json.loads(line) for line in data.splitlines()[:4000]]
+
+    def test_long_lines_that_wait_are_bounded_by_their_bytes(self) -> None:
+        with tempfile.TemporaryFile() as file:
+            writer = line_writer.LineWriter(file.fileno(), lambda: self.second)
+            for second in range(16):
+                self.second = float(second)
+                for _ in range(250):
+                    writer.write({"message_type": "a", "text": "x" * 16_000})
+            writer.start()
+            writer.close(_HANG_S)
+            self.assertLess(os.fstat(file.fileno()).st_size, 8_000_000)
