Share the memory for bodies in the standalone daemon, too

What callers saw: none was seen; the class of the fault at another port. The standalone daemon's memory grew by each caller's whole body.

Cause: its limit, too, bounds the body of one request and not their sum.

Requests of callers take their bodies from the same kind of budget, of the new setting limits.memory_mb; the one that holds most for longest is refused with 503 and Retry-After. The module of the budget moves to limits/, as both servers use it. The number of connections is still the library's to bound; it ends silent ones after 30 s.

--- a/packages/core/src/martenquay_core/settings/models.py
+++ b/packages/core/src/martenquay_core/settings/models.py
@@ -93,6 +93,8 @@
         body_bytes: Maximum size of a request body.
         header_bytes: Maximum size of a request's headers.
         body_timeout_s: Seconds until a body must be complete.
+        memory_mb: Memory of the instance in MB. What callers' bodies may hold
+            is derived from it.
         retry_share: Maximum retries as a share of all attempts.
         claim_shards: Number of streams that claims are sharded over.
         work_shards: Number of streams that deferrable requests are sharded
@@ -106,6 +108,7 @@
     body_bytes: Count = 1_000_000
     header_bytes: Count = 32_768
     body_timeout_s: Seconds = 10.0
+    memory_mb: Annotated[float, pydantic.Field(gt=0)] = 200.0
     retry_share: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.1
     claim_shards: Annotated[int, pydantic.Field(ge=1, le=256)] = 4
     work_shards: Annotated[int, pydantic.Field(ge=1, le=256)] = 4
--- a/packages/core/src/martenquay_core/util/serving.py
+++ b/packages/core/src/martenquay_core/util/serving.py
@@ -55,9 +55,21 @@
             return
 
 
-async def read_body(receive: Receive, *, limit: int, timeout_s: float) -> bytes:
+async def read_body(
+    receive: Receive,
+    *,
+    limit: int,
+    timeout_s: float,
+    note_size: Callable[[int], None] | None = None,
+) -> bytes:
     """Read a whole request body.
 
+    Args:
+        receive: The ASGI receive callable.
+        limit: Maximum bytes allowed.
+        timeout_s: Seconds until the body must be complete.
+        note_size: Called with the number of bytes read so far.
+
     Raises:
         BodyTooLargeError: The body has more than `limit` bytes.
         trio.TooSlowError: The body was not complete after `timeout_s`.
@@ -75,6 +87,8 @@
             if size > limit:
                 raise BodyTooLargeError(limit)
             pieces.append(piece)
+            if note_size is not None:
+                note_size(size)
             if not message.get("more_body", False):
                 return b"".join(pieces)
 
--- a/packages/daemon/src/martenquay_daemon/callers/app.py
+++ b/packages/daemon/src/martenquay_daemon/callers/app.py
@@ -7,6 +7,7 @@
 from martenquay_core import logs, results
 from martenquay_core.util import serving
 from martenquay_daemon.callers import chats, exchange, services
+from martenquay_daemon.limits import caller_budget
 
 if TYPE_CHECKING:
     from martenquay_core.settings import models
@@ -52,6 +53,7 @@
         counters: metrics.DaemonMetrics,
     ) -> None:
         self._limits = limits
+        self._budget = caller_budget.create_budget(limits.memory_mb)
         self._readiness = readiness
         self._teams = known_teams
         self._chats = chat_handler
@@ -76,7 +78,12 @@
                 await self._send_metrics(send)
             case "http", _:
                 caller = exchange.Exchange(
-                    scope, receive, send, self._limits, self._metrics
+                    scope,
+                    receive,
+                    send,
+                    self._limits,
+                    self._metrics,
+                    self._budget,
                 )
                 await self._serve(caller)
 
@@ -98,6 +105,7 @@
                 f"The caller of request {caller.request_id} disconnected."
             )
         finally:
+            caller.release()
             self._readiness.in_progress -= 1
 
     async def _answer(self, caller: exchange.Exchange) -> None:
--- a/packages/daemon/src/martenquay_daemon/callers/exchange.py
+++ b/packages/daemon/src/martenquay_daemon/callers/exchange.py
@@ -12,6 +12,7 @@
 from martenquay_core import logs, results
 from martenquay_core.util import serving
 from martenquay_daemon.callers import replies
+from martenquay_daemon.limits import caller_budget
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -23,6 +24,8 @@
 __all__ = ["ID_PATTERN", "Exchange"]
 
 _LOG = logs.create_log("callers")
+# Another daemon may have room.
+_NO_ROOM_RETRY_AFTER_S = 0.25
 ID_PATTERN = re.compile(r"^[A-Za-z0-9_.:-]{1,128}$")
 
 
@@ -43,6 +46,7 @@
         send: serving.Send,
         limits: models.LimitSettings,
         counters: metrics.DaemonMetrics,
+        budget: caller_budget.CallerBudget,
     ) -> None:
         self.scope = scope
         self.send = send
@@ -55,14 +59,37 @@
         self._receive = receive
         self._limits = limits
         self._metrics = counters
+        self._budget = budget
+        self._body_scope = trio.CancelScope()
+        self._holding = caller_budget.Holding(self._body_scope.cancel)
+
+    def release(self) -> None:
+        """Give back the memory that the request held."""
+        self._budget.resize(self._holding, 0)
 
     async def read_body(self) -> Result[bytes, results.Failure]:
-        """Return the whole body, or a failure if it is too large or slow."""
+        """Return the whole body, or why it was not read."""
+        self._holding.since = trio.current_time()
+        self._holding.is_refusable = True
+        with self._body_scope:
+            body = await self._read_body()
+            self._holding.is_refusable = False
+            return body
+        code = results.ResultCode.NOT_RUN_OVERLOADED
+        message = "the room for callers' requests is in use"
+        return Error(results.Failure(code, message, _NO_ROOM_RETRY_AFTER_S))
+
+    async def _read_body(self) -> Result[bytes, results.Failure]:
+        def note_size(size: int) -> None:
+            if not self._budget.resize(self._holding, size):
+                self._body_scope.cancel()
+
         try:
             body = await serving.read_body(
                 self._receive,
                 limit=self._limits.body_bytes,
                 timeout_s=self._limits.body_timeout_s,
+                note_size=note_size,
             )
         except serving.BodyTooLargeError as error:
             code = results.ResultCode.BODY_TOO_LARGE
--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
@@ -19,7 +19,7 @@
 
 if TYPE_CHECKING:
     from martenquay_core.serving import calls, catalog, ports
-    from martenquay_daemon.forwarding import caller_budget
+    from martenquay_daemon.limits import caller_budget
 
 __all__ = ["CallHandler", "CallerConnection", "ListenerState"]
 
--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_input.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_input.py
@@ -11,7 +11,8 @@
 import trio
 
 from martenquay_core import results
-from martenquay_daemon.forwarding import answers, caller_budget, chunked_body
+from martenquay_daemon.forwarding import answers, chunked_body
+from martenquay_daemon.limits import caller_budget
 
 if TYPE_CHECKING:
     from martenquay_core.serving import calls, catalog
--- a/packages/daemon/src/martenquay_daemon/forwarding/connection_limit.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/connection_limit.py
@@ -6,7 +6,7 @@
 import resource
 from typing import TYPE_CHECKING, Protocol, TypeVar
 
-from martenquay_daemon.forwarding import caller_budget
+from martenquay_daemon.limits import caller_budget
 
 if TYPE_CHECKING:
     from collections.abc import Collection
--- a/packages/daemon/src/martenquay_daemon/readiness.py
+++ b/packages/daemon/src/martenquay_daemon/readiness.py
@@ -6,11 +6,8 @@
 
 from martenquay_core.serving import catalog
 from martenquay_daemon import supervision
-from martenquay_daemon.forwarding import (
-    caller_budget,
-    connection_limit,
-    listener,
-)
+from martenquay_daemon.forwarding import connection_limit, listener
+from martenquay_daemon.limits import caller_budget
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/test_forwarding/test_caller_budget.py
+++ b/tests/test_daemon/test_caller_budget.py
@@ -8,7 +8,7 @@
 import trio
 import trio.testing
 
-from martenquay_daemon.forwarding import caller_budget
+from martenquay_daemon.limits import caller_budget
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
