Count a caller as one to wait for once it has not read for half a second

Each send waits for a moment, so at the limit of connections a stream that is read could have been closed for a new connection. Found by reading; no run showed it.

--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
@@ -36,6 +36,9 @@
 # keep-alive doesn't find one that reads a few bytes now and then.
 _SEND_CHUNK_BYTES = 65_536
 _SEND_TIMEOUT_S = 5.0
+# A caller that has not read for this long counts as one to wait for: each send
+# takes a moment.
+_MIN_SEND_WAIT_S = 0.5
 # A stop keeps reading idle connections for this long, since a request may be
 # in transit; assumed to be far longer than a round trip within a region. With
 # the listener's wait it stays below the 0.3 s by which this may delay a stop.
@@ -128,9 +131,6 @@
         call_id: Id of the current request; empty until its head has been
             read.
         received_at: When its first byte arrived, on trio's clock.
-        waits_since: When the connection began to wait for its caller, who
-            sends or reads nothing, on trio's clock; None while a request is
-            being answered.
     """
 
     def __init__(
@@ -158,7 +158,8 @@
         self._has_partial_write = False
         self.received_at = 0.0
         self.call_id = ""
-        self.waits_since: float | None = trio.current_time()
+        self._waits_since: float | None = trio.current_time()
+        self._sends_since: float | None = None
         self._has_served = False
         self._is_unwanted = False
         self._idle_scope: trio.CancelScope | None = None
@@ -170,6 +171,17 @@
         """Whether the caller has closed its connection."""
         return disconnects.has_disconnected(self._stream.socket)
 
+    @property
+    def waits_since(self) -> float | None:
+        """When it began to wait for its caller, who sends or reads nothing.
+
+        None while a request is being answered.
+        """
+        if self._sends_since is None:
+            return self._waits_since
+        waited_s = trio.current_time() - self._sends_since
+        return self._sends_since if waited_s >= _MIN_SEND_WAIT_S else None
+
     @property
     def is_resting(self) -> bool:
         """Whether it has served requests and waits for the next one."""
@@ -261,7 +273,7 @@
 
     async def _send_with_timeout(self, data: bytes) -> None:
         view = memoryview(data)
-        self.waits_since = trio.current_time()
+        self._sends_since = began_at = trio.current_time()
         for offset in range(0, len(data), _SEND_CHUNK_BYTES):
             with trio.move_on_after(_SEND_TIMEOUT_S) as scope:
                 self._send_scope = scope
@@ -271,11 +283,11 @@
             if scope.cancelled_caught:
                 _LOG.write(
                     "Closing a connection: its caller stopped reading.",
-                    waited_s=round(trio.current_time() - self.waits_since, 3),
+                    waited_s=round(trio.current_time() - began_at, 3),
                 )
                 raise trio.BrokenResourceError("the caller stopped reading")
         self._send_scope = None
-        self.waits_since = None
+        self._sends_since = None
 
     async def _serve_one(self) -> bool:
         """Serve one request; return whether another may follow."""
@@ -283,7 +295,7 @@
         self.is_idle = True
         self.call_id = ""
         if self._has_served:
-            self.waits_since = trio.current_time()
+            self._waits_since = trio.current_time()
         try:
             call = await self._read_call()
         except caller_input.RequestRejectedError as rejected:
@@ -297,7 +309,7 @@
 
     async def _answer_call(self, call: calls.Call) -> bool:
         """Answer a request; return whether another may follow."""
-        self.waits_since = None
+        self._waits_since = None
         writer = await self._handle_call(call)
         self._has_served = True
         if writer.is_aborted or not writer.has_started:
@@ -315,7 +327,7 @@
         self.is_idle = True
         if self._is_unwanted:
             return
-        self.waits_since = trio.current_time()
+        self._waits_since = trio.current_time()
         with trio.move_on_after(_LINGER_TIMEOUT_S) as self._linger_scope:
             await self._stream.send_eof()
             while await self._stream.receive_some(_RECEIVE_BYTES):
--- a/packages/daemon/src/martenquay_daemon/forwarding/connection_limit.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/connection_limit.py
@@ -36,14 +36,14 @@
 
 
 class ClosableConnection(Protocol):
-    """A connection that may be closed in favor of others.
+    """A connection that may be closed in favor of others."""
 
-    Attributes:
-        waits_since: When it began to wait for its caller, on trio's clock;
-            None while a request is being answered.
-    """
+    @property
+    def waits_since(self) -> float | None:
+        """When it began to wait for its caller, on trio's clock.
 
-    waits_since: float | None
+        None while a request is being answered.
+        """
 
     @property
     def is_resting(self) -> bool:
