Reject long bodies of unknown routes and keys before they are read

What callers saw: a body at a path that no route has was read to its end, and held, before it got 404; one that never ended got 408.

Cause: route and key were looked up after the whole body had been read, so that anybody could take part of the memory for bodies.

Evidence: test_a_body_at_an_unknown_path_is_rejected_before_it_is_read, before: 408 in place of 404; now 404 at once. Rejections of requests that were read in part now name the request's id.

--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import traceback
 from typing import TYPE_CHECKING, Protocol
 
@@ -50,6 +51,13 @@
 class CallHandler(Protocol):
     """Answers requests whose body has been read."""
 
+    def reject_early(self, call: calls.Call) -> answers.OwnAnswer | None:
+        """Return the answer to a request whose long body need not be read.
+
+        Args:
+            call: The request, still without its body.
+        """
+
     async def handle(
         self,
         call: calls.Call,
@@ -396,7 +404,12 @@
             await self.send_event(
                 h11.InformationalResponse(status_code=100, headers=[])
             )
-        body = await self._input.read_body(headers, self._limits, deadline)
+        body = await self._input.read_body(
+            headers,
+            self._limits,
+            deadline,
+            functools.partial(self._handler.reject_early, call),
+        )
         return dataclasses.replace(call, body=body)
 
     async def _read_head(self) -> h11.Request | None:
@@ -466,6 +479,6 @@
         if self._http.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
         await answers.send_own_answer(
-            _AnswerWriter(self), self._codec, "", answer
+            _AnswerWriter(self), self._codec, self.call_id, answer
         )
         await self._end_sending()
--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_input.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_input.py
@@ -15,6 +15,8 @@
 from martenquay_daemon.limits import caller_budget
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from martenquay_core.serving import calls, catalog
 
 __all__ = [
@@ -86,6 +88,7 @@
         self._holding = caller_budget.Holding(self.refuse)
         self._refusal: answers.OwnAnswer | None = None
         self._receive_scope: trio.CancelScope | None = None
+        self._reject_early: Callable[[], answers.OwnAnswer | None] | None = None
 
     def has_bytes(self) -> bool:
         """Return whether bytes have been received that no request has taken."""
@@ -191,14 +194,23 @@
         headers: calls.Headers,
         limits: catalog.CallerLimits,
         deadline: float,
+        reject_early: Callable[[], answers.OwnAnswer | None],
     ) -> bytes:
         """Read the body until a time on trio's clock.
 
+        Args:
+            headers: The request's headers.
+            limits: The limits in force.
+            deadline: The time.
+            reject_early: Returns the answer to a request whose body need not
+                be read; asked once, of a body that takes several reads.
+
         Raises:
             RequestRejectedError: The body is malformed, too large or too slow,
                 or was refused for lack of room.
             CallerDisconnectedError: The caller closed the connection.
         """
+        self._reject_early = reject_early
         fields = dict(headers)
         if b"transfer-encoding" in fields:
             await self._read_chunks(limits, deadline)
@@ -269,6 +281,16 @@
         if self._refusal is not None:
             raise RequestRejectedError(self._refusal)
 
+    def _check_wanted(self) -> None:
+        """Reject a long body that no answer depends on."""
+        held_bytes = len(self._unparsed) + len(self._body)
+        if self._reject_early is None or held_bytes <= caller_budget.FREE_BYTES:
+            return
+        answer = self._reject_early()
+        self._reject_early = None
+        if answer is not None:
+            raise RequestRejectedError(answer)
+
     def _count_held_bytes(self) -> bool:
         """Count what is held; return False if this request is to be refused."""
         held_bytes = len(self._unparsed) + len(self._body) + self._taken_bytes
@@ -294,6 +316,7 @@
         ):
             if not await self.receive():
                 raise CallerDisconnectedError
+            self._check_wanted()
             return
         code = results.ResultCode.SLOW_CALLER
         message = "the request's body did not arrive in time"
--- a/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
@@ -124,6 +124,17 @@
         )
         self._request_log = request_log.RequestLog(parts.store, parts.metrics)
 
+    def reject_early(self, call: calls.Call) -> answers.OwnAnswer | None:
+        """Return the answer to a request that would be rejected anyway.
+
+        Args:
+            call: The request, still without its body.
+        """
+        answer = self._admission.reject_unknown(call)
+        if answer is not None:
+            self._parts.metrics.count_own_answer(answer.code)
+        return answer
+
     async def handle(
         self,
         call: calls.Call,
--- a/packages/daemon/src/martenquay_daemon/forwarding/request_admission.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/request_admission.py
@@ -25,6 +25,7 @@
     from martenquay_daemon.engines import placer
     from martenquay_daemon.forwarding import (
         quarantine_filter,
+        routes,
         stream_resumption,
     )
 
@@ -61,6 +62,18 @@
         self._rng = rng
         self._retry_detector = retry_detector.RetryDetector()
 
+    def reject_unknown(self, call: calls.Call) -> answers.OwnAnswer | None:
+        """Return the answer to a request of an unknown route or key.
+
+        None before a configuration is known.
+        """
+        table = self._store.table
+        if self._store.version == 0:
+            return None
+        return _describe_unknown(
+            table, call, table.find_route(call), table.find_team(call.key)
+        )
+
     async def admit(
         self,
         call: calls.Call,
@@ -82,14 +95,10 @@
                 retry_after_s=_STARTING_RETRY_AFTER_S,
             )
         route = table.find_route(call)
-        if route is None:
-            place = f"{call.host}{call.path}"[:_MAX_QUOTED_LENGTH]
-            message = f"no route for {place}"
-            return answers.create_own_answer(_Code.UNKNOWN_ROUTE, message)
         team = table.find_team(call.key)
-        if team is None and table.needs_key(route):
-            message = "the key belongs to no team"
-            return answers.create_own_answer(_Code.BAD_CREDENTIAL, message)
+        unknown = _describe_unknown(table, call, route, team)
+        if unknown is not None:
+            return unknown
         budget_s = min(call.budget_s or route.timeout_s, route.timeout_s)
         current = exchange.Exchange(
             call=call,
@@ -201,6 +210,23 @@
         return 1 + min(current.route.urgency, 1)
 
 
+def _describe_unknown(
+    table: routes.RouteTable,
+    call: calls.Call,
+    route: catalog.Route | None,
+    team: catalog.Team | None,
+) -> answers.OwnAnswer | None:
+    """Return the answer if route or key are unknown."""
+    if route is None:
+        place = f"{call.host}{call.path}"[:_MAX_QUOTED_LENGTH]
+        message = f"no route for {place}"
+        return answers.create_own_answer(_Code.UNKNOWN_ROUTE, message)
+    if team is None and table.needs_key(route):
+        message = "the key belongs to no team"
+        return answers.create_own_answer(_Code.BAD_CREDENTIAL, message)
+    return None
+
+
 def _find_max_quota_wait(current: exchange.Exchange) -> float:
     """Return how long to wait for quota while none is known, in seconds."""
     remaining_s = current.deadline - trio.current_time()
--- a/packages/daemon/src/martenquay_daemon/readiness.py
+++ b/packages/daemon/src/martenquay_daemon/readiness.py
@@ -48,6 +48,9 @@
         self._is_ready = is_ready
         self._render_metrics = render_metrics
 
+    def reject_early(self, call: calls.Call) -> None:
+        """Reject no request."""
+
     async def handle(
         self,
         call: calls.Call,
--- a/tests/test_forwarding/test_caller_connection.py
+++ b/tests/test_forwarding/test_caller_connection.py
@@ -88,6 +88,36 @@
 
         self._run(scenario, body_bytes=1000)
 
+    def test_a_body_at_an_unknown_path_is_rejected_before_it_is_read(
+        self,
+    ) -> None:
+        async def scenario(scene: serving_scene.Scene) -> None:
+            post = _POST.replace(b"lookup", b"nowhere")
+            part = b"a" * 40_000
+            sized = b"content-length: 900000\r\n\r\n" + part
+            reply = await scene.ask(post + sized)
+            self.assertEqual((404, True), (reply.status, reply.is_whole))
+            chunked = b"transfer-encoding: chunked\r\n\r\nffff\r\n" + part
+            reply = await scene.ask(post + chunked)
+            self.assertEqual((404, True), (reply.status, reply.is_whole))
+
+        self._run(scenario, header_s=1.0)
+
+    def test_a_short_body_at_an_unknown_path_keeps_the_connection(
+        self,
+    ) -> None:
+        async def scenario(scene: serving_scene.Scene) -> None:
+            async with await scene.open_caller() as caller:
+                post = _POST.replace(b"lookup", b"nowhere")
+                await caller.send_all(post + b"content-length: 5\r\n\r\nhello")
+                reply = await serving_scene.read_reply(caller)
+                self.assertEqual(404, reply.status)
+                await caller.send_all(_CALL)
+                reply = await serving_scene.read_reply(caller)
+                self.assertEqual(b"fine", reply.body)
+
+        self._run(scenario)
+
     def test_a_length_of_any_number_of_digits_is_rejected(self) -> None:
         async def scenario(scene: serving_scene.Scene) -> None:
             for digits in (19, 400, 5000):
@@ -171,6 +201,9 @@
     def __init__(self, start_bytes: bytes) -> None:
         self.start_bytes = start_bytes
 
+    def reject_early(self, call: calls.Call) -> None:
+        """Reject no request."""
+
     async def handle(
         self, call: calls.Call, received_at: float, writer: answers.AnswerWriter
     ) -> None:
