Remember streams with long ids by a digest

Cause, by reading: up to 20,000 streams are remembered by the ids that callers choose, for their resumption, and written to the log and to other daemons. An id may be as long as a head, 16 KiB, which makes 320 MB. The bound was one on their number.

Not shown with a process. Ids of up to 128 characters are kept as they are; all others on the way, in headers and log lines, are unchanged.

--- a/packages/core/src/martenquay_core/serving/calls.py
+++ b/packages/core/src/martenquay_core/serving/calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import hashlib
 
 from martenquay_core.serving import signals
 
@@ -13,8 +14,13 @@
     "KvSource",
     "PromptPart",
     "AttemptOptions",
+    "shorten_id",
 ]
 
+# Of an id that is kept as it is.
+_MAX_ID_LENGTH = 128
+_DIGEST_BYTES = 16
+
 # Header names are in lower case, as h11 returns them.
 Headers = list[tuple[bytes, bytes]]
 
@@ -131,3 +137,15 @@
     did_not_run: bool
     is_wrong_runner: bool
     signals: signals.RunnerSignals = signals.NO_SIGNALS
+
+
+def shorten_id(text: str) -> str:
+    """Return an id to keep and exchange in place of a caller's.
+
+    Callers may choose ids of several kilobytes; long ones are replaced by a
+    digest, the same at all daemons.
+    """
+    if len(text) <= _MAX_ID_LENGTH:
+        return text
+    digest = hashlib.blake2b(text.encode(), digest_size=_DIGEST_BYTES)
+    return f"long-{digest.hexdigest()}"
--- a/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
@@ -5,12 +5,12 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from martenquay_core.serving import catalog, signals
+from martenquay_core.serving import calls, catalog, signals
 from martenquay_daemon.allowances import terms
 from martenquay_daemon.forwarding import disconnects
 
 if TYPE_CHECKING:
-    from martenquay_core.serving import calls, runners
+    from martenquay_core.serving import runners
     from martenquay_daemon.engines import speed_tracker
     from martenquay_daemon.forwarding import answers
 
@@ -169,7 +169,7 @@
     @property
     def stream_request(self) -> str:
         """Id of the request that brought or brings the stream's first event."""
-        return self.call.resumed_id or self.call.id
+        return calls.shorten_id(self.call.resumed_id or self.call.id)
 
     def check_caller(self) -> None:
         """Check that the caller is still connected.
--- a/packages/daemon/src/martenquay_daemon/forwarding/stream_resumption.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/stream_resumption.py
@@ -8,6 +8,7 @@
 import trio
 
 from martenquay_core import logs
+from martenquay_core.serving import calls
 from martenquay_daemon.forwarding import own_answers
 from martenquay_daemon.origins import finder
 
@@ -54,7 +55,7 @@
             return None
         left_s = max(0.0, current.deadline - trio.current_time())
         found = await self._origins.find(
-            call.resumed_id,
+            calls.shorten_id(call.resumed_id),
             current.service,
             min(_MAX_WAIT_S, _MAX_WAIT_FRACTION * left_s),
         )
