--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_input.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_input.py
@@ -75,6 +75,14 @@
         budget: caller_budget.CallerBudget,
         parsing_turn: trio.Lock,
     ) -> None:
+        """Create the input of a connection.
+
+        Args:
+            stream: The connection.
+            http: Its parser, which also sends the answers.
+            budget: Bounds what all connections hold.
+            parsing_turn: Held while a large piece of a chunked body is parsed.
+        """
         self._stream = stream
         self._http = http
         # Received and not yet passed to the parser, which gets no more than
@@ -227,8 +235,6 @@
                 case _:
                     if not self._unparsed:
                         await self._receive_with_timeout(limits, deadline)
-                    # At least one byte, or a request that h11 takes for a
-                    # longer one would never end.
                     remaining_bytes = max(1, length - len(self._body))
                     self._pass_bytes(min(remaining_bytes, _RECEIVE_BYTES))
 
--- a/packages/daemon/src/martenquay_daemon/forwarding/chunked_body.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/chunked_body.py
@@ -21,8 +21,8 @@
 
     Attributes:
         has_ended: The body is complete.
-        idle_bytes: Bytes since the last one that the body gained, of an
-            extension, a size or trailers.
+        idle_bytes: Bytes of sizes, extensions or trailers since the body last
+            gained a byte.
     """
 
     def __init__(self, body: bytearray) -> None:
@@ -46,7 +46,7 @@
         """
         taken = 0
         while taken < len(data) and not self.has_ended:
-            taken += self._feed_step(data, taken)
+            taken += self._feed_to_end(data, taken)
         return taken
 
     def on_body(self, data: bytes) -> None:
@@ -57,10 +57,13 @@
         """Note the end of the body; called by the parser."""
         self.has_ended = True
 
-    def _feed_step(self, data: bytes, start: int) -> int:
-        """Decode up to where the body may end, as the parser reads on."""
+    def _feed_to_end(self, data: bytes, start: int) -> int:
+        """Decode up to where the body may end; return how many bytes.
+
+        The parser would take what follows the body for another message.
+        """
         overlap = len(self._last_bytes)
-        # What was fed already ends nothing by itself.
+        # The end may have begun in an earlier piece.
         found = (self._last_bytes + data[start : start + len(_END)]).find(_END)
         if found >= 0:
             end = start + found + len(_END) - overlap
@@ -75,7 +78,5 @@
             raise MalformedChunkError(str(error)) from error
         gained = len(self._body) > body_bytes
         self.idle_bytes = 0 if gained else self.idle_bytes + len(piece)
-        # The bytes of an end that is found are not part of another one's start
-        # beyond its last three.
         self._last_bytes = (self._last_bytes + piece)[-len(_END) + 1 :]
         return len(piece)
