--- a/tests/test_daemon/test_planned_stop.py
+++ b/tests/test_daemon/test_planned_stop.py
@@ -16,16 +16,24 @@
 
     Attributes:
         is_stopped: Whether it has stopped accepting connections.
+        refused_at: When the requests that had not arrived were first refused,
+            on trio's clock; None before.
     """
 
     def __init__(self, busy_s: float) -> None:
         self.is_stopped = False
+        self.refused_at: float | None = None
         self._busy_until = trio.current_time() + busy_s
 
     def stop_accepting(self) -> None:
         """Stop accepting connections."""
         self.is_stopped = True
 
+    def refuse_unfinished(self) -> None:
+        """Note when the requests that have not arrived are refused."""
+        assert self.is_stopped, "connections are still accepted"
+        self.refused_at = self.refused_at or trio.current_time()
+
     def count_busy(self) -> int:
         """Return 1 while connections are busy, then 0."""
         return int(trio.current_time() < self._busy_until)
@@ -53,6 +61,33 @@
 
         self.run_clocked(scenario)
 
+    def _find_refusal(self, grace_s: float) -> float:
+        """Return when in a stop unfinished requests are refused, in seconds."""
+        found: list[float] = []
+
+        async def scenario() -> None:
+            listener = _FakeListener(100.0)
+            parts = mock.Mock(listener=listener, count_busy=listener.count_busy)
+            parts.begin_stop = mock.AsyncMock()
+            started_at = trio.current_time()
+            await gateway._stop(_build_watch(grace_s), parts, started_at)
+            found.append((listener.refused_at or 0.0) - started_at)
+
+        self.run_clocked(scenario)
+        return found[0]
+
+    def test_unfinished_requests_are_refused_after_a_moment(self) -> None:
+        refused_s = self._find_refusal(8.0)
+        self.assertGreater(refused_s, 3.5)
+        self.assertLess(refused_s, 3.8)
+
+    def test_unfinished_requests_are_refused_within_a_short_grace_time(
+        self,
+    ) -> None:
+        refused_s = self._find_refusal(1.0)
+        self.assertGreater(refused_s, 0.0)
+        self.assertLess(refused_s, 0.5)
+
     def _stop(
         self,
         initial_grace_s: float,
