--- a/packages/daemon/src/martenquay_daemon/gateway.py
+++ b/packages/daemon/src/martenquay_daemon/gateway.py
@@ -97,7 +97,12 @@
         settings_path, settings, parts.apply_settings
     )
     handler = signals.SignalHandler(held, watch.reload)
-    _LOG.write("Starting.", member=parts.member)
+    _LOG.write(
+        "Starting.",
+        member=parts.member,
+        max_connections=parts.listener.max_connections,
+        budget_bytes=parts.listener.budget.capacity_bytes,
+    )
     readiness_server = _create_readiness(settings, parts, ports.calls)
     exit_status = 0
     async with trio.open_nursery() as nursery:
