--- a/tests/crowd_scene.py
+++ b/tests/crowd_scene.py
@@ -24,7 +24,7 @@
     "open_crowd_scene",
 ]
 
-# Of the smallest instance that the daemon runs on, MemoryMb in its settings.
+# Of the instance, as the settings have it by default.
 MEMORY_BYTES = 200_000_000
 BODY_BYTES = 4_194_304
 # The limit of processes in tests of descriptors.
