--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -68,8 +68,10 @@
     """Return the passed tests of one stestr run, and those that failed."""
     runs = _count_runs()
     _run_command("stestr", "run", *arguments)
-    # Without a test that matches there is no run, and the last is another's.
-    return _read_last_run() if _count_runs() != runs else (0, [])
+    if _count_runs() != runs:
+        return _read_last_run()
+    # The last run is another's. Only a filter may leave nothing to run.
+    return 0, [] if sys.argv[1:] else [f"nothing ran: {' '.join(arguments)}"]
 
 
 def _count_runs() -> str:
