--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
@@ -16,7 +16,12 @@
 import trio
 
 from martenquay_core import logs, results
-from martenquay_daemon.forwarding import answers, caller_input, disconnects
+from martenquay_daemon.forwarding import (
+    answers,
+    caller_input,
+    disconnects,
+    rejections,
+)
 
 if TYPE_CHECKING:
     from martenquay_core.serving import calls, catalog, ports
@@ -200,7 +205,7 @@
         try:
             while await self._serve_one():
                 self._http.start_next_cycle()
-        except caller_input.CallerDisconnectedError:
+        except rejections.CallerDisconnectedError:
             disconnects.log_disconnect(
                 self.call_id, disconnects.Stage.READING, self.received_at
             )
@@ -306,7 +311,7 @@
             self._waits_since = trio.current_time()
         try:
             call = await self._read_call()
-        except caller_input.RequestRejectedError as rejected:
+        except rejections.RequestRejectedError as rejected:
             answer = rejected.answer
         else:
             return call is not None and await self._answer_call(call)
@@ -425,10 +430,10 @@
                     case h11.ConnectionClosed():
                         return None
                 if not await self._input.receive():
-                    raise caller_input.CallerDisconnectedError
+                    raise rejections.CallerDisconnectedError
         code = results.ResultCode.SLOW_CALLER
         message = "the request's head did not arrive in time"
-        raise caller_input.RequestRejectedError(
+        raise rejections.RequestRejectedError(
             answers.create_own_answer(code, message)
         )
 
@@ -462,11 +467,11 @@
             answer = answers.create_own_answer(
                 code, "the request's head is too large", status=431
             )
-            raise caller_input.RequestRejectedError(answer)
+            raise rejections.RequestRejectedError(answer)
         length = dict(headers).get(b"content-length", b"0")
         if length.isdigit() and int(length) > self._limits.body_bytes:
-            raise caller_input.RequestRejectedError(
-                caller_input.create_body_too_large(self._limits.body_bytes)
+            raise rejections.RequestRejectedError(
+                rejections.create_body_too_large(self._limits.body_bytes)
             )
 
     async def _reject(self, answer: answers.OwnAnswer) -> None:
--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_input.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_input.py
@@ -3,34 +3,24 @@
 from __future__ import annotations
 
 import contextlib
-import dataclasses
 import re
 from typing import TYPE_CHECKING
 
 import h11
 import trio
 
-from martenquay_core import results
-from martenquay_daemon.forwarding import answers, chunked_body
+from martenquay_daemon.forwarding import chunked_body, rejections
 from martenquay_daemon.limits import caller_budget
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from martenquay_core.serving import calls, catalog
+    from martenquay_daemon.forwarding import answers
 
-__all__ = [
-    "CallerDisconnectedError",
-    "CallerInput",
-    "RequestRejectedError",
-    "create_body_too_large",
-]
+__all__ = ["CallerInput"]
 
 _RECEIVE_BYTES = 16_384
-# Bytes that frame a chunked body: a chunk of one byte has five others. Servers
-# ought to limit chunk extensions (RFC 9112, 7.1.1).
-_MAX_FRAMING_BYTES = 65_536
-_MAX_FRAMING_PER_BODY_BYTE = 8
 # A larger piece of a chunked body, which may take a millisecond, waits for its
 # turn, so that all connections together parse one of them a round of the loop.
 _MAX_PIECE_WITHOUT_TURN_BYTES = 2048
@@ -43,26 +33,6 @@
 _BLANK_LINE = re.compile(rb"\n\r?\n")
 # May become a blank line with the bytes that follow.
 _PARTIAL_BLANK_LINE = re.compile(rb"\n\r?\Z")
-# Another daemon may have room, and what takes it here is refused in favor of
-# smaller and newer requests.
-_REFUSAL_RETRY_AFTER_S = 0.25
-_UNAVAILABLE_STATUS = 503
-_HEADERS_TOO_LARGE_STATUS = 431
-
-
-@dataclasses.dataclass
-class RequestRejectedError(Exception):
-    """The request is malformed, too large or too slow.
-
-    Attributes:
-        answer: The error response for the caller.
-    """
-
-    answer: answers.OwnAnswer
-
-
-class CallerDisconnectedError(Exception):
-    """The caller closed its connection in the middle of a request."""
 
 
 class CallerInput:
@@ -131,7 +101,7 @@
         Args:
             answer: The answer; by default that there is no room.
         """
-        self._refusal = answer or _create_refusal()
+        self._refusal = answer or rejections.create_no_room()
         self._unparsed.clear()
         self._body.clear()
         if self._receive_scope is not None:
@@ -159,7 +129,7 @@
         if self._refusal is None:
             self._unparsed += data
             if not self._count_held_bytes():
-                self._refusal = _create_refusal()
+                self._refusal = rejections.create_no_room()
         self._check_refused()
         return bool(data)
 
@@ -231,7 +201,7 @@
                 case h11.Data(data=data):
                     self._body += data
                 case h11.ConnectionClosed():
-                    raise CallerDisconnectedError
+                    raise rejections.CallerDisconnectedError
                 case _:
                     if not self._unparsed:
                         await self._receive_with_timeout(limits, deadline)
@@ -254,12 +224,14 @@
             else:
                 received_bytes += self._decode_piece(decoder)
             if len(self._body) > limits.body_bytes:
-                raise RequestRejectedError(
-                    create_body_too_large(limits.body_bytes)
+                raise rejections.RequestRejectedError(
+                    rejections.create_body_too_large(limits.body_bytes)
                 )
             self._check_framing(received_bytes - len(self._body))
             if decoder.idle_bytes > limits.header_bytes:
-                raise RequestRejectedError(_create_framing_too_large())
+                raise rejections.RequestRejectedError(
+                    rejections.create_framing_too_large()
+                )
 
     def _decode_piece(self, decoder: chunked_body.ChunkedBody) -> int:
         """Decode received bytes; return how many of them."""
@@ -267,11 +239,8 @@
         try:
             taken = decoder.feed(piece)
         except chunked_body.MalformedChunkError as error:
-            answer = answers.create_own_answer(
-                results.ResultCode.MALFORMED_REQUEST,
-                f"the request is malformed: {error}",
-            )
-            raise RequestRejectedError(answer) from error
+            answer = rejections.create_malformed(error)
+            raise rejections.RequestRejectedError(answer) from error
         del self._unparsed[:taken]
         return taken
 
@@ -285,7 +254,7 @@
 
     def _check_refused(self) -> None:
         if self._refusal is not None:
-            raise RequestRejectedError(self._refusal)
+            raise rejections.RequestRejectedError(self._refusal)
 
     def _check_wanted(self) -> None:
         """Reject a long body that no answer depends on."""
@@ -295,25 +264,13 @@
         answer = self._reject_early()
         self._reject_early = None
         if answer is not None:
-            raise RequestRejectedError(answer)
+            raise rejections.RequestRejectedError(answer)
 
     def _count_held_bytes(self) -> bool:
         """Count what is held; return False if this request is to be refused."""
         held_bytes = len(self._unparsed) + len(self._body) + self._taken_bytes
         return self._budget.resize(self._holding, held_bytes)
 
-    def _check_framing(self, framing_bytes: int) -> None:
-        body_bytes = len(self._body)
-        if framing_bytes > (
-            _MAX_FRAMING_BYTES + _MAX_FRAMING_PER_BODY_BYTE * body_bytes
-        ):
-            raise RequestRejectedError(
-                answers.create_own_answer(
-                    results.ResultCode.BODY_TOO_LARGE,
-                    f"{framing_bytes} bytes frame {body_bytes} of the body",
-                )
-            )
-
     async def _receive_with_timeout(
         self, limits: catalog.CallerLimits, deadline: float
     ) -> None:
@@ -321,23 +278,17 @@
             min(trio.current_time() + limits.header_s, deadline)
         ):
             if not await self.receive():
-                raise CallerDisconnectedError
+                raise rejections.CallerDisconnectedError
             self._check_wanted()
             return
-        code = results.ResultCode.SLOW_CALLER
-        message = "the request's body did not arrive in time"
-        raise RequestRejectedError(answers.create_own_answer(code, message))
+        raise rejections.RequestRejectedError(rejections.create_slow_body())
 
     def _parse_event(self) -> h11.Event | type[h11.NEED_DATA]:
         try:
             return self._http.next_event()
         except h11.RemoteProtocolError as error:
-            answer = answers.create_own_answer(
-                results.ResultCode.MALFORMED_REQUEST,
-                f"the request is malformed: {error}",
-                status=error.error_status_hint,
-            )
-            raise RequestRejectedError(answer) from error
+            answer = rejections.create_malformed(error, error.error_status_hint)
+            raise rejections.RequestRejectedError(answer) from error
 
     def _pass_bytes(self, count: int) -> None:
         """Pass received bytes to the parser, at most `count`."""
@@ -345,26 +296,3 @@
         if count:
             self._http.receive_data(bytes(self._unparsed[:count]))
             del self._unparsed[:count]
-
-
-def create_body_too_large(limit: int) -> answers.OwnAnswer:
-    """Return the answer to a body of more than `limit` bytes."""
-    message = f"the body has more than {limit} bytes"
-    return answers.create_own_answer(results.ResultCode.BODY_TOO_LARGE, message)
-
-
-def _create_framing_too_large() -> answers.OwnAnswer:
-    return answers.create_own_answer(
-        results.ResultCode.MALFORMED_REQUEST,
-        "a chunk's size and extensions, or the trailers, are too large",
-        status=_HEADERS_TOO_LARGE_STATUS,
-    )
-
-
-def _create_refusal() -> answers.OwnAnswer:
-    return answers.create_own_answer(
-        results.ResultCode.NOT_RUN_OVERLOADED,
-        "the room for callers' requests is in use",
-        status=_UNAVAILABLE_STATUS,
-        retry_after_s=_REFUSAL_RETRY_AFTER_S,
-    )
--- a/packages/daemon/src/martenquay_daemon/forwarding/chunked_body.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/chunked_body.py
@@ -4,10 +4,14 @@
 
 import httptools
 
-__all__ = ["ChunkedBody", "MalformedChunkError"]
+__all__ = ["ChunkedBody", "MalformedChunkError", "is_mostly_framing"]
 
 # The parser takes whole messages. What a caller's head says is h11's to judge.
 _HEAD = b"POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
+# Bytes that frame a body: a chunk of one byte has five others. Servers ought to
+# limit chunk extensions (RFC 9112, 7.1.1).
+_MAX_FRAMING_BYTES = 65_536
+_MAX_FRAMING_PER_BODY_BYTE = 8
 # Each chunked body ends so, with trailers or without.
 _END = b"\r\n\r\n"
 
@@ -80,3 +84,10 @@
         self.idle_bytes = 0 if gained else self.idle_bytes + len(piece)
         self._last_bytes = (self._last_bytes + piece)[-len(_END) + 1 :]
         return len(piece)
+
+
+def is_mostly_framing(framing_bytes: int, body_bytes: int) -> bool:
+    """Return whether a body has more framing than chunks of one byte need."""
+    return framing_bytes > (
+        _MAX_FRAMING_BYTES + _MAX_FRAMING_PER_BODY_BYTE * body_bytes
+    )
