--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_input.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_input.py
@@ -227,7 +227,13 @@
                 raise rejections.RequestRejectedError(
                     rejections.create_body_too_large(limits.body_bytes)
                 )
-            self._check_framing(received_bytes - len(self._body))
+            framing_bytes = received_bytes - len(self._body)
+            if chunked_body.is_mostly_framing(framing_bytes, len(self._body)):
+                raise rejections.RequestRejectedError(
+                    rejections.create_too_much_framing(
+                        framing_bytes, len(self._body)
+                    )
+                )
             if decoder.idle_bytes > limits.header_bytes:
                 raise rejections.RequestRejectedError(
                     rejections.create_framing_too_large()
