--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_input.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_input.py
@@ -223,21 +223,19 @@
                     received_bytes += self._decode_piece(decoder)
             else:
                 received_bytes += self._decode_piece(decoder)
-            if len(self._body) > limits.body_bytes:
-                raise rejections.RequestRejectedError(
-                    rejections.create_body_too_large(limits.body_bytes)
-                )
-            framing_bytes = received_bytes - len(self._body)
-            if chunked_body.is_mostly_framing(framing_bytes, len(self._body)):
-                raise rejections.RequestRejectedError(
-                    rejections.create_too_much_framing(
-                        framing_bytes, len(self._body)
-                    )
-                )
-            if decoder.idle_bytes > limits.header_bytes:
-                raise rejections.RequestRejectedError(
-                    rejections.create_framing_too_large()
+            body_bytes = len(self._body)
+            framing_bytes = received_bytes - body_bytes
+            answer = None
+            if body_bytes > limits.body_bytes:
+                answer = rejections.create_body_too_large(limits.body_bytes)
+            elif chunked_body.is_mostly_framing(framing_bytes, body_bytes):
+                answer = rejections.create_too_much_framing(
+                    framing_bytes, body_bytes
                 )
+            elif decoder.idle_bytes > limits.header_bytes:
+                answer = rejections.create_framing_too_large()
+            if answer is not None:
+                raise rejections.RequestRejectedError(answer)
 
     def _decode_piece(self, decoder: chunked_body.ChunkedBody) -> int:
         """Decode received bytes; return how many of them."""
