--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_input.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_input.py
@@ -224,14 +224,12 @@
             else:
                 received_bytes += self._decode_piece(decoder)
             body_bytes = len(self._body)
-            framing_bytes = received_bytes - body_bytes
+            framing = received_bytes - body_bytes
             answer = None
             if body_bytes > limits.body_bytes:
                 answer = rejections.create_body_too_large(limits.body_bytes)
-            elif chunked_body.is_mostly_framing(framing_bytes, body_bytes):
-                answer = rejections.create_too_much_framing(
-                    framing_bytes, body_bytes
-                )
+            elif chunked_body.is_mostly_framing(framing, body_bytes):
+                answer = rejections.create_too_much_framing(framing, body_bytes)
             elif decoder.idle_bytes > limits.header_bytes:
                 answer = rejections.create_framing_too_large()
             if answer is not None:
