Remember a write that failed, as its reset is reported only once

What callers saw: a runner answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer; of a stream, the last chunk after it.

Cause: the request is written and the answer read by two tasks on one socket, and the kernel reports a reset once. If the writer gets ECONNRESET, which AttemptMaker._send drops since a runner may answer early, the reader finds an end of file behind the bytes that have arrived. That completes an answer without a length.

Class: one task's error is another one's end.

Evidence: on Linux, in plain sockets, a write after the reset gets ECONNRESET and the reads after it the answer and b""; if the peer has ended its bytes before the reset, the write gets EPIPE. The new tests let writing fail before the answer is read.

Why it works: the connection remembers the failed write. An end of file after it is an error, unless the write got EPIPE: then the runner's end came first, and all that it sent has arrived. Answers that are whole by their length or by their last chunk end before any end of file is read, so a runner may still answer early and close.

--- a/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
@@ -17,7 +17,7 @@
 import h11
 import trio
 
-from martenquay_core.util import keepalive
+from martenquay_core.util import keepalive, resets
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -145,6 +145,7 @@
         # As the head announces; 0 if it does not.
         self._length = 0
         self._is_success = False
+        self._may_hide_reset = False
 
     @property
     def stalled_s(self) -> float:
@@ -175,6 +176,7 @@
             if body:
                 await self._stream.send_all(body)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            self._may_hide_reset = resets.may_hide_reset(error)
             raise BrokenAnswerError(
                 f"sending the request failed: {error}"
             ) from error
@@ -300,6 +302,8 @@
         self._received_bytes += len(data)
         self.last_activity_at = trio.current_time()
         self.has_peer_closed = not data
+        if self.has_peer_closed and self._may_hide_reset:
+            raise BrokenAnswerError("reset while the request was sent")
         self._http.receive_data(data)
 
 
--- a/packages/standins/src/martenquay_standins/ports/runner.py
+++ b/packages/standins/src/martenquay_standins/ports/runner.py
@@ -25,6 +25,7 @@
     Attributes:
         pieces: Bytes to send, in one write each.
         is_reset: Reset the connection after them instead of closing it.
+        ends_sending: End its sending side after them, before the close.
         is_held: Keep the connection open after them.
         reads_all: Read the whole request head before the first piece.
         resume: Event to wait for before the last piece.
@@ -32,6 +33,7 @@
 
     pieces: tuple[bytes, ...] = ()
     is_reset: bool = False
+    ends_sending: bool = False
     is_held: bool = False
     reads_all: bool = True
     resume: trio.Event | None = None
@@ -137,6 +139,8 @@
             await stream.send_all(last)
             if script.is_held:
                 await self._hold(stream)
+            if script.ends_sending:
+                await stream.send_eof()
         except trio.BrokenResourceError:
             # Connect probes reset too and must not count as closed requests.
             if self.requests[number]:
--- a/tests/serving_scene.py
+++ b/tests/serving_scene.py
@@ -38,6 +38,7 @@
     metrics,
     quarantine_filter,
     retry_window,
+    runner_connection,
     stop_window,
     stream_relay,
     stream_resumption,
@@ -123,6 +124,7 @@
         is_gated: bool = True,
         engines: ports.EnginePort | None = None,
         settings: dict[str, Any] | None = None,
+        opener: runner_connection.StreamOpener = runner_connection.open_stream,
     ) -> None:
         records = builders.FakeRecords()
         records.catalogs[b"catalog"] = content
@@ -238,6 +240,7 @@
                     quarantine.note_events,
                 ),
                 self.mover,
+                opener,
             ),
             retries=retry_window.RetryWindow(bounds, lambda: 1),
             ejector=ejector,
@@ -358,9 +361,10 @@
     content: catalog.Catalog,
     *scripts: list[scripted.Script],
     is_gated: bool = True,
+    opener: runner_connection.StreamOpener = runner_connection.open_stream,
 ) -> AsyncIterator[Scene]:
     """Serve with one scripted runner per list of scripts."""
-    scene = Scene(content, is_gated=is_gated)
+    scene = Scene(content, is_gated=is_gated, opener=opener)
     async with trio.open_nursery() as nursery:
         for script in scripts:
             runner = scripted.ScriptedRunner(script)
