Take no part for a whole answer in calls on the platform and on engines

If a server answers an upload at once without a length, sends a part and resets the connection, HttpClient.call returns the part as the whole body, and the lines of a stream end as if all had come.

Cause: httpcore passes over a failed write and reads the answer. The write has taken the only report of the reset, so the read finds an end of file.

Evidence: test_http sends 32 MB to a server that answers and resets. Before the fix two of the four new tests failed: Ok(body=b'hel') in place of a failure, and a line followed by a plain end. At stake are long appends to the log, and orders to engines with long prompts; a part of JSON is no JSON, while lines and bodies whose status alone counts were believed.

Why it works: all these connections are opened through the network backend that reads little at a time. It remembers the failed write, as RunnerConnection does, and raises ReadError in place of the end of file; the callers treat it as a call that was sent and got no answer.

--- a/packages/core/src/martenquay_core/util/short_reads.py
+++ b/packages/core/src/martenquay_core/util/short_reads.py
@@ -1,7 +1,8 @@
-"""Network backend for httpcore that reads little at a time.
+"""Network backend for httpcore that reads little and keeps resets apart.
 
 httpcore parses what one read has brought without a checkpoint; interim answers
-and tiny chunks in 64 KiB hold the loop for 0.1 s.
+and tiny chunks in 64 KiB hold the loop for 0.1 s. It also passes over a failed
+write, and takes the end of file that follows for the end of the answer.
 """
 
 from __future__ import annotations
@@ -10,6 +11,8 @@
 
 import httpcore
 
+from martenquay_core.util import resets
+
 if TYPE_CHECKING:
     import ssl
     from collections.abc import Iterable
@@ -24,14 +27,31 @@
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self._stream = stream
+        self._may_hide_reset = False
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        """Return the next bytes; empty at the end."""
-        return await self._stream.read(min(max_bytes, _READ_BYTES), timeout)
+        """Return the next bytes; empty at the end.
+
+        Raises:
+            httpcore.ReadError: The connection broke, perhaps while the request
+                was written.
+        """
+        data = await self._stream.read(min(max_bytes, _READ_BYTES), timeout)
+        if not data and self._may_hide_reset:
+            raise httpcore.ReadError("reset while the request was sent")
+        return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        """Send bytes."""
-        await self._stream.write(buffer, timeout)
+        """Send bytes.
+
+        Raises:
+            httpcore.WriteError: The connection broke.
+        """
+        try:
+            await self._stream.write(buffer, timeout)
+        except httpcore.WriteError as error:
+            self._may_hide_reset = resets.may_hide_reset(error)
+            raise
 
     async def aclose(self) -> None:
         """Close the connection."""
--- a/tests/test_core/test_http.py
+++ b/tests/test_core/test_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from typing import TYPE_CHECKING, Any
 
 import httpcore
 import msgspec
@@ -12,11 +13,21 @@
 
 from martenquay_core.util import http
 from martenquay_standins import loopback
+from martenquay_standins.ports import runner
 from tests import endless_runner, step_timer
 
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from expression import Result
+
 _HANG_S = 30.0
 # What the two kernels' buffers of a loopback connection hold, and one answer.
 _MAX_TAKEN_BYTES = 24_000_000
+# Larger than what they hold of a body that its receiver leaves unread.
+_UPLOAD = bytes(32_000_000)
+_UNSIZED = b"HTTP/1.1 200 OK\r\n\r\n"
+_SIZED = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n"
 
 
 class _Load(msgspec.Struct):
@@ -165,6 +176,68 @@
         trio.run(run)
 
 
+class ResetUploadTest(testtools.TestCase):
+    """The server answers an upload at once, and resets while it is sent."""
+
+    def _play(
+        self,
+        script: runner.Script,
+        call: Callable[[http.HttpClient, str], Awaitable[Any]],
+    ) -> Any:
+        async def run() -> Any:
+            server = runner.ScriptedRunner([script])
+            with trio.fail_after(_HANG_S):
+                async with trio.open_nursery() as nursery:
+                    await nursery.start(server.run)
+                    async with http.open_client() as client:
+                        result = await call(client, f"http://{server.address}/")
+                    nursery.cancel_scope.cancel()
+            return result
+
+        return trio.run(run)
+
+    def _call(
+        self, script: runner.Script
+    ) -> Result[http.Answer, http.CallFailure]:
+        async def call(
+            client: http.HttpClient, url: str
+        ) -> Result[http.Answer, http.CallFailure]:
+            return await client.call("POST", url, body=_UPLOAD)
+
+        return self._play(script, call)
+
+    def test_a_part_without_length_is_a_failure(self) -> None:
+        answer = self._call(runner.Script((_UNSIZED, b"hel"), is_reset=True))
+        self.assertTrue(answer.is_error(), answer)
+        self.assertTrue(answer.error.sent)
+
+    def test_a_body_that_ended_before_the_reset_is_whole(self) -> None:
+        script = runner.Script(
+            (_UNSIZED, b"hello"), is_reset=True, ends_sending=True
+        )
+        self.assertEqual(b"hello", self._call(script).ok.body)
+
+    def test_a_body_of_its_length_is_whole(self) -> None:
+        script = runner.Script((_SIZED, b"hello"), is_reset=True)
+        self.assertEqual(b"hello", self._call(script).ok.body)
+
+    def test_lines_without_length_end_with_an_error(self) -> None:
+        async def read(
+            client: http.HttpClient, url: str
+        ) -> tuple[list[bytes], bool]:
+            lines: list[bytes] = []
+            try:
+                async with client.stream("POST", url, body=_UPLOAD) as answer:
+                    async for line in answer.iterate_lines():
+                        lines.append(line)  # noqa: PERF401
+            except httpcore.NetworkError:
+                return lines, True
+            return lines, False
+
+        script = runner.Script((_UNSIZED, b"one\n"), is_reset=True)
+        self.assertEqual(([b"one"], True), self._play(script, read))
+
+
 class EndlessLineTest(testtools.TestCase):
     def test_a_line_without_end_is_a_protocol_error(self) -> None:
         timer = step_timer.StepTimer()
