Check that a tunnel does not complete an answer that was reset

The third place where a write and a read share a socket is the relay. It ends both directions once writing to the runner fails, so the end of file that follows is not passed on: held before, no change.

--- a/tests/test_relay/test_server.py
+++ b/tests/test_relay/test_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import socket
 from unittest import mock
@@ -15,11 +16,18 @@
 from martenquay_standins import loopback
 from martenquay_standins.ports import runner as scripted
 from martenquay_standins.ports.runner import Script
-from tests import relay_builders
+from tests import relay_builders, write_first_stream
 
 _HANG_S = 20.0
 _POLL_S = 0.01
 _REQUEST = connections.RunnerRequest("GET", "/a", [(b"host", b"a")])
+_UPLOAD_BODY = bytes(write_first_stream.MIN_BODY_BYTES)
+_UPLOAD = connections.RunnerRequest(
+    "POST",
+    "/a",
+    [(b"host", b"a"), (b"content-length", b"%d" % len(_UPLOAD_BODY))],
+    _UPLOAD_BODY,
+)
 _UNSIZED = b"HTTP/1.1 200 OK\r\n\r\n"
 _BODY = b"x" * 300_000
 
@@ -53,9 +61,11 @@
 
         return connections.connect_runner(address, 1.0, opener=open_stream)
 
-    async def _read_body(self, scene, runner) -> bytes:
+    async def _read_body(self, scene, runner, request=_REQUEST) -> bytes:
         async with self._open(scene, runner.address) as connection:
-            await connection.send_request(_REQUEST)
+            # The runner may answer before it has read the request.
+            with contextlib.suppress(connections.BrokenAnswerError):
+                await connection.send_request(request)
             await connection.read_head()
             return await connection.read_body()
 
@@ -99,9 +109,29 @@
 
         self._run(scenario, Script((_UNSIZED, b"ab"), is_reset=True))
 
-    async def _assert_broken(self, scene, runner) -> None:
+    def test_a_reset_during_an_upload_does_not_complete_an_answer(
+        self,
+    ) -> None:
+        async def open_stream(
+            address: str, *limits_s: float
+        ) -> connections.OpenedStream:
+            # Of the relay, whose connection to the runner writes first.
+            if address in runner_addresses:
+                return await write_first_stream.open_stream(address, *limits_s)
+            return await open_direct(address, *limits_s)
+
+        async def scenario(scene, runner) -> None:
+            runner_addresses.add(runner.address)
+            with mock.patch.object(connections, "open_stream", open_stream):
+                await self._assert_broken(scene, runner, _UPLOAD)
+
+        open_direct = connections.open_stream
+        runner_addresses: set[str] = set()
+        self._run(scenario, Script((_UNSIZED, b"ab"), is_reset=True))
+
+    async def _assert_broken(self, scene, runner, request=_REQUEST) -> None:
         try:
-            body = await self._read_body(scene, runner)
+            body = await self._read_body(scene, runner, request)
         except connections.BrokenAnswerError:
             return
         self.fail(f"complete with {len(body)} bytes")
--- a/tests/write_first_stream.py
+++ b/tests/write_first_stream.py
@@ -14,6 +14,7 @@
 
 __all__ = ["MIN_BODY_BYTES", "open_stream"]
 
+_open_direct = connections.open_stream
 _SEND_BUFFER_BYTES = 65_536
 # Larger than what both kernels buffer of a body that its receiver leaves
 # unread.
@@ -50,7 +51,7 @@
     address: str, timeout_s: float, max_use_s: float
 ) -> connections.OpenedStream:
     """Open such a stream; implements `StreamOpener`."""
-    opened = await connections.open_stream(address, timeout_s, max_use_s)
+    opened = await _open_direct(address, timeout_s, max_use_s)
     opened.stream.setsockopt(
         socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES
     )
