Pass on no answer in whose head a line begins with a blank

What callers saw: an answer whose field has a blank before its name arrived as an answer. The line went on as a part of the field before it, which may be the runner's seal ("s1 x-odd: 1"). If the field frames the body, the body was not the runner's: chunks with their sizes in place of what they hold.

Cause: such a line continues the field before it, in an obsolete form of HTTP (RFC 9112, section 5.2). h11 accepts it and joins both.

All other positions of blanks and control bytes in names were refused before.

Why it works: the connection keeps the bytes of the head until the parser has returned it, at most what the bound on framing allows, and gives up an answer with such a line; the section allows a gateway to. A caller cannot tell which of the two meanings the runner had, so neither is passed on.

--- a/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
@@ -18,6 +18,7 @@
 import trio
 
 from martenquay_core.util import keepalive, resets
+from martenquay_daemon.forwarding import head_lines
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -139,6 +140,7 @@
         self.has_peer_closed = False
         self._stream = opened.stream
         self._http = h11.Connection(h11.CLIENT)
+        self._head_lines = head_lines.HeadLines()
         self._received_bytes = 0
         self._body_bytes = 0
         self._parts = 0
@@ -191,13 +193,15 @@
         while True:
             match await self._parse_event():
                 case h11.Response(status_code=status, headers=headers):
+                    self._check_head_lines()
+                    self._head_lines.clear()
                     self.has_response_head = True
                     self.note_progress()
                     self._length = _find_length(headers)
                     self._is_success = status < _MIN_FAILURE_STATUS
                     return status, list(headers)
                 case h11.InformationalResponse():
-                    continue
+                    self._check_head_lines()
                 case h11.NEED_DATA:
                     await self._receive()
                 case _:
@@ -266,6 +270,10 @@
         """Reset the connection, so that the runner stops unfinished work."""
         await trio.aclose_forcefully(self._stream)
 
+    def _check_head_lines(self) -> None:
+        if self._head_lines.take_head():
+            raise BrokenAnswerError("a line of the head begins with a blank")
+
     async def _parse_event(self) -> h11.Event | type[h11.NEED_DATA]:
         self._parts += 1
         if self._parts % _PARTS_PER_STEP == 0:
@@ -300,6 +308,8 @@
             # complete a response without a content length.
             raise BrokenAnswerError(f"reset: {error}") from error
         self._received_bytes += len(data)
+        if not self.has_response_head:
+            self._head_lines.add(data)
         self.last_activity_at = trio.current_time()
         self.has_peer_closed = not data
         if self.has_peer_closed and self._may_hide_reset:
--- a/tests/test_forwarding/test_invalid_heads.py
+++ b/tests/test_forwarding/test_invalid_heads.py
@@ -50,6 +50,15 @@
         reply = self._ask(_STATUS_LINE + b"\r\n" + _FIELDS + _END)
         self.assertEqual((200, _BODY), (reply.status, reply.body))
 
+    def test_a_blank_before_the_body_is_passed_on(self) -> None:
+        interim = b"HTTP/1.1 100 Continue\r\nx-odd: 1\r\n\r\n"
+        body = b"\n id: 1\n\n"
+        length = b"content-length: %d\r\n\r\n" % len(body)
+        reply = self._ask(
+            interim + _STATUS_LINE + b"\r\n" + _FIELDS + length + body
+        )
+        self.assertEqual((200, body), (reply.status, reply.body))
+
     def test_a_status_of_zeros(self) -> None:
         self.assert_refuses_status_line(
             b"HTTP/1.1 000 OK", b"HTTP/1.1 000", b"HTTP/1.0 000 OK"
@@ -107,6 +116,33 @@
                 b"%b\r\n%b%b\r\n\r\n%b" % (_STATUS_LINE, _FIELDS, line, _CHUNKS)
             )
 
+    def test_a_blank_before_the_name_of_a_field(self) -> None:
+        self.assert_refuses_field(b" x-odd: 1", b"\tx-odd: 1")
+
+    def test_a_blank_before_the_name_of_a_field_that_frames_the_body(
+        self,
+    ) -> None:
+        for blank in (b" ", b"\t"):
+            for line, body in (
+                (b"content-length: 3", _BODY),
+                (b"transfer-encoding: chunked", _CHUNKS),
+            ):
+                self.assert_not_passed_on(
+                    b"%b\r\n%b%b%b\r\n\r\n%b"
+                    % (_STATUS_LINE, _FIELDS, blank, line, body)
+                )
+
+    def test_a_blank_before_the_name_of_a_field_of_an_interim_answer(
+        self,
+    ) -> None:
+        self.assert_not_passed_on(
+            b"HTTP/1.1 103 Early Hints\r\nx-odd: 1\r\n x-even: 1\r\n\r\n"
+            + _STATUS_LINE
+            + b"\r\n"
+            + _FIELDS
+            + _END
+        )
+
 
 class InvalidStreamHeadTest(InvalidHeadTest):
     """The same on a route of streams, whose answers are not held."""
