Pass on no answer with a status above 599

What callers saw: an answer with the status 600, 700 or 999 arrived as an answer.

Cause: h11 refuses statuses below 100 and takes all others of three digits. Those above 599 belong to no class (RFC 9110, section 15); like 000 they are what a program in trouble writes.

Evidence: test_a_status_above_any_class failed on plain routes and on routes of streams: 600 in place of 502.

Why it works: the status is checked where the head is read, for all requests. The answer counts as broken: a request that may be repeated goes on elsewhere.

--- a/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
@@ -44,6 +44,9 @@
 # pages set it for bodies of requests (the default of `MaxBodyBytes`).
 MAX_ANSWER_BYTES = 4_194_304
 _MIN_FAILURE_STATUS = 300
+# Statuses above it are invalid (RFC 9110, section 15); the parser refuses those
+# below 100 and takes all of three digits besides.
+_MAX_STATUS = 599
 _RECEIVE_BYTES = 16_384
 # Larger bodies are sent behind the head rather than copied into one piece.
 _MAX_JOINED_BYTES = 16_384
@@ -195,6 +198,8 @@
                 case h11.Response(status_code=status, headers=headers):
                     self._check_head_lines()
                     self._head_lines.clear()
+                    if status > _MAX_STATUS:
+                        raise BrokenAnswerError(f"status {status} is invalid")
                     self.has_response_head = True
                     self.note_progress()
                     self._length = _find_length(headers)
--- a/tests/test_forwarding/test_invalid_heads.py
+++ b/tests/test_forwarding/test_invalid_heads.py
@@ -69,6 +69,11 @@
             b"HTTP/1.1 001 OK", b"HTTP/1.1 020 OK", b"HTTP/1.1 099 OK"
         )
 
+    def test_a_status_above_any_class(self) -> None:
+        self.assert_refuses_status_line(
+            b"HTTP/1.1 600 OK", b"HTTP/1.1 700 OK", b"HTTP/1.1 999 OK"
+        )
+
     def test_a_status_that_is_no_number_of_three_digits(self) -> None:
         self.assert_refuses_status_line(
             b"HTTP/1.1 20 OK",
