--- /dev/null
+++ b/tests/test_forwarding/test_answer_fields.py
@@ -0,0 +1,44 @@
+"""What an answer was checked for reaches the caller with it."""
+
+from __future__ import annotations
+
+from martenquay_standins.ports.runner import Script
+from tests import forwarder_case as case
+from tests import serving_scene
+
+
+class AnswerFieldsTest(case.ForwarderTestCase):
+    attempts = 1
+
+    def _ask(self, *fields: bytes) -> serving_scene.Reply:
+        """Return the answer of a runner with some fields besides its own."""
+        answer = case.build_answer(200, b"fine", case.SEAL, *fields)
+        reply, _ = self.ask_once([Script((answer,))])
+        return reply
+
+    def test_connection_options_do_not_remove_the_seal(self) -> None:
+        reply = self._ask(b"connection: close, Server-Seal")
+        self.assertEqual(b"s1", reply.headers.get(b"server-seal"))
+
+    def test_connection_options_do_not_remove_the_request_id(self) -> None:
+        reply = self._ask(b"connection: attempt-id")
+        self.assertEqual(b"call-1", reply.headers.get(b"attempt-id"))
+
+    def test_connection_options_do_not_remove_what_tells_how_to_read_the_body(
+        self,
+    ) -> None:
+        reply = self._ask(
+            b"connection: content-encoding, content-type",
+            b"content-encoding: gzip",
+            b"content-type: text/plain",
+        )
+        self.assertEqual(b"gzip", reply.headers.get(b"content-encoding"))
+        self.assertEqual(b"text/plain", reply.headers.get(b"content-type"))
+
+    def test_connection_options_remove_other_fields(self) -> None:
+        reply = self._ask(
+            b"connection: x-one", b"x-one: 1", b"keep-alive: 5", b"x-two: 2"
+        )
+        self.assertNotIn(b"x-one", reply.headers)
+        self.assertNotIn(b"keep-alive", reply.headers)
+        self.assertEqual(b"2", reply.headers.get(b"x-two"))
