Take an answer with the ids of two requests for no answer

What callers saw: an answer with two lines of Attempt-Id, another request's and then this one's, arrived whole. A caller that reads the first line, or joins both, has the answer to another request.

Cause: of repeated fields the codec read the last.

Evidence: 200 in place of 502 for `call-2` before `call-1`.

--- a/tests/test_forwarding/test_answer_fields.py
+++ b/tests/test_forwarding/test_answer_fields.py
@@ -42,3 +42,15 @@
         self.assertNotIn(b"x-one", reply.headers)
         self.assertNotIn(b"keep-alive", reply.headers)
         self.assertEqual(b"2", reply.headers.get(b"x-two"))
+
+    def test_an_answer_with_the_ids_of_two_requests_is_broken(self) -> None:
+        for other in (b"attempt-id: call-2", b"attempt-id: "):
+            for fields in (
+                (b"attempt-id: call-1", other),
+                (other, b"attempt-id: call-1"),
+            ):
+                head = (b"HTTP/1.1 200 X", *fields, case.SEAL)
+                length = b"\r\ncontent-length: 4\r\n\r\nfine"
+                answer = b"\r\n".join(head) + length
+                reply, _ = self.ask_once([Script((answer,))])
+                self.assertEqual(502, reply.status, fields)
