Reset the connection of a caller without chunks if its stream breaks off

What callers saw: by HTTP/1.0, a stream that its runner broke off ended as if it were complete.

Cause: callers of HTTP/1.0 get no chunks, and the end of the connection ends the answer. An aborted answer closed the connection like a whole one. All callers of HTTP/1.1 get a length or chunks, and see the difference.

Class: an end of file that completes something, on the way out.

Evidence: test_a_caller_without_chunks_sees_whether_a_stream_is_whole failed, the reply to the broken stream was whole; the one to the whole stream is whole before and after.

Why it works: SO_LINGER is set before the head of such an answer, so that every close resets the connection, also when the process is killed, and taken back once the answer is whole. Other answers are sent as before.

--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
@@ -9,6 +9,8 @@
 
 import dataclasses
 import functools
+import socket
+import struct
 import traceback
 from typing import TYPE_CHECKING, Protocol
 
@@ -49,6 +51,11 @@
 # in transit; assumed to be far longer than a round trip within a region. With
 # the listener's wait it stays below the 0.3 s by which this may delay a stop.
 _FINAL_READ_S = 0.2
+# Callers of earlier versions get no chunks; a close ends the answer.
+_FIRST_VERSION_WITH_CHUNKS = b"1.1"
+# SO_LINGER: whether close() resets the connection, also when the process ends.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_END_ON_CLOSE = struct.pack("ii", 0, 0)
 # The ": " and line end of a header, which h11 strips.
 _HEADER_LINE_OVERHEAD_BYTES = 4
 
@@ -130,6 +137,7 @@
     async def finish(self) -> None:
         """Mark the body as complete."""
         await self._connection.send_event(h11.EndOfMessage())
+        self._connection.allow_end_on_close()
 
     def abort(self) -> None:
         """Have the connection closed, so that the answer looks truncated."""
@@ -169,6 +177,7 @@
             listener_state.parsing_turn,
         )
         self._has_partial_write = False
+        self._resets_on_close = False
         self.received_at = 0.0
         self.call_id = ""
         self._waits_since: float | None = trio.current_time()
@@ -256,10 +265,23 @@
         # close.
         if self._listener_state.is_closing and not self._input.has_request():
             headers.append((b"connection", b"close"))
+        version = self._http.their_http_version
+        if length is None and version < _FIRST_VERSION_WITH_CHUNKS:
+            # A close before the end would look like the end.
+            self._set_linger(_RESET_ON_CLOSE)
         await self.send_event(
             h11.Response(status_code=status, headers=headers, reason=b"")
         )
 
+    def allow_end_on_close(self) -> None:
+        """Let a close end the bytes that were sent, as an answer is whole."""
+        if self._resets_on_close:
+            self._set_linger(_END_ON_CLOSE)
+
+    def _set_linger(self, linger: bytes) -> None:
+        self._resets_on_close = linger is _RESET_ON_CLOSE
+        self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def receive_bytes(self, data: bytes) -> h11.Event | type[h11.NEED_DATA]:
         """Feed bytes from the caller to the parser and return its event."""
         self._http.receive_data(data)
--- a/tests/test_forwarding/test_forwarder_streams.py
+++ b/tests/test_forwarding/test_forwarder_streams.py
@@ -68,6 +68,25 @@
         script = Script((_stream(_event(1), _event(2), _event(3)),))
         self.run_scene(scenario, [script], content=content)
 
+    def test_a_caller_without_chunks_sees_whether_a_stream_is_whole(
+        self,
+    ) -> None:
+        old_call = (case.CALL % (b"GET /lookup/7", 5000)).replace(
+            b"HTTP/1.1", b"HTTP/1.0"
+        )
+        for end in (_CUT, b"0\r\n\r\n"):
+
+            async def scenario(
+                scene: serving_scene.Scene, end: bytes = end
+            ) -> None:
+                reply = await scene.ask(old_call)
+                self.assertNotIn(b"transfer-encoding", reply.headers)
+                self.assertEqual(_event(1), reply.body)
+                self.assertEqual(end != _CUT, reply.is_whole)
+
+            script = Script((_stream(_event(1), end=end),))
+            self.run_scene(scenario, [script])
+
     def test_a_broken_stream_goes_on_after_the_last_event(self) -> None:
         first = Script((_stream(_event(1), _event(2)[:5], end=_CUT),))
         rest = Script((_stream(_event(2), _event(3)),))
