Round the wait of a rejected caller down

The header was rounded to the nearest millisecond. A rejection within half a millisecond of the request, as on a fast machine, asks for more than the third.

No wait changes by more than a millisecond.

--- a/tests/test_platform/test_codec.py
+++ b/tests/test_platform/test_codec.py
@@ -144,6 +144,16 @@
         self.assertEqual(b"0.250", headers[b"retry-after"])
         self.assertNotIn(b"server-seal", headers)
 
+    def test_a_wait_is_not_rounded_up(self) -> None:
+        for wait_s, text in (
+            (1.66666, b"1.666"),
+            (0.0009, b"0.000"),
+            (1.001, b"1.001"),
+            (30.0, b"30.000"),
+        ):
+            headers = dict(self.codec.encode_own_answer("9c41", wait_s))
+            self.assertEqual(text, headers[b"retry-after"])
+
 
 class RunnerSignalsTest(testtools.TestCase):
     """Headers about a runner's own state, malformed values included."""
