Pass over runner entries whose address cannot be looked up

What callers saw: 502 for a part of all requests, while an entry of another writer whose address is `ü..x:80`, or has a NUL in its host, stood beside those of good runners.

Cause: any text before a valid port counted as a host. Looking it up raises UnicodeError or ValueError and no OSError, which ended the request in place of the attempt.

Class: an address is believed before it is tried. Other fields of entries were checked; ports out of range, of thousands of digits, and deep nesting were refused before, but for digits of other scripts.

Evidence: of 24 requests beside seven such entries the first got 502 (test_entries_with_an_address_that_cannot_be_looked_up); open_stream raised UnicodeError in place of NotConnectedError; `h:٣` was a valid address. Red before, three tests. The tests of entries with odd ports held before.

A connection that cannot be opened for such a reason is a failed path: nothing was sent, and another runner gets the request.

--- a/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
@@ -357,7 +357,13 @@
             keepalive.enable_keepalive(sock, _KEEPALIVE)
         with trio.fail_after(timeout_s):
             await sock.connect((host, int(port)))
-    except (OSError, trio.TooSlowError) as error:
+    except (
+        OSError,
+        trio.TooSlowError,
+        # An address that cannot be looked up, or a port out of range.
+        ValueError,
+        OverflowError,
+    ) as error:
         sock.close()
         reason = str(error) or f"not connected within {timeout_s:.3f} s"
         is_refused = isinstance(error, ConnectionRefusedError)
--- a/tests/test_daemon/test_unreadable_records.py
+++ b/tests/test_daemon/test_unreadable_records.py
@@ -23,6 +23,10 @@
     b"\x96\x01\x01\xa1m\xa1i\xcd\x0b\xb8" + b"\x91" * 5000,
 )
 _HUGE = 10**400
+# Their labels are empty or too long, or they hold what no name may.
+_ODD_HOSTS = ("\u00fc..x", "a\x00b", "..", "x" * 300, "a b", "\ud7ff", "a/b")
+_ODD_PORTS = ("0", "65536", "99999", "-1", "http", "9" * 5000, "\u0663", " 1")
+_REQUESTS = 24
 _KEYED_TOPICS = {
     "catalog": ("config", "rollout/desk"),
     "runners": ("runner-9",),
@@ -70,8 +74,9 @@
         eliot.add_destinations(self.lines.append)
         self.addCleanup(eliot.remove_destination, self.lines.append)
 
-    def _run(self, write_before, write_during=None) -> None:
+    def _run(self, write_before, write_during=None, check=None) -> None:
         """Start a daemon on records; a request is served, no task fails."""
+        check = check or self._wait_served
 
         async def run() -> None:
             platform = gateway_fleet.Platform()
@@ -88,7 +93,7 @@
                     async with gateway_fleet.open_daemons(
                         platform, 1
                     ) as daemons:
-                        await self._wait_served(daemons[0])
+                        await check(daemons[0])
                         if write_during is not None:
                             await write_during(platform)
                             await trio.sleep(0.5)
@@ -141,6 +146,27 @@
 
         self._run(write)
 
+    async def _assert_all_served(self, daemon: gateway_fleet.Daemon) -> None:
+        await self._wait_served(daemon)
+        replies = [await daemon.ask() for _ in range(_REQUESTS)]
+        self.assertEqual([200] * _REQUESTS, [one.status for one in replies])
+
+    def test_entries_with_an_address_that_cannot_be_looked_up(self) -> None:
+        async def write(platform) -> None:
+            for number, host in enumerate(_ODD_HOSTS):
+                entry = _encode_runner(f"{host}:80")
+                platform.log.put("runners", f"runner-{number + 2}", entry)
+
+        self._run(write, check=self._assert_all_served)
+
+    def test_entries_with_a_port_out_of_range(self) -> None:
+        async def write(platform) -> None:
+            for number, port in enumerate(_ODD_PORTS):
+                entry = _encode_runner(f"127.0.0.1:{port}")
+                platform.log.put("runners", f"runner-{number + 2}", entry)
+
+        self._run(write, check=self._assert_all_served)
+
     def test_a_configuration_with_a_huge_version(self) -> None:
         async def write(platform) -> None:
             config = json.dumps(_CONFIG | {"Version": _HUGE}).encode()
--- a/tests/test_forwarding/test_runner_connection.py
+++ b/tests/test_forwarding/test_runner_connection.py
@@ -139,6 +139,21 @@
         script = runner.Script((head % most, b"x" * most))
         self.assertEqual(most, len(self._call(script)))
 
+    def test_an_address_that_cannot_be_looked_up_raises_not_connected(
+        self,
+    ) -> None:
+        async def run(address: str) -> None:
+            async with connections.connect_runner(address, 5.0):
+                self.fail("connected to no address")
+
+        for address in (
+            *("\u00fc..x:80", "a\x00b:80", "..:80", "x" * 300 + ":80"),
+            *("127.0.0.1:99999", "127.0.0.1:-1", "127.0.0.1:http", "127.0.0.1"),
+        ):
+            self.assertRaises(
+                connections.NotConnectedError, trio.run, run, address
+            )
+
     def test_a_refused_connection_raises_not_connected(self) -> None:
         async def run() -> None:
             async with connections.connect_runner("127.0.0.1:1", 5.0):
--- a/tests/test_platform/test_records.py
+++ b/tests/test_platform/test_records.py
@@ -209,11 +209,23 @@
             self.assertIn("State", str(error))
 
     def test_an_invalid_address_is_rejected(self) -> None:
-        for address in ("", ":", "10.0.0.1", "10.0.0.1:", ":80", "h:0", "h:x"):
+        for address in (
+            *("", ":", "10.0.0.1", "10.0.0.1:", ":80", "h:0", "h:x"),
+            *("h:65536", "h:-1", "h: 1", "h:\u0663", "h:" + "9" * 5000),
+            *("\u00fc..x:80", "a..b:80", "a\x00b:80", "a b:80", "a/b:80"),
+            *("x" * 64 + ":80", "x." * 150 + "x:80", "a\n:80"),
+        ):
             entry = _build_entry(Addr=address)
             error = self.assertRaises(ValueError, _decode, entry)
             self.assertIn("Addr", str(error))
 
+    def test_addresses_and_names_of_hosts_are_valid(self) -> None:
+        for host in ("10.0.0.1", "localhost", "engine-1.zone_a.example"):
+            for port in (1, 80, 65_535):
+                address = f"{host}:{port}"
+                entry = _build_entry(Addr=address)
+                self.assertEqual(address, _decode(entry).address)
+
     def test_an_entry_without_slots_service_or_zone_is_rejected(self) -> None:
         for change in ({"Slots": 0}, {"Service": ""}, {"Zone": ""}):
             self.assertRaises(ValueError, _decode, _build_entry(**change))
