Pass over runner entries whose key no request can name

What callers saw: 502 for each request that came to an entry of another writer whose key has a character beyond Latin-1, a control byte or a blank at its end.

Cause: requests name the runner that is meant in Expect-Instance. Such a key cannot be encoded, or the client refuses the header; either ended the request in place of the attempt.

Why it works: a key has to be printable ASCII without blanks; otherwise the entry is refused with the line that all unreadable entries have.

--- a/tests/test_daemon/test_unreadable_records.py
+++ b/tests/test_daemon/test_unreadable_records.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
+import socket
 
 import eliot
 import testtools
 import trio
 
 from martenquay_platform import records
+from martenquay_standins import loopback
 from martenquay_standins.ports import runner as scripted
 from tests import gateway_fleet
 
@@ -26,6 +29,7 @@
 # Their labels are empty or too long, or they hold what no name may.
 _ODD_HOSTS = ("\u00fc..x", "a\x00b", "..", "x" * 300, "a b", "\ud7ff", "a/b")
 _ODD_PORTS = ("0", "65536", "99999", "-1", "http", "9" * 5000, "\u0663", " 1")
+_ODD_IDS = ("runner \u20ac", "runner\n2", "runner\x00", " runner", "r\x7f")
 _REQUESTS = 24
 _KEYED_TOPICS = {
     "catalog": ("config", "rollout/desk"),
@@ -167,6 +171,20 @@
 
         self._run(write, check=self._assert_all_served)
 
+    def test_entries_with_an_id_that_no_header_can_hold(self) -> None:
+        with contextlib.ExitStack() as stack:
+
+            async def write(platform) -> None:
+                for runner_id in _ODD_IDS:
+                    # Connections open, and a request would be sent.
+                    listener = socket.create_server((loopback.HOST, 0))
+                    stack.enter_context(listener)
+                    port = listener.getsockname()[1]
+                    entry = _encode_runner(loopback.create_address(port))
+                    platform.log.put("runners", runner_id, entry)
+
+            self._run(write, check=self._assert_all_served)
+
     def test_a_configuration_with_a_huge_version(self) -> None:
         async def write(platform) -> None:
             config = json.dumps(_CONFIG | {"Version": _HUGE}).encode()
--- a/tests/test_platform/test_records.py
+++ b/tests/test_platform/test_records.py
@@ -202,6 +202,15 @@
             error = self.assertRaises(ValueError, _decode, entry)
             self.assertIn("born", str(error))
 
+    def test_an_id_that_no_header_can_hold_is_rejected(self) -> None:
+        raw = json.dumps(_build_entry()).encode()
+        codec = records.create_codec()
+        for key in ("", " a", "a b", "a\n", "a\x00", "\u00fc", "\u20ac"):
+            error = self.assertRaises(ValueError, codec.decode_runner, key, raw)
+            self.assertIn("key", str(error))
+        for key in ("i-7f3a91c2", "zone/pod:7_a.b"):
+            self.assertEqual(key, codec.decode_runner(key, raw).id)
+
     def test_an_unknown_state_is_rejected(self) -> None:
         for state in ("", "Ready", "READY", "booting", "gone"):
             entry = _build_entry(State=state)
