Count what is held of runners' answers, and give up the largest for room

What callers saw (another operator's report): a faulty runner sent bodies without end; the machine that had called it kept them and ran out of memory, and the requests of other clients ended with it.

Cause: an answer is bounded at 4 MiB, an event at 1 MiB, and their sum by nothing. Whole answers are held until their callers have read them.

Class: a bound on one request is taken for a bound on all (docs/incidents/ unbounded-clients.md), on the side of the answers.

Why it works: what a request holds beyond 16 KiB comes out of a budget of its own for answers, half of what requests had. Beyond it the answer that is held in largest part for longest is given up, as among requests: a call that may be repeated goes on at another runner, other calls get 502, which promises nothing, and an answer that has begun is cut visibly. One alone may hold more. The runner is not blamed for it. Ruled out: one budget with requests, as uploads that run cannot be refused and would end small answers.

--- a/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
@@ -293,7 +293,7 @@
                 current, placement, head, connection, running, is_end
             )
         running.note_first_event()
-        body = await connection.read_body()
+        body = await connection.read_body(current.held.resize)
         return exchange.Whole(head, body)
 
     def _find_rejection(
--- a/packages/daemon/src/martenquay_daemon/forwarding/connection_limit.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/connection_limit.py
@@ -58,7 +58,7 @@
     """What all connections of a listener may take together.
 
     Attributes:
-        budget: Bounds what they hold.
+        budget: Bounds what they hold of requests.
         max_connections: Limit of their number.
     """
 
@@ -69,7 +69,9 @@
 def create_room(resources: gateway.ResourceSettings) -> ListenerRoom:
     """Return the room for callers of an instance."""
     return ListenerRoom(
-        caller_budget.create_budget(resources.memory_mb),
+        caller_budget.create_budget(
+            resources.memory_mb, caller_budget.REQUEST_SHARE
+        ),
         find_max_connections(resources),
     )
 
--- a/packages/daemon/src/martenquay_daemon/forwarding/event_stream.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/event_stream.py
@@ -87,6 +87,11 @@
         """Bytes behind the last complete event."""
         return bytes(self._buffer)
 
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes behind the last complete event."""
+        return len(self._buffer)
+
     @property
     def is_inside_event(self) -> bool:
         """Whether the bytes behind the last event are more than blank lines."""
--- a/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
@@ -7,12 +7,13 @@
 
 from martenquay_core.serving import calls, catalog, signals
 from martenquay_daemon.allowances import terms
-from martenquay_daemon.forwarding import disconnects
+from martenquay_daemon.forwarding import disconnects, held_answer
 
 if TYPE_CHECKING:
     from martenquay_core.serving import runners
     from martenquay_daemon.engines import speed_tracker
     from martenquay_daemon.forwarding import answers
+    from martenquay_daemon.limits import caller_budget
 
 __all__ = [
     "AttemptResult",
@@ -22,6 +23,7 @@
     "Exchange",
     "Handover",
     "Moved",
+    "NoRoom",
     "NotRun",
     "NotSent",
     "Silent",
@@ -96,6 +98,7 @@
             from; None if it runs the request anew.
         moves: How often the run was stopped to continue elsewhere.
         refused_targets: Ids of runners that had no room for a copy of the run.
+        held: Counts what is held of runners' answers.
     """
 
     call: calls.Call
@@ -134,6 +137,9 @@
     kv_source: calls.KvSource | None = None
     moves: int = 0
     refused_targets: set[str] = dataclasses.field(default_factory=set)
+    held: held_answer.HeldAnswer = dataclasses.field(
+        default_factory=held_answer.HeldAnswer
+    )
 
     @property
     def units(self) -> float:
@@ -171,6 +177,18 @@
         """Id of the request that brought or brings the stream's first event."""
         return calls.shorten_id(self.call.resumed_id or self.call.id)
 
+    def bound_answers(self, budget: caller_budget.CallerBudget) -> None:
+        """Count what is held of runners' answers in a budget."""
+        self.held = held_answer.HeldAnswer(budget, self._drop_fallback)
+
+    def keep_fallback(self, answer: Whole) -> None:
+        """Keep a runner's server error in case no later attempt succeeds."""
+        self.fallback_answer = answer
+        self.held.kept_bytes = len(answer.body)
+
+    def _drop_fallback(self) -> None:
+        self.fallback_answer = None
+
     def check_caller(self) -> None:
         """Check that the caller is still connected.
 
@@ -243,6 +261,13 @@
     reason: str = "no data from the runner for too long"
 
 
+@dataclasses.dataclass(frozen=True)
+class NoRoom:
+    """The answer was given up for lack of memory; the request may have run."""
+
+    reason: str = "the room for runners' answers is in use"
+
+
 @dataclasses.dataclass(frozen=True)
 class Moved:
     """The run has ended at its runner and continues from a copy of it.
@@ -288,4 +313,5 @@
     | Silent
     | TimedOut
     | Moved
+    | NoRoom
 )
--- a/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
@@ -40,7 +40,7 @@
         stream_resumption,
         trial_recorder,
     )
-    from martenquay_daemon.limits import ejection
+    from martenquay_daemon.limits import caller_budget, ejection
     from martenquay_daemon.migration import handover
     from martenquay_daemon.overload import gate as overload_gate
 
@@ -78,6 +78,7 @@
         overload: Rejects requests that engines would start too late; None if
             only those are rejected that miss their deadline.
         handovers: Continues runs that were moved to another runner.
+        answer_budget: Bounds what is held of runners' answers.
         metrics: Prometheus metrics.
         codec: Encodes and decodes headers.
         rng: Chooses among a route's weighted destinations.
@@ -100,6 +101,7 @@
     trials: trial_recorder.TrialRecorder
     overload: overload_gate.OverloadGate | None
     handovers: handover.Handovers
+    answer_budget: caller_budget.CallerBudget
     metrics: metrics.ForwardingMetrics
     codec: ports.CallCodec
     rng: random.Random
@@ -154,6 +156,7 @@
             case answers.OwnAnswer():
                 await self._send_own_answer(call, writer, admitted)
             case exchange.Exchange():
+                admitted.bound_answers(self._parts.answer_budget)
                 with self._parts.stop.track(admitted):
                     await self._forward_until_disconnect(admitted)
 
@@ -178,6 +181,8 @@
                     current, self._parts.stop.find_age()
                 )
             raise
+        finally:
+            current.held.release()
 
     async def _forward(self, current: exchange.Exchange) -> None:
         final = await self._try_runners(current)
@@ -190,12 +195,8 @@
                 self._request_log.log_end(
                     current, f"cut off: status {head.status}", 0
                 )
-            case exchange.Whole(head=head, body=body):
-                current.stage = disconnects.Stage.DELIVERING
-                await current.writer.start(head.status, head.headers, len(body))
-                await current.writer.write(body)
-                await current.writer.finish()
-                self._request_log.log_end(current, "answered", head.status)
+            case exchange.Whole():
+                await self._deliver(current, final)
             case answers.OwnAnswer() if current.writer.has_started:
                 current.writer.abort()
                 self._request_log.log_end(
@@ -204,6 +205,23 @@
             case answers.OwnAnswer():
                 await self._send_own_answer(current.call, current.writer, final)
 
+    async def _deliver(
+        self, current: exchange.Exchange, answer: exchange.Whole
+    ) -> None:
+        """Send a runner's answer; cut it off if it has to make room."""
+        current.stage = disconnects.Stage.DELIVERING
+        head, body, writer = answer.head, answer.body, current.writer
+        with current.held.watch():
+            current.held.resize(len(body))
+            await writer.start(head.status, head.headers, len(body))
+            await writer.write(body)
+            await writer.finish()
+            self._request_log.log_end(current, "answered", head.status)
+            return
+        writer.abort()
+        reason = exchange.NoRoom().reason
+        self._request_log.log_end(current, f"cut off: {reason}", 0)
+
     async def _try_runners(
         self, current: exchange.Exchange
     ) -> exchange.Whole | answers.OwnAnswer | None:
@@ -221,11 +239,7 @@
             if not isinstance(placement, placer.Placement):
                 return placement
             had_run = current.may_have_run
-            result = await parts.attempts.make(
-                current,
-                placement,
-                lambda: parts.retries.has_retry_left(current.service),
-            )
+            result = await self._make_attempt(current, placement)
             await parts.quarantine.note_result(
                 current, placement.runner, result
             )
@@ -241,7 +255,7 @@
                 case exchange.Whole(head=head):
                     if not self._is_retriable(current, head.status):
                         return result
-                    current.fallback_answer = result
+                    current.keep_fallback(result)
                 case exchange.NotSent():
                     current.uncounted_attempts += 1
                 case exchange.NotRun():
@@ -250,6 +264,19 @@
                     return own_answers.describe_timeout(current)
             self._note_failed_attempt(current, placement.runner.id, result)
 
+    async def _make_attempt(
+        self, current: exchange.Exchange, placement: placer.Placement
+    ) -> exchange.AttemptResult:
+        """Send the request to a runner, unless it has to make room."""
+        retries = self._parts.retries
+        with current.held.watch():
+            return await self._parts.attempts.make(
+                current,
+                placement,
+                lambda: retries.has_retry_left(current.service),
+            )
+        return exchange.NoRoom()
+
     async def _find_next_placement(
         self, current: exchange.Exchange
     ) -> placer.Placement | exchange.Whole | answers.OwnAnswer:
--- a/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
@@ -66,6 +66,10 @@
 _KEEPALIVE = keepalive.KeepAlive(idle_s=1, probes=2)
 
 
+def _ignore_size(size: int) -> None:
+    """Accept any size."""
+
+
 class NotConnectedError(Exception):
     """The connection could not be opened, so nothing was sent.
 
@@ -243,9 +247,14 @@
                 case _:
                     raise BrokenAnswerError("closed before the end of the body")
 
-    async def read_body(self) -> bytes:
+    async def read_body(
+        self, note_held: Callable[[int], None] = _ignore_size
+    ) -> bytes:
         """Return the whole body.
 
+        Args:
+            note_held: Called with the bytes that are held so far.
+
         Raises:
             BrokenAnswerError: The body ended early, or has more than
                 `MAX_ANSWER_BYTES`.
@@ -255,6 +264,7 @@
         body = bytearray()
         async for piece in self.iterate_body():
             body += piece
+            note_held(len(body))
             # Another runner may do better than a failure that is slow to come.
             if self._is_success:
                 self.note_progress()
--- a/packages/daemon/src/martenquay_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/stream_relay.py
@@ -102,6 +102,7 @@
                 )
                 if problem:
                     return exchange.Broken(problem)
+                current.held.resize(splitter.held_bytes)
             problem = await self._take_events(
                 current,
                 placement,
--- a/packages/daemon/src/martenquay_daemon/forwarding/trial_recorder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/trial_recorder.py
@@ -61,7 +61,12 @@
         # The time to its first event says nothing about prefill or queue.
         return False
     match result:
-        case exchange.NotSent() | exchange.NotRun() | exchange.Moved():
+        case (
+            exchange.NotSent()
+            | exchange.NotRun()
+            | exchange.Moved()
+            | exchange.NoRoom()
+        ):
             return False
         case exchange.Broken():
             # A crash breaks all requests of a runner at once, and a runner of
--- a/packages/daemon/src/martenquay_daemon/gateway_parts.py
+++ b/packages/daemon/src/martenquay_daemon/gateway_parts.py
@@ -68,7 +68,7 @@
     stream_resumption,
     trial_recorder,
 )
-from martenquay_daemon.limits import ejection
+from martenquay_daemon.limits import caller_budget, ejection
 from martenquay_daemon.migration import handover, targets
 from martenquay_daemon.migration import parts as migration_parts
 from martenquay_daemon.origins import parts as origin_parts
@@ -679,6 +679,10 @@
                 self._speeds.find,
             ),
             handovers=handover.Handovers(self.metrics),
+            answer_budget=caller_budget.create_budget(
+                self._settings.resources.memory_mb,
+                caller_budget.ANSWER_SHARE,
+            ),
             metrics=self.metrics,
             codec=codec,
             rng=self._rng,
--- a/packages/daemon/src/martenquay_daemon/limits/caller_budget.py
+++ b/packages/daemon/src/martenquay_daemon/limits/caller_budget.py
@@ -1,4 +1,4 @@
-"""Memory that all connections together may hold for their callers.
+"""Memory that all requests together may hold of what is sent to them.
 
 A limit on each request bounds one caller; many callers at once would still fill
 the instance's memory. A request that is still being read can be refused, as no
@@ -32,13 +32,16 @@
 # Of an instance that has little more than that.
 _MIN_FRACTION = 0.25
 _BYTES_PER_MB = 1_000_000
-# For what requests hold; connections may take as much besides.
+# For what requests and answers hold; connections may take as much besides.
 _CALLER_FRACTION = 0.5
+# Of that, for what callers send and for what runners answer.
+REQUEST_SHARE = 0.5
+ANSWER_SHARE = 0.5
 
 
 @dataclasses.dataclass(eq=False)
 class Holding:
-    """What one connection holds for its caller.
+    """What one connection holds of its caller's or a runner's bytes.
 
     Attributes:
         refuse: Drops what is held and ends the request.
@@ -118,17 +121,18 @@
         )
 
 
-def create_budget(memory_mb: float) -> CallerBudget:
-    """Return the budget of an instance.
+def create_budget(memory_mb: float, share: float = 1.0) -> CallerBudget:
+    """Return a budget of an instance.
 
     Args:
         memory_mb: Memory of the instance in MB.
+        share: Part of what requests and answers may hold.
     """
-    return CallerBudget(int(find_caller_bytes(memory_mb)))
+    return CallerBudget(int(share * find_caller_bytes(memory_mb)))
 
 
 def find_caller_bytes(memory_mb: float) -> float:
-    """Return what callers' requests may hold, and their connections besides.
+    """Return what requests and answers may hold, and connections besides.
 
     Args:
         memory_mb: Memory of the instance in MB.
--- a/tests/crowd_case.py
+++ b/tests/crowd_case.py
@@ -7,7 +7,7 @@
 import testtools
 import trio
 
-from tests import crowd_scene, plain_runner
+from tests import crowd_scene, endless_runner, plain_runner
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -26,7 +26,9 @@
         scenario: Callable[[crowd_scene.CrowdScene], Awaitable[None]],
         *,
         descriptors: int = 0,
-        runner: plain_runner.PlainRunner | None = None,
+        runner: plain_runner.PlainRunner
+        | endless_runner.EndlessRunner
+        | None = None,
         **limits: int,
     ) -> None:
         """Play a scenario, which asks an ordinary request at its end.
--- a/tests/crowd_scene.py
+++ b/tests/crowd_scene.py
@@ -9,7 +9,12 @@
 
 import trio
 
-from tests import plain_runner, serving_scene, start_addresses
+from tests import (
+    endless_runner,
+    plain_runner,
+    serving_scene,
+    start_addresses,
+)
 from tests.test_platform import process_scene
 
 if TYPE_CHECKING:
@@ -41,7 +46,7 @@
 
 
 def build_configuration(**limits: int) -> dict[str, Any]:
-    """Return a configuration with one route, and limits of callers.
+    """Return a configuration with a plain route and one of streams.
 
     Args:
         **limits: Replace single limits. The times are long by default, so that
@@ -59,7 +64,17 @@
                 "SloMs": 500,
                 "Service": "model",
                 "MaxAttempts": 2,
-            }
+            },
+            {
+                "Name": "r-note",
+                "Host": _HOST,
+                "PathPrefix": "/note/",
+                "RouteKind": "streaming",
+                "TimeoutMs": 60_000,
+                "SloMs": 60_000,
+                "Service": "model",
+                "MaxAttempts": 1,
+            },
         ],
         "Services": [{"Name": "model"}],
         "Limits": {
@@ -131,7 +146,9 @@
 async def open_crowd_scene(
     *,
     descriptors: int = 0,
-    runner: plain_runner.PlainRunner | None = None,
+    runner: plain_runner.PlainRunner
+    | endless_runner.EndlessRunner
+    | None = None,
     **limits: int,
 ) -> AsyncIterator[CrowdScene]:
     """Start a daemon with a platform and a runner; stop them on exit.
--- a/tests/endless_runner.py
+++ b/tests/endless_runner.py
@@ -6,10 +6,16 @@
 
 import trio
 
+from tests import plain_runner
+
 __all__ = ["EndlessAnswer", "EndlessRunner"]
 
 _RECEIVE_BYTES = 65_536
 _WRITE_BYTES = 65_536
+_SHORT_ANSWER = (
+    b"HTTP/1.1 200 OK\r\nserver-seal: s\r\ncontent-length: %d\r\n\r\n%b"
+    % (len(plain_runner.ANSWER), plain_runner.ANSWER)
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -36,6 +42,11 @@
 class EndlessRunner:
     """Answers each request on a connection of its own for ever.
 
+    Args:
+        answer: The answer without end.
+        marker: Only requests with these bytes in their head get it; others get
+            `plain_runner.ANSWER`.
+
     Attributes:
         address: Host and port.
         requests: Number of requests that arrived.
@@ -43,8 +54,9 @@
         closed: Number of connections that the other side has closed.
     """
 
-    def __init__(self, answer: EndlessAnswer) -> None:
+    def __init__(self, answer: EndlessAnswer, marker: bytes = b"") -> None:
         self.address = ""
+        self._marker = marker
         self.requests = 0
         self.sent_bytes = 0
         self.closed = 0
@@ -63,21 +75,26 @@
     async def _serve(self, stream: trio.SocketStream) -> None:
         async with stream:
             try:
-                if not await self._read_request(stream):
+                head = await self._read_request(stream)
+                if not head:
                     return
                 self.requests += 1
+                if self._marker not in head:
+                    await stream.send_all(_SHORT_ANSWER)
+                    return
                 await self._send_for_ever(stream)
             except trio.BrokenResourceError:
                 self.closed += 1
 
-    async def _read_request(self, stream: trio.SocketStream) -> bool:
+    async def _read_request(self, stream: trio.SocketStream) -> bytes:
+        """Return the bytes of the request; empty without a whole head."""
         data = b""
         while b"\r\n\r\n" not in data:
             received = await stream.receive_some(_RECEIVE_BYTES)
             if not received:
-                return False
+                return b""
             data += received
-        return True
+        return data
 
     async def _send_for_ever(self, stream: trio.SocketStream) -> None:
         answer = self._answer
--- a/tests/serving_scene.py
+++ b/tests/serving_scene.py
@@ -44,7 +44,7 @@
     stream_resumption,
     trial_recorder,
 )
-from martenquay_daemon.limits import ejection
+from martenquay_daemon.limits import caller_budget, ejection
 from martenquay_daemon.migration import handover, targets
 from martenquay_daemon.migration import parts as migration_parts
 from martenquay_daemon.origins import parts as origin_parts
@@ -268,6 +268,10 @@
                 self.speeds.find,
             ),
             handovers=handover.Handovers(counts),
+            answer_budget=caller_budget.create_budget(
+                gateway.ResourceSettings().memory_mb,
+                caller_budget.ANSWER_SHARE,
+            ),
             metrics=counts,
             codec=header_codec,
             rng=rng,
--- a/tests/test_platform/process_scene.py
+++ b/tests/test_platform/process_scene.py
@@ -24,7 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
-    from tests import paced_runner, plain_runner
+    from tests import endless_runner, paced_runner, plain_runner
 
 __all__ = ["ProcessScene", "open_process_scene"]
 
@@ -99,7 +99,10 @@
         log_address: str,
         listen: dict[str, Any],
         grace_s: float,
-        runner: paced_runner.PacedRunner | plain_runner.PlainRunner | None,
+        runner: endless_runner.EndlessRunner
+        | paced_runner.PacedRunner
+        | plain_runner.PlainRunner
+        | None,
     ) -> None:
         self.resume = trio.Event()
         first_script = scripted.Script(_ANSWER_PIECES, resume=self.resume)
@@ -309,7 +312,10 @@
     listen: dict[str, Any] | None = None,
     grace_s: float = _GRACE_S,
     prepare: Callable[[ProcessScene], None] | None = None,
-    runner: paced_runner.PacedRunner | plain_runner.PlainRunner | None = None,
+    runner: endless_runner.EndlessRunner
+    | paced_runner.PacedRunner
+    | plain_runner.PlainRunner
+    | None = None,
     relay: str = "",
     startup_module: str = "",
     configuration: dict[str, Any] | None = None,
