Refuse folded lines in the answers to the daemon's own calls, too

A line that begins with a blank went on in the content type, and a body was not the service's if the line frames it.

Cause: HttpClient reads by h11, too, which joins such lines.

Evidence: both new tests failed without the check: Ok(content-type 'text/plain content-length: 2') in place of a failure.

Why it works: the check sits where all connections of HttpClient are wrapped and begins anew with each request on a connection. It needs no parser any more (an interim answer is told by its status line), so that it moves to the core and serves RunnerConnection as well. short_reads is guarded_network now, after what it does.

--- a/packages/core/src/martenquay_core/util/short_reads.py
+++ b/packages/core/src/martenquay_core/util/guarded_network.py
@@ -1,8 +1,9 @@
-"""Network backend for httpcore that reads little and keeps resets apart.
+"""Network backend for httpcore that does not trust the peer.
 
 httpcore parses what one read has brought without a checkpoint; interim answers
-and tiny chunks in 64 KiB hold the loop for 0.1 s. It also passes over a failed
-write, and takes the end of file that follows for the end of the answer.
+and tiny chunks in 64 KiB hold the loop for 0.1 s. It passes over a failed
+write, and takes the end of file that follows for the end of the answer. It
+joins folded lines of heads.
 """
 
 from __future__ import annotations
@@ -11,23 +12,24 @@
 
 import httpcore
 
-from martenquay_core.util import resets
+from martenquay_core.util import head_lines, resets
 
 if TYPE_CHECKING:
     import ssl
     from collections.abc import Iterable
 
-__all__ = ["ShortReadBackend"]
+__all__ = ["GuardedBackend"]
 
 _READ_BYTES = 16_384
 
 
-class _ShortReadStream(httpcore.AsyncNetworkStream):
-    """Stream whose reads return `_READ_BYTES` at most."""
+class _GuardedStream(httpcore.AsyncNetworkStream):
+    """Stream with short reads that refuses what httpcore would accept."""
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self._stream = stream
         self._may_hide_reset = False
+        self._head_lines = head_lines.HeadLines()
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return the next bytes; empty at the end.
@@ -35,18 +37,25 @@
         Raises:
             httpcore.ReadError: The connection broke, perhaps while the request
                 was written.
+            httpcore.RemoteProtocolError: A line of the head begins with a
+                blank.
         """
         data = await self._stream.read(min(max_bytes, _READ_BYTES), timeout)
         if not data and self._may_hide_reset:
             raise httpcore.ReadError("reset while the request was sent")
+        try:
+            self._head_lines.add(data)
+        except head_lines.FoldedLineError as error:
+            raise httpcore.RemoteProtocolError(str(error)) from error
         return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        """Send bytes.
+        """Send bytes of a request, whose answer is read next.
 
         Raises:
             httpcore.WriteError: The connection broke.
         """
+        self._head_lines = head_lines.HeadLines()
         try:
             await self._stream.write(buffer, timeout)
         except httpcore.WriteError as error:
@@ -64,7 +73,7 @@
         timeout: float | None = None,
     ) -> httpcore.AsyncNetworkStream:
         """Return the stream with TLS."""
-        return _ShortReadStream(
+        return _GuardedStream(
             await self._stream.start_tls(ssl_context, server_hostname, timeout)
         )
 
@@ -73,8 +82,8 @@
         return self._stream.get_extra_info(info)
 
 
-class ShortReadBackend(httpcore.AsyncNetworkBackend):
-    """Opens streams under trio whose reads are short."""
+class GuardedBackend(httpcore.AsyncNetworkBackend):
+    """Opens guarded streams under trio."""
 
     def __init__(self) -> None:
         self._backend = httpcore.TrioBackend()
@@ -88,7 +97,7 @@
         socket_options: Iterable[httpcore.SOCKET_OPTION] | None = None,
     ) -> httpcore.AsyncNetworkStream:
         """Open a TCP connection."""
-        return _ShortReadStream(
+        return _GuardedStream(
             await self._backend.connect_tcp(
                 host, port, timeout, local_address, socket_options
             )
@@ -101,7 +110,7 @@
         socket_options: Iterable[httpcore.SOCKET_OPTION] | None = None,
     ) -> httpcore.AsyncNetworkStream:
         """Open a connection to a Unix socket."""
-        return _ShortReadStream(
+        return _GuardedStream(
             await self._backend.connect_unix_socket(
                 path, timeout, socket_options
             )
--- a/packages/core/src/martenquay_core/util/http.py
+++ b/packages/core/src/martenquay_core/util/http.py
@@ -13,7 +13,7 @@
 import trio
 from expression import Error, Ok, Result
 
-from martenquay_core.util import keepalive, pools, short_reads
+from martenquay_core.util import guarded_network, keepalive, pools
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -298,7 +298,7 @@
             max_keepalive_connections=_MAX_CONNECTIONS if reuse else 0,
             keepalive_expiry=_IDLE_EXPIRY_S,
             socket_options=options,
-            network_backend=short_reads.ShortReadBackend(),
+            network_backend=guarded_network.GuardedBackend(),
         )
 
     pool_manager = pools.PoolManager(create_pool)
--- a/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
@@ -17,8 +17,7 @@
 import h11
 import trio
 
-from martenquay_core.util import keepalive, resets
-from martenquay_daemon.forwarding import head_lines
+from martenquay_core.util import head_lines, keepalive, resets
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -200,8 +199,6 @@
         while True:
             match await self._parse_event():
                 case h11.Response(status_code=status, headers=headers):
-                    self._check_head_lines()
-                    self._head_lines.clear()
                     if status > _MAX_STATUS:
                         raise BrokenAnswerError(f"status {status} is invalid")
                     self.has_response_head = True
@@ -210,7 +207,7 @@
                     self._is_success = status < _MIN_FAILURE_STATUS
                     return status, list(headers)
                 case h11.InformationalResponse():
-                    self._check_head_lines()
+                    continue
                 case h11.NEED_DATA:
                     await self._receive()
                 case _:
@@ -285,10 +282,6 @@
         """Reset the connection, so that the runner stops unfinished work."""
         await trio.aclose_forcefully(self._stream)
 
-    def _check_head_lines(self) -> None:
-        if self._head_lines.take_head():
-            raise BrokenAnswerError("a line of the head begins with a blank")
-
     async def _parse_event(self) -> h11.Event | type[h11.NEED_DATA]:
         self._parts += 1
         if self._parts % _PARTS_PER_STEP == 0:
@@ -302,8 +295,8 @@
         """Receive bytes and pass them to the parser.
 
         Raises:
-            BrokenAnswerError: The connection was reset, or too many bytes are
-                no body.
+            BrokenAnswerError: The connection was reset, too many bytes are no
+                body, or a line of the head begins with a blank.
         """
         framing_bytes = self._received_bytes - self._body_bytes
         if framing_bytes > _MAX_FRAMING_BYTES + self._body_bytes:
@@ -323,12 +316,14 @@
             # complete a response without a content length.
             raise BrokenAnswerError(f"reset: {error}") from error
         self._received_bytes += len(data)
-        if not self.has_response_head:
-            self._head_lines.add(data)
         self.last_activity_at = trio.current_time()
         self.has_peer_closed = not data
         if self.has_peer_closed and self._may_hide_reset:
             raise BrokenAnswerError("reset while the request was sent")
+        try:
+            self._head_lines.add(data)
+        except head_lines.FoldedLineError as error:
+            raise BrokenAnswerError(f"no HTTP answer: {error}") from error
         self._http.receive_data(data)
 
 
--- a/tests/test_core/test_http.py
+++ b/tests/test_core/test_http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 from typing import TYPE_CHECKING, Any
 
@@ -17,7 +18,12 @@
 from tests import endless_runner, step_timer
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import (
+        AsyncIterator,
+        Awaitable,
+        Callable,
+        Sequence,
+    )
 
     from expression import Result
 
@@ -30,6 +36,25 @@
 _SIZED = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n"
 
 
+@contextlib.asynccontextmanager
+async def _open_server(answers: Sequence[bytes]) -> AsyncIterator[str]:
+    """Yield the URL of a server that gives these answers, then closes."""
+    left = list(answers)
+
+    async def serve(stream: trio.SocketStream) -> None:
+        async with stream:
+            while left and await stream.receive_some(65_536):
+                await stream.send_all(left.pop(0))
+
+    listeners = await trio.open_tcp_listeners(0, host=loopback.HOST)
+    port = listeners[0].socket.getsockname()[1]
+    with trio.fail_after(_HANG_S):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trio.serve_listeners, serve, listeners)
+            yield f"http://{loopback.create_address(port)}/"
+            nursery.cancel_scope.cancel()
+
+
 class _Load(msgspec.Struct):
     name: str
 
@@ -238,6 +263,39 @@
         self.assertEqual(([b"one"], True), self._play(script, read))
 
 
+class InvalidHeadTest(testtools.TestCase):
+    """The server's answers are no HTTP; the client passes none of them on."""
+
+    def _call(self, *answers: bytes) -> list[Result[http.Answer, Any]]:
+        """Return what calls get from a server that answers in this order."""
+
+        async def run() -> list[Result[http.Answer, Any]]:
+            async with _open_server(answers) as url, http.open_client() as one:
+                return [await one.call("GET", url) for _ in answers]
+
+        return trio.run(run)
+
+    def test_a_blank_before_the_name_of_a_field(self) -> None:
+        status_line = b"HTTP/1.1 200 OK\r\n"
+        for head in (
+            b"content-type: text/plain\r\n content-length: 2\r\n",
+            b"content-type: text/plain\r\n\ttransfer-encoding: chunked\r\n",
+            b"x-odd: 1\r\n x-even: 1\r\ncontent-length: 5\r\n",
+        ):
+            answers = self._call(status_line + head + b"\r\nhello")
+            self.assertTrue(answers[0].is_error(), (head, answers))
+
+    def test_the_next_answer_on_a_connection(self) -> None:
+        folded = (
+            b"HTTP/1.1 200 OK\r\nx-odd: 1\r\n x-even: 1\r\n"
+            b"content-length: 5\r\n\r\nhello"
+        )
+        interim = b"HTTP/1.1 100 Continue\r\n\r\n"
+        answers = self._call(interim + _SIZED + b" \n\n\t ", folded)
+        self.assertEqual(b" \n\n\t ", answers[0].ok.body)
+        self.assertTrue(answers[1].is_error(), answers)
+
+
 class EndlessLineTest(testtools.TestCase):
     def test_a_line_without_end_is_a_protocol_error(self) -> None:
         timer = step_timer.StepTimer()
