Refuse statuses above 599 in the answers to the daemon's own calls, too

Evidence: test_a_status_above_any_class failed, Ok(status=600) in place of a failure; 000 was refused before.

Why it works: HttpClient checks the status before it reads a body; one constant serves both clients.

--- a/packages/core/src/martenquay_core/util/http.py
+++ b/packages/core/src/martenquay_core/util/http.py
@@ -20,6 +20,7 @@
 
 __all__ = [
     "MAX_BODY_BYTES",
+    "MAX_STATUS",
     "Answer",
     "CallFailure",
     "HttpClient",
@@ -51,6 +52,9 @@
 _MAX_LINE_BYTES = 1_048_576
 # Pieces of a body that are taken without a checkpoint: about 5 ms.
 _PIECES_PER_STEP = 256
+# Statuses above it are invalid (RFC 9110, section 15); the parser refuses those
+# below 100 and takes all of three digits besides.
+MAX_STATUS = 599
 _MAX_CONNECTIONS = 1000
 _IDLE_EXPIRY_S = 4.0
 
@@ -199,6 +203,7 @@
                         content=body,
                         extensions=_create_timeouts(timeout_s),
                     ) as response:
+                        _check_status(response)
                         return Ok(await _read_answer(response))
             except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
                 return Error(CallFailure(sent=False, message=_describe(error)))
@@ -241,6 +246,7 @@
         Raises:
             httpcore.ConnectError: Nothing was sent.
             httpcore.NetworkError: The connection broke.
+            httpcore.ProtocolError: The head is not valid.
             httpcore.TimeoutException: No data arrived for `read_timeout_s`.
         """
         limits = {"connect": connect_timeout_s, "read": read_timeout_s}
@@ -254,6 +260,7 @@
                 extensions={"timeout": limits},
             ) as response,
         ):
+            _check_status(response)
             yield StreamedAnswer(response)
 
 
@@ -308,6 +315,13 @@
         await pool_manager.close()
 
 
+def _check_status(response: httpcore.Response) -> None:
+    if response.status > MAX_STATUS:
+        raise httpcore.RemoteProtocolError(
+            f"status {response.status} is invalid"
+        )
+
+
 async def _read_answer(response: httpcore.Response) -> Answer:
     """Read the body.
 
--- a/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
@@ -17,7 +17,7 @@
 import h11
 import trio
 
-from martenquay_core.util import head_lines, keepalive, resets
+from martenquay_core.util import head_lines, http, keepalive, resets
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -43,9 +43,6 @@
 # pages set it for bodies of requests (the default of `MaxBodyBytes`).
 MAX_ANSWER_BYTES = 4_194_304
 _MIN_FAILURE_STATUS = 300
-# Statuses above it are invalid (RFC 9110, section 15); the parser refuses those
-# below 100 and takes all of three digits besides.
-_MAX_STATUS = 599
 _RECEIVE_BYTES = 16_384
 # Larger bodies are sent behind the head rather than copied into one piece.
 _MAX_JOINED_BYTES = 16_384
@@ -199,7 +196,7 @@
         while True:
             match await self._parse_event():
                 case h11.Response(status_code=status, headers=headers):
-                    if status > _MAX_STATUS:
+                    if status > http.MAX_STATUS:
                         raise BrokenAnswerError(f"status {status} is invalid")
                     self.has_response_head = True
                     self.note_progress()
--- a/tests/test_core/test_http.py
+++ b/tests/test_core/test_http.py
@@ -285,6 +285,17 @@
             answers = self._call(status_line + head + b"\r\nhello")
             self.assertTrue(answers[0].is_error(), (head, answers))
 
+    def test_a_status_above_any_class(self) -> None:
+        answer = b"HTTP/1.1 %d X\r\ncontent-length: 5\r\n\r\nhello"
+        for status in (600, 999):
+            answers = self._call(answer % status)
+            self.assertTrue(answers[0].is_error(), answers)
+            self.assertTrue(answers[0].error.sent)
+
+    def test_a_status_of_zeros(self) -> None:
+        answers = self._call(b"HTTP/1.1 000 X\r\ncontent-length: 0\r\n\r\n")
+        self.assertTrue(answers[0].is_error(), answers)
+
     def test_the_next_answer_on_a_connection(self) -> None:
         folded = (
             b"HTTP/1.1 200 OK\r\nx-odd: 1\r\n x-even: 1\r\n"
