Give no call the bytes behind the answer to another one

What callers saw: nothing was reported. Found when the class of broken answers was looked for where answers are read: a service that sends a surplus answer behind a whole one, in the same bytes, has it passed on as the answer to the next call on that connection. The standalone daemon's callers get another call's answer, and the daemon takes it for the log's.

Cause: httpcore keeps what it has read behind an answer and parses it first for the next request. What arrives later is seen, as an idle connection that can be read is not used again. Connections of the platform's daemon to runners carry one request each.

Evidence: test_it_is_not_the_answer_to_the_next_call, [hello, wrong] in place of [hello, again].

--- a/packages/core/src/martenquay_core/util/guarded_network.py
+++ b/packages/core/src/martenquay_core/util/guarded_network.py
@@ -3,7 +3,7 @@
 httpcore parses what one read has brought without a checkpoint; interim answers
 and tiny chunks in 64 KiB hold the loop for 0.1 s. It passes over a failed
 write, and takes the end of file that follows for the end of the answer. It
-joins folded lines of heads.
+joins folded lines of heads, and keeps bytes behind an answer for the next one.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 
 import httpcore
 
-from martenquay_core.util import head_lines, resets
+from martenquay_core.util import answer_end, head_lines, resets
 
 if TYPE_CHECKING:
     import ssl
@@ -30,6 +30,7 @@
         self._stream = stream
         self._may_hide_reset = False
         self._head_lines = head_lines.HeadLines()
+        self._answer_end = answer_end.AnswerEnd()
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Return the next bytes; empty at the end.
@@ -47,6 +48,7 @@
             self._head_lines.add(data)
         except head_lines.FoldedLineError as error:
             raise httpcore.RemoteProtocolError(str(error)) from error
+        self._answer_end.feed(data)
         return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
@@ -56,6 +58,7 @@
             httpcore.WriteError: The connection broke.
         """
         self._head_lines = head_lines.HeadLines()
+        self._answer_end = answer_end.AnswerEnd()
         try:
             await self._stream.write(buffer, timeout)
         except httpcore.WriteError as error:
@@ -79,6 +82,9 @@
 
     def get_extra_info(self, info: str) -> Any:
         """Return a property of the connection."""
+        if info == "is_readable" and self._answer_end.has_surplus:
+            # An idle connection that is readable is not used again.
+            return True
         return self._stream.get_extra_info(info)
 
 
--- a/tests/test_core/test_http.py
+++ b/tests/test_core/test_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 import random
 from typing import TYPE_CHECKING, Any
 
@@ -36,22 +37,30 @@
 _SIZED = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n"
 
 
+@dataclasses.dataclass
+class _Server:
+    url: str
+    connections: int = 0
+
+
 @contextlib.asynccontextmanager
-async def _open_server(answers: Sequence[bytes]) -> AsyncIterator[str]:
-    """Yield the URL of a server that gives these answers, then closes."""
+async def _open_server(answers: Sequence[bytes]) -> AsyncIterator[_Server]:
+    """Run a server that gives these answers, then closes."""
     left = list(answers)
 
     async def serve(stream: trio.SocketStream) -> None:
+        server.connections += 1
         async with stream:
             while left and await stream.receive_some(65_536):
                 await stream.send_all(left.pop(0))
 
     listeners = await trio.open_tcp_listeners(0, host=loopback.HOST)
     port = listeners[0].socket.getsockname()[1]
+    server = _Server(f"http://{loopback.create_address(port)}/")
     with trio.fail_after(_HANG_S):
         async with trio.open_nursery() as nursery:
             nursery.start_soon(trio.serve_listeners, serve, listeners)
-            yield f"http://{loopback.create_address(port)}/"
+            yield server
             nursery.cancel_scope.cancel()
 
 
@@ -270,8 +279,11 @@
         """Return what calls get from a server that answers in this order."""
 
         async def run() -> list[Result[http.Answer, Any]]:
-            async with _open_server(answers) as url, http.open_client() as one:
-                return [await one.call("GET", url) for _ in answers]
+            async with (
+                _open_server(answers) as server,
+                http.open_client() as client,
+            ):
+                return [await client.call("GET", server.url) for _ in answers]
 
         return trio.run(run)
 
@@ -307,6 +319,45 @@
         self.assertTrue(answers[1].is_error(), answers)
 
 
+class SurplusAnswerTest(testtools.TestCase):
+    """The server sends more behind a whole answer, in the same bytes."""
+
+    def _call_twice(self, first: bytes) -> tuple[list[bytes], int]:
+        """Return the bodies of two calls, and how many connections opened."""
+        answers = [first, _SIZED + b"again"]
+
+        async def run() -> tuple[list[bytes], int]:
+            async with (
+                _open_server(answers) as server,
+                http.open_client() as client,
+            ):
+                bodies = [
+                    (await client.call("GET", server.url)).ok.body
+                    for _ in range(2)
+                ]
+                return bodies, server.connections
+
+        return trio.run(run)
+
+    def test_it_is_not_the_answer_to_the_next_call(self) -> None:
+        surplus = _SIZED + b"wrong"
+        chunked = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        interim = b"HTTP/1.1 100 Continue\r\n\r\n"
+        for whole in (
+            _SIZED + b"hello",
+            interim + _SIZED + b"hello",
+            chunked + b"5\r\nhello\r\n0\r\n\r\n",
+        ):
+            for rest in (surplus, interim + surplus, b"wrong"):
+                bodies, connections = self._call_twice(whole + rest)
+                self.assertEqual([b"hello", b"again"], bodies, whole + rest)
+                self.assertEqual(2, connections)
+
+    def test_a_connection_without_surplus_is_used_again(self) -> None:
+        bodies, connections = self._call_twice(_SIZED + b"hello")
+        self.assertEqual(([b"hello", b"again"], 1), (bodies, connections))
+
+
 class EndlessLineTest(testtools.TestCase):
     def test_a_line_without_end_is_a_protocol_error(self) -> None:
         timer = step_timer.StepTimer()
