Pass on no control byte in the head of an answer

What callers saw: an answer with a control byte in the value of a field, or in the text behind the status, arrived as an answer, the byte in the value with it. Parsers of callers refuse such a head, so that an answer which a call might get elsewhere is lost.

Cause: h11 takes all control bytes but NUL and white space in values (RFC 9110, section 5.5: invalid). In names it refused them before.

Evidence: two tests failed on plain routes and on routes of streams, 200 in place of 502. Tabs and bytes beyond ASCII are passed on, before and after.

Why it works: the check for folded lines sees all bytes of a head. It serves both clients.

--- a/packages/core/src/martenquay_core/util/guarded_network.py
+++ b/packages/core/src/martenquay_core/util/guarded_network.py
@@ -38,15 +38,14 @@
         Raises:
             httpcore.ReadError: The connection broke, perhaps while the request
                 was written.
-            httpcore.RemoteProtocolError: A line of the head begins with a
-                blank.
+            httpcore.RemoteProtocolError: A head is malformed.
         """
         data = await self._stream.read(min(max_bytes, _READ_BYTES), timeout)
         if not data and self._may_hide_reset:
             raise httpcore.ReadError("reset while the request was sent")
         try:
             self._head_lines.add(data)
-        except head_lines.FoldedLineError as error:
+        except head_lines.MalformedHeadError as error:
             raise httpcore.RemoteProtocolError(str(error)) from error
         self._answer_end.feed(data)
         return data
--- a/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/runner_connection.py
@@ -293,7 +293,7 @@
 
         Raises:
             BrokenAnswerError: The connection was reset, too many bytes are no
-                body, or a line of the head begins with a blank.
+                body, or a head is malformed.
         """
         framing_bytes = self._received_bytes - self._body_bytes
         if framing_bytes > _MAX_FRAMING_BYTES + self._body_bytes:
@@ -319,7 +319,7 @@
             raise BrokenAnswerError("reset while the request was sent")
         try:
             self._head_lines.add(data)
-        except head_lines.FoldedLineError as error:
+        except head_lines.MalformedHeadError as error:
             raise BrokenAnswerError(f"no HTTP answer: {error}") from error
         self._http.receive_data(data)
 
--- a/tests/test_forwarding/test_invalid_heads.py
+++ b/tests/test_forwarding/test_invalid_heads.py
@@ -59,6 +59,11 @@
         )
         self.assertEqual((200, body), (reply.status, reply.body))
 
+    def test_tabs_and_bytes_beyond_ascii_in_a_value_are_passed_on(self) -> None:
+        line = b"x-odd: caf\xc3\xa9\tau \xff\r\n"
+        reply = self._ask(_STATUS_LINE + b"\r\n" + _FIELDS + line + _END)
+        self.assertEqual(b"caf\xc3\xa9\tau \xff", reply.headers[b"x-odd"])
+
     def test_a_status_of_zeros(self) -> None:
         self.assert_refuses_status_line(
             b"HTTP/1.1 000 OK", b"HTTP/1.1 000", b"HTTP/1.0 000 OK"
@@ -97,6 +102,16 @@
             *(b"x%codd: 1" % byte for byte in (0, 1, 8, 11, 12, 27, 127))
         )
 
+    def test_a_control_byte_in_the_value_of_a_field(self) -> None:
+        self.assert_refuses_field(
+            *(b"x-odd: a%cb" % byte for byte in (0, 1, 8, 11, 12, 13, 27, 127))
+        )
+
+    def test_a_control_byte_in_the_status_line(self) -> None:
+        self.assert_refuses_status_line(
+            b"HTTP/1.1 200 O\x00K", b"HTTP/1.1 200 O\x01K", b"HTTP/1.1\x0b200"
+        )
+
     def test_a_byte_beyond_ascii_in_the_name_of_a_field(self) -> None:
         self.assert_refuses_field(b"x\x80odd: 1", b"x\xffodd: 1")
 
