End a stream visibly whose event ids do not rise

What callers saw: nothing was reported.

Cause: an event whose id is not above the last one was taken for one that the caller has from another runner, and skipped. That holds at the beginning of an attempt that resumes the stream, and nowhere else; ids of one runner's stream rise.

A stream that another runner goes on with may still begin with events that were delivered (a test beside it, green before).

Why it works: ids are compared within the attempt first. The events before such a one go to the caller, who sees that the rest is missing; a stream that may be resumed goes on elsewhere, as after a gap.

--- a/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
@@ -242,6 +242,7 @@
         current.sent_at = trio.current_time()
         current.first_event_s = None
         current.attempt_events = 0
+        current.attempt_event_id = None
         current.is_answering = False
 
         async def send_and_relay(
--- a/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
@@ -83,6 +83,7 @@
         is_probe: Whether the request is sent although its parts may have
             caused crashes.
         attempt_events: Events received in the current attempt.
+        attempt_event_id: Id of the last event received in the current attempt.
         is_answering: Whether so many came that the answer has begun.
         has_runner_ended: Whether the runner's process ended during the
             current attempt.
@@ -128,6 +129,7 @@
     crashes_seen: dict[str, int] = dataclasses.field(default_factory=dict)
     is_probe: bool = False
     attempt_events: int = 0
+    attempt_event_id: int | None = None
     is_answering: bool = False
     has_runner_ended: bool = False
     relay: str = ""
--- a/packages/daemon/src/martenquay_daemon/forwarding/stream_relay.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/stream_relay.py
@@ -218,18 +218,17 @@
         new_events = []
         problem = ""
         for event in events:
-            last = current.last_event_id
-            if event.id is not None and last is not None:
-                if event.id <= last:
-                    continue
-                if event.id > last + 1:
-                    # The events before it go to the caller, as the next
-                    # runner goes on after them.
-                    problem = (
-                        f"event {event.id} follows event {last}; some are lost"
-                    )
-                    break
+            # The events before a problem go to the caller, as the next runner
+            # goes on after them.
+            problem = _find_problem(current, event)
+            if problem:
+                break
             if event.id is not None:
+                current.attempt_event_id = event.id
+                last = current.last_event_id
+                if last is not None and event.id <= last:
+                    # The caller has it from another runner.
+                    continue
                 current.last_event_id = event.id
             new_events.append(event.raw)
         if not new_events:
@@ -249,6 +248,19 @@
         return problem
 
 
+def _find_problem(current: exchange.Exchange, event: event_stream.Event) -> str:
+    """Return why an event must not be passed on or skipped, or ""."""
+    if event.id is None:
+        return ""
+    before = current.attempt_event_id
+    if before is not None and event.id <= before:
+        return f"event {event.id} follows event {before}; ids have to rise"
+    last = current.last_event_id
+    if last is not None and event.id > last + 1:
+        return f"event {event.id} follows event {last}; some are lost"
+    return ""
+
+
 def _find_first(events: list[event_stream.Event]) -> int | None:
     """Return the index of the first event that is no comment.
 
--- a/tests/test_forwarding/test_forwarder_streams.py
+++ b/tests/test_forwarding/test_forwarder_streams.py
@@ -48,6 +48,12 @@
         self.assertTrue(reply.is_whole)
         self.assertEqual(_event(1) + _event(2), reply.body)
 
+    def test_ids_may_begin_anywhere(self) -> None:
+        for first in (0, 7):
+            events = _event(first) + _event(first + 1)
+            reply, _ = self._ask_stream([Script((_stream(events),))])
+            self.assertEqual((events, True), (reply.body, reply.is_whole))
+
     def test_the_events_of_a_stream_are_evidence_on_its_engine(self) -> None:
         # An event that is not noted would make its engine look overdue.
         engine = catalog.EngineTraits(24, 700_000)
@@ -119,6 +125,25 @@
         self.assertFalse(reply.is_whole)
         self.assertNotIn(b"token 3", reply.body)
 
+    def test_events_whose_ids_do_not_rise_end_a_stream_visibly(self) -> None:
+        for ids in ((1, 2, 1, 3), (1, 2, 2, 3), (1, 2, 3, 2), (9, 2, 3)):
+            events = [_event(number) for number in ids]
+            for raw in (_stream(*events), _stream(b"".join(events))):
+                reply, _ = self._ask_stream([Script((raw,))])
+                self.assertFalse(reply.is_whole, ids)
+                begin = b"".join(events[: 1 if ids[0] == 9 else 2])
+                self.assertTrue(reply.body.startswith(begin), reply)
+
+    def test_a_stream_that_goes_on_may_begin_with_events_that_were_delivered(
+        self,
+    ) -> None:
+        cut = Script((_stream(_event(1), _event(2), end=_CUT),))
+        again = Script((_stream(_event(1), _event(2), _event(3)),))
+        for scripts in (([cut], [again]), ([again], [cut])):
+            reply, _ = self._ask_stream(*scripts)
+            self.assertTrue(reply.is_whole)
+            self.assertEqual(_event(1) + _event(2) + _event(3), reply.body)
+
     def test_the_events_before_a_gap_in_one_read_are_passed_on(self) -> None:
         # The next runner is asked to go on after them.
         gap = Script((_stream(_event(1) + _event(2) + _event(4)),))
--- a/tests/test_promises/test_broken_answers.py
+++ b/tests/test_promises/test_broken_answers.py
@@ -10,6 +10,7 @@
 
 import random
 import sys
+from typing import TYPE_CHECKING
 
 import testtools
 import trio
@@ -18,7 +19,12 @@
 from tests import drawn_broken_answers, serving_scene
 from tests import serving_builders as builders
 
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
 _SEEDS = range(1, 9)
+# Seeds that have failed: ids of events that do not rise.
+_FAILED_SEEDS = (141, 298)
 _CALLS = 150
 _HANG_S = 60.0
 _UPLOADS = (b"", b"", bytes(200_000), bytes(2_000_000))
@@ -102,13 +108,19 @@
 
 class BrokenAnswersTest(testtools.TestCase):
     def test_drawn_answers(self) -> None:
+        self._play_seeds(_SEEDS)
+
+    def test_seeds_that_failed(self) -> None:
+        self._play_seeds(_FAILED_SEEDS)
+
+    def _play_seeds(self, seeds: Collection[int]) -> None:
         answered = 0
-        for seed in _SEEDS:
+        for seed in seeds:
             wrong, count = trio.run(_play, seed)
             self.assertEqual([], wrong, f"seed {seed}")
             answered += count
         # Otherwise nothing was compared.
-        self.assertGreater(answered, len(_SEEDS) * _CALLS // 10)
+        self.assertGreater(answered, len(seeds) * _CALLS // 10)
 
 
 def _main() -> None:
