Tidy what a review of the answers' room and of resets found

A kept failure is not counted twice while it is delivered; an answer that has to make room before its first byte is sent gets 502 in place of a closed connection (found by reading, no run showed it); the scope of a request that ended by an error is forgotten. Names and comments besides.

--- a/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/caller_connection.py
@@ -53,9 +53,6 @@
 _FINAL_READ_S = 0.2
 # Callers of earlier versions get no chunks; a close ends the answer.
 _FIRST_VERSION_WITH_CHUNKS = b"1.1"
-# SO_LINGER: whether close() resets the connection, also when the process ends.
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-_END_ON_CLOSE = struct.pack("ii", 0, 0)
 # The ": " and line end of a header, which h11 strips.
 _HEADER_LINE_OVERHEAD_BYTES = 4
 
@@ -268,7 +265,7 @@
         version = self._http.their_http_version
         if length is None and version < _FIRST_VERSION_WITH_CHUNKS:
             # A close before the end would look like the end.
-            self._set_linger(_RESET_ON_CLOSE)
+            self._set_reset_on_close(is_on=True)
         await self.send_event(
             h11.Response(status_code=status, headers=headers, reason=b"")
         )
@@ -276,11 +273,14 @@
     def allow_end_on_close(self) -> None:
         """Let a close end the bytes that were sent, as an answer is whole."""
         if self._resets_on_close:
-            self._set_linger(_END_ON_CLOSE)
+            self._set_reset_on_close(is_on=False)
 
-    def _set_linger(self, linger: bytes) -> None:
-        self._resets_on_close = linger is _RESET_ON_CLOSE
-        self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    def _set_reset_on_close(self, *, is_on: bool) -> None:
+        """Set whether closing resets, also when the process ends."""
+        self._resets_on_close = is_on
+        self._stream.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", is_on, 0)
+        )
 
     def receive_bytes(self, data: bytes) -> h11.Event | type[h11.NEED_DATA]:
         """Feed bytes from the caller to the parser and return its event."""
--- a/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/exchange.py
@@ -181,15 +181,17 @@
 
     def bound_answers(self, budget: caller_budget.CallerBudget) -> None:
         """Count what is held of runners' answers in a budget."""
-        self.held = held_answer.HeldAnswer(budget, self._drop_fallback)
+        self.held = held_answer.HeldAnswer(budget, self.drop_fallback)
 
     def keep_fallback(self, answer: Whole) -> None:
         """Keep a runner's server error in case no later attempt succeeds."""
         self.fallback_answer = answer
         self.held.kept_bytes = len(answer.body)
 
-    def _drop_fallback(self) -> None:
+    def drop_fallback(self) -> None:
+        """Keep no server error any more."""
         self.fallback_answer = None
+        self.held.kept_bytes = 0
 
     def check_caller(self) -> None:
         """Check that the caller is still connected.
--- a/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/forwarder.py
@@ -208,19 +208,26 @@
     async def _deliver(
         self, current: exchange.Exchange, answer: exchange.Whole
     ) -> None:
-        """Send a runner's answer; cut it off if it has to make room."""
+        """Send a runner's answer, unless it has to make room."""
         current.stage = disconnects.Stage.DELIVERING
         head, body, writer = answer.head, answer.body, current.writer
+        current.drop_fallback()
         with current.held.watch():
             current.held.resize(len(body))
-            await writer.start(head.status, head.headers, len(body))
-            await writer.write(body)
-            await writer.finish()
-            self._request_log.log_end(current, "answered", head.status)
+            if not current.held.is_refused:
+                await writer.start(head.status, head.headers, len(body))
+                await writer.write(body)
+                await writer.finish()
+                self._request_log.log_end(current, "answered", head.status)
+                return
+        if writer.has_started:
+            writer.abort()
+            reason = exchange.NoRoom().reason
+            self._request_log.log_end(current, f"cut off: {reason}", 0)
             return
-        writer.abort()
-        reason = exchange.NoRoom().reason
-        self._request_log.log_end(current, f"cut off: {reason}", 0)
+        await self._send_own_answer(
+            current.call, writer, own_answers.describe_failure(current)
+        )
 
     async def _try_runners(
         self, current: exchange.Exchange
@@ -275,6 +282,7 @@
                 placement,
                 lambda: retries.has_retry_left(current.service),
             )
+        # The block was cancelled.
         return exchange.NoRoom()
 
     async def _find_next_placement(
--- a/packages/daemon/src/martenquay_daemon/forwarding/held_answer.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/held_answer.py
@@ -42,7 +42,7 @@
 
         Args:
             budget: Bounds what all requests hold; None for no bound.
-            drop_kept: Drops the answer that is kept.
+            drop_kept: Drops the answer that is kept, and its size.
         """
         self.is_refused = False
         self.kept_bytes = 0
@@ -76,13 +76,15 @@
     def watch(self) -> Iterator[None]:
         """Cancel the block if the request has to make room for others."""
         self.is_refused = False
-        with trio.CancelScope() as self._scope:
-            yield
-        self._scope = None
+        with trio.CancelScope() as scope:
+            self._scope = scope
+            try:
+                yield
+            finally:
+                self._scope = None
 
     def _refuse(self) -> None:
         self.is_refused = True
-        self.kept_bytes = 0
         self._drop_kept()
         if self._scope is not None:
             self._scope.cancel()
--- a/packages/daemon/src/martenquay_daemon/limits/caller_budget.py
+++ b/packages/daemon/src/martenquay_daemon/limits/caller_budget.py
@@ -2,8 +2,9 @@
 
 A limit on each request bounds one caller; many callers at once would still fill
 the instance's memory. A request that is still being read can be refused, as no
-runner has it. The one that holds most for longest is refused, and not the one
-that happens to come next.
+runner has it; what has been read of an answer can be dropped, though its
+request may have run. The one that holds most for longest is refused, and not
+the one that happens to come next.
 """
 
 from __future__ import annotations
