Take a success without one seal for no answer

What callers saw: a 200 whose seal is empty, or which has two different ones, arrived as an answer. A 2xx counts only with the runner's seal, so that the call was lost where another runner might have answered it.

Cause: the seal counted as there with any value, and any number of times.

A seal that is repeated as it is counts as before.

--- a/tests/test_forwarding/test_answer_fields.py
+++ b/tests/test_forwarding/test_answer_fields.py
@@ -43,6 +43,17 @@
         self.assertNotIn(b"keep-alive", reply.headers)
         self.assertEqual(b"2", reply.headers.get(b"x-two"))
 
+    def test_a_success_with_an_empty_seal_is_broken(self) -> None:
+        for seals in ((b"server-seal:",), (b"server-seal: ", case.SEAL)):
+            head = (b"HTTP/1.1 200 X", b"attempt-id: call-1", *seals)
+            length = b"\r\ncontent-length: 4\r\n\r\nfine"
+            reply, _ = self.ask_once([Script((b"\r\n".join(head) + length,))])
+            self.assertEqual(502, reply.status, seals)
+
+    def test_a_success_with_two_seals_is_broken(self) -> None:
+        self.assertEqual(502, self._ask(b"server-seal: s2").status)
+        self.assertEqual(200, self._ask(case.SEAL).status)
+
     def test_an_answer_with_the_ids_of_two_requests_is_broken(self) -> None:
         for other in (b"attempt-id: call-2", b"attempt-id: "):
             for fields in (
