Take a success for broken whose body is encoded unasked

What callers saw: a 200 with `Content-Encoding: gzip` arrived at callers that had asked for no encoding. The platform says that such an answer does not carry the runner's body: it counts for nothing, and no caller retries a 2xx.

Cause: the field went back as it was, for callers to tell by it.

Why it works: a success is broken if its body has a coding and the caller has asked for none; otherwise it goes back as before, and so do failures.

--- a/packages/core/src/martenquay_core/serving/calls.py
+++ b/packages/core/src/martenquay_core/serving/calls.py
@@ -58,6 +58,7 @@
             None if it does not resume a stream.
         resumed_id: Id of the request that brought the first event of the
             stream to resume; empty if the caller names none.
+        accepts_coding: The caller asks for content codings.
     """
 
     id: str
@@ -73,6 +74,7 @@
     tokens_out: int | None = None
     resume_after: int | None = None
     resumed_id: str = ""
+    accepts_coding: bool = False
 
     @property
     def path(self) -> str:
@@ -127,6 +129,7 @@
         is_sealed: The answer has the header that only runners add.
         did_not_run: The runner states that it did not run the request.
         is_wrong_runner: Another runner now has the address.
+        is_encoded: The body has a content coding.
         signals: State that the runner reports about itself.
     """
 
@@ -136,6 +139,7 @@
     is_sealed: bool
     did_not_run: bool
     is_wrong_runner: bool
+    is_encoded: bool = False
     signals: signals.RunnerSignals = signals.NO_SIGNALS
 
 
--- a/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
+++ b/packages/daemon/src/martenquay_daemon/forwarding/attempt.py
@@ -401,6 +401,8 @@
         return f"the answer belongs to request {head.call_id}"
     if head.status < 300 and not head.is_sealed:
         return "the answer lacks the runner's seal"
+    if head.status < 300 and head.is_encoded and not call.accepts_coding:
+        return "the body is encoded, which the caller has not asked for"
     if head.status in _NOT_RUN_STATUSES:
         return f"status {head.status}, but not confirmed that it did not run"
     return ""
