--- a/packages/core/src/martenquay_core/serving/calls.py
+++ b/packages/core/src/martenquay_core/serving/calls.py
@@ -129,8 +129,8 @@
         is_sealed: The answer has the header that only runners add.
         did_not_run: The runner states that it did not run the request.
         is_wrong_runner: Another runner now has the address.
-        is_encoded: The body has a content coding.
         signals: State that the runner reports about itself.
+        is_encoded: The body has a content coding.
     """
 
     status: int
@@ -139,8 +139,8 @@
     is_sealed: bool
     did_not_run: bool
     is_wrong_runner: bool
-    is_encoded: bool = False
     signals: signals.RunnerSignals = signals.NO_SIGNALS
+    is_encoded: bool = False
 
 
 def shorten_id(text: str) -> str:
