Count keep-alive timers of one address, and not of its port at others

The test read /proc/net/tcp for the port alone, while tests and other programs beside it have loopback addresses of their own and may draw the same port. Shown with three connections on one port of three addresses: it counted 3, and counts 1 now. The check is as strict: the address has to match as well, and exactly one timer to run.

--- a/tests/test_forwarding/test_silent_connections.py
+++ b/tests/test_forwarding/test_silent_connections.py
@@ -4,6 +4,7 @@
 
 import pathlib
 import socket
+import sys
 
 import testtools
 import trio
@@ -41,11 +42,13 @@
 
 def _count_keepalives(address: str) -> int:
     """Return how many connections of an address run a keep-alive timer."""
-    wanted = f"{int(address.rpartition(':')[2]):04X}"
+    host, _, port = address.rpartition(":")
+    ip = int.from_bytes(socket.inet_aton(host), sys.byteorder)
+    wanted = f"{ip:08X}:{int(port):04X}"
     lines = pathlib.Path("/proc/self/net/tcp").read_text("ascii").splitlines()
     fields = [line.split() for line in lines[1:]]
     return sum(
-        wanted in {local[-4:], remote[-4:]}
+        wanted in {local, remote}
         and state == _ESTABLISHED
         and timer.startswith(_KEEPALIVE_TIMER)
         for _, local, remote, state, _, timer, *_ in fields
