--- a/tests/test_forwarding/test_held_answers.py
+++ b/tests/test_forwarding/test_held_answers.py
@@ -73,6 +73,27 @@
 
         self.run_scene(scenario, [_WHOLE])
 
+    def test_a_whole_answer_that_makes_room_before_it_is_sent_gets_502(
+        self,
+    ) -> None:
+        async def scenario(scene: serving_scene.Scene) -> None:
+            budget = scene.parts.answer_budget
+            budget.capacity_bytes = _CAPACITY_BYTES
+            other = caller_budget.Holding(lambda: None)
+
+            async def take_all_room(*_: object) -> None:
+                await trio.lowlevel.checkpoint()
+                budget.resize(other, 2 * _CAPACITY_BYTES)
+
+            # Called between the end of an attempt and the delivery.
+            self.patch(scene.parts.quarantine, "note_result", take_all_room)
+            reply = await scene.ask(_CALL)
+            self.assertEqual((502, True), (reply.status, reply.is_whole))
+            budget.resize(other, 0)
+            self.assertEqual(0, budget.used_bytes)
+
+        self.run_scene(scenario, [_WHOLE])
+
     def test_an_answer_that_its_caller_does_not_read_is_cut_off(self) -> None:
         answer = case.build_answer(200, _UNREAD, case.SEAL)
 
